--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,904 @@
+// This file holds every decision. Its interface, the settings, events, actions
+// and states, is in policy/types.go.
+
+package policy
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+const (
+	// capFactor is c: how far above its even share of the agent's attempts a
+	// server may go before a key's request moves on to the next in hash order.
+	capFactor = 3.0
+	// crowdShare is the part of the aim that a server's mean answer time may
+	// take before the agent gives it less: the rest is for the spread.
+	crowdShare = 0.5
+	// crowdFactor is how many times the fleet's calm answer time a server's mean may be
+	// before it counts as crowded: enough to keep its cores busy, too little to tip it.
+	crowdFactor = 1.5
+	// firstWindow is the number of attempts an unmeasured server may hold.
+	firstWindow = 2.0
+	// learnFor is the number of answers that make the first measure of calm; until
+	// then no window grows, so that a start does not crowd what it measures.
+	learnFor = 50
+	// leastWindow is what is left to a server however crowded it is: enough to see
+	// when it is not.
+	leastWindow, tipFactor = 0.1, 2.5
+	// keyWait is the part of its aim that a request may wait for one of the
+	// keyServers nearest its key: going on at once would lose the warm key and
+	// warm it up elsewhere, just when servers are short of time.
+	keyWait, keyServers = 0.25, 2
+	// hopeless is the part of its expected time that a hinted request needs at the
+	// least: hints are rough, a warm key saves work, and some servers are quicker.
+	hopeless = 0.7
+	// keyPart is the most of a server's even share that one part of a key may bring: the
+	// sum over parts is what makes servers unequal. keyMemory is the number of requests,
+	// for each part there may be, by which a key's share is known.
+	keyPart, keyMemory = 0.25, 2.0
+	// ownLeast and ownMost bound how much more a server of the agent's own zone weighs in a
+	// key's order: crossing takes time and may have a price. ownStep is how fast it moves.
+	ownLeast, ownMost, ownStep = 1.5, 8.0, 0.1
+	// maxStrikes bounds the doubling of a bad server's hold.
+	maxStrikes = 5
+	// againShare is the further attempts that a served request earns, againMost what may be
+	// saved up, and what an agent starts with.
+	againShare, againMost = 0.25, 4.0
+	// shedMemory is the number of tries by which an agent knows what part of them is served
+	// in time; under 1/shedFactor of them it refuses some, never more than shedMost.
+	shedMemory, shedFactor, shedMost = 20.0, 1.5, 0.8
+	// loadFactor is how many times the mean of the reported requests a server may hold.
+	loadFactor = 1.5
+	// smooth is the weight of one answer in a server's mean, slowSmooth in a fleet-wide one.
+	smooth, slowSmooth = 0.2, 0.005
+	// fade lets requests count less for shares with age, over about 500.
+	fade = 0.998
+	// maxHeld bounds the requests held for room, and so the work of a decision.
+	maxHeld = 512
+	// coldBurst bounds what a cold server's credit saves up, in mean requests: all
+	// agents may spend theirs at once, and the budget is counted over a short time.
+	coldBurst = 1.0
+	// coldMargin is what an even share may cost a cold server, in its present capacity: the
+	// warm ones save up to three quarters of the work by the keys they know.
+	coldMargin = 4.0
+	// probeCap bounds the probes under way, probeShare those for each request.
+	probeCap, probeShare = 2, 0.1
+
+	tickToken, followToken = 1, 2
+)
+
+// New returns the balancer of one agent, or an error that names the setting
+// that makes no sense. All its randomness comes from the seed.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := set.validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
+		requests: map[RequestID]*request{}, keys: map[uint64]float64{}, mayProbe: probeCap,
+		own: ownLeast, again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
+		usage:  make([]float64, len(set.Tenants)),
+		aimMin: math.Inf(1), lookedAt: math.Inf(-1)}
+	for _, c := range set.Classes {
+		b.expect = append(b.expect, c.AimMs*crowdShare/2)
+		b.aimMin = min(b.aimMin, c.AimMs)
+		b.asked, b.won = append(b.asked, 1), append(b.won, 1)
+	}
+	return b, nil
+}
+
+// Start gives the first actions of a new agent and appends them to out.
+func (b *Balancer) Start(now float64, out []Action) []Action {
+	b.now, b.out = now, out
+	if b.set.Membership == "on_request" {
+		// Spread over a part of the contract's time: agents that start together
+		// must not all call at once.
+		b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * b.set.Contract.AskWithinMs / 8, Token: followToken})
+	}
+	return b.out
+}
+
+// Handle takes one event and appends the actions it calls for to out. Events
+// for what is finished or unknown are ignored.
+func (b *Balancer) Handle(now float64, event *Event, out []Action) []Action {
+	b.now, b.out = now, out
+	ev := event.finite()
+	switch ev.Kind {
+	case EvRequest:
+		b.onRequest(ev)
+	case EvOutcome:
+		b.onOutcome(ev)
+	case EvStarted:
+		if r := b.requests[ev.Request]; r != nil && !r.closed {
+			r.started = true
+			if ev.Attempt >= 0 && ev.Attempt < len(r.attempts) {
+				r.attempts[ev.Attempt].s.heard = now
+			}
+		}
+	case EvDropped:
+		if r := b.requests[ev.Request]; r != nil && !r.closed {
+			b.remember(r)
+			if r.open > 0 {
+				b.gain(0)
+			}
+			b.close(r)
+		}
+	case EvList:
+		b.onList(ev)
+	case EvProbed:
+		b.onProbed(ev)
+	case EvTimer:
+		b.onTimer(ev.Token)
+	}
+	b.dispatch()
+	b.arm()
+	return b.out
+}
+
+func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
+// arm keeps one timer running while there is something to watch.
+func (b *Balancer) arm() {
+	if !b.ticking && (len(b.held) > 0 || b.inflight > 0) {
+		b.ticking = true
+		b.do(Action{Kind: ActTimer, Ms: max(2*b.set.RoundMs, 5), Token: tickToken})
+	}
+}
+
+func (b *Balancer) onTimer(token uint32) {
+	switch token {
+	case followToken:
+		b.do(Action{Kind: ActFollow})
+	case tickToken:
+		b.ticking = false
+		b.watchSilence()
+		b.expire()
+	}
+}
+
+// ---- requests ----
+
+func (b *Balancer) onRequest(ev *Event) {
+	if ev.Class < 0 || ev.Class >= len(b.set.Classes) || b.requests[ev.Request] != nil {
+		return
+	}
+	c := &b.set.Classes[ev.Class]
+	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key,
+		arrived: b.now, first: b.now}
+	if ev.HasHint && ev.HintMs > 0 {
+		r.hint = ev.HintMs
+		b.meanHint = mean(b.meanHint, r.hint, slowSmooth)
+	}
+	left := max(ev.LeftMs, 0)
+	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
+	if ev.Retry {
+		r.first = b.recall(r)
+	}
+	r.aimAt = min(r.first+c.AimMs+c.AimStretch*r.hint, r.deadline)
+	r.spot = b.spot(r.key)
+	b.requests[r.id] = r
+	b.count(r.tenant)
+	b.tally(r.class)
+	for i := range b.won {
+		if b.won[i]*b.asked[b.worst] < b.won[b.worst]*b.asked[i] {
+			b.worst = i
+		}
+	}
+	b.mayProbe = min(b.mayProbe+probeShare, probeCap)
+	b.revalidate()
+	b.held = append(b.held, r)
+	if b.rng.Float64() < b.shed() {
+		b.gain(0)
+		b.end(r)
+		return
+	}
+	// A request whose hinted work cannot fit the aim anywhere would only keep
+	// others waiting: the costly few of a heavy tail.
+	if r.hint > 0 && c.LateShare == 0 && hopeless*b.hintedTime(r) > r.aimAt-b.now {
+		b.end(r)
+	}
+}
+
+// spot is where a key's hash starts. A key with more than keyPart of a server's share of
+// this agent's requests is split at random into parts, each with an order of its own: of
+// many agents none has enough in flight for the cap to move a popular key on (ia9314f:
+// one server got 18 times the mean). While little is known each key has two parts.
+func (b *Balancer) spot(key uint64) uint64 {
+	if key == 0 {
+		return 0
+	}
+	all := float64(len(b.servers)) / keyPart
+	b.countKey(key, keyMemory*all)
+	parts := b.keys[key] * all / (b.keyed + all/2)
+	if i := uint64(b.rng.Float64() * math.Ceil(parts)); i > 0 {
+		return mix(key + i)
+	}
+	return key
+}
+
+// shed is the part of requests to refuse at once. Where much is served too late the
+// servers are crowded and work for nothing, and only less load lets them recover; an
+// agent that sees little knows no server's crowd, but its own part served in time.
+func (b *Balancer) shed() float64 {
+	return min(max(b.tried-shedFactor*b.gained, 0)/(b.tried+1), shedMost)
+}
+
+// value is the worth that a unit of server time spent on the request earns, by
+// the objective: a part of the whole, and all of the worst class if it is of it.
+func (b *Balancer) value(r *request) float64 {
+	c := &b.set.Classes[r.class]
+	o := &b.set.Objective
+	v := c.Credit * (o.Whole + o.WorstWindow)
+	if r.class == b.worst {
+		v += o.WorstClass * b.credit / b.asked[r.class]
+	}
+	if b.now+b.expected(r) > r.aimAt {
+		v *= c.LateShare + b.set.Prices.LateFail
+	}
+	if b.overShare(r.tenant) {
+		v *= b.set.OverShareWorth
+	}
+	if b.set.WorthBy != "work" {
+		v /= b.expect[r.class]
+	}
+	return v
+}
+
+// dispatch sends what is held as far as there is room: the most valuable first,
+// of equals the newest, as under overload the oldest would only end late.
+func (b *Balancer) dispatch() {
+	for _, r := range b.held {
+		r.value = b.value(r)
+	}
+	slices.SortFunc(b.held, func(x, y *request) int {
+		return cmp.Or(cmp.Compare(y.value, x.value), cmp.Compare(y.arrived, x.arrived),
+			cmp.Compare(x.id, y.id))
+	})
+	// A request that waits for the servers of its key finds no room where the next
+	// does: it is passed over. Of those that take any server a few failures tell.
+	b.scarce = false
+	for i, failures := 0, 0; i < len(b.held) && failures < 4; {
+		r := b.held[i]
+		if b.waits(r) && r.epoch == b.epoch && !b.takes(r.near[0], r) && !b.takes(r.near[1], r) {
+			i++
+			continue
+		}
+		if s := b.pick(r); s != nil && b.send(r, s) {
+			b.held = slices.Delete(b.held, i, i+1)
+			continue
+		}
+		i++
+		if !b.waits(r) {
+			failures++
+		}
+		b.scarce = failures > 0
+	}
+	for len(b.held) > maxHeld {
+		b.end(b.held[len(b.held)-1])
+	}
+}
+
+// expire ends held requests that can no longer earn anything: refused early,
+// before they cost server work.
+func (b *Balancer) expire() {
+	for i := 0; i < len(b.held); {
+		r := b.held[i]
+		last := r.aimAt
+		if b.set.Classes[r.class].LateShare > 0 {
+			last = r.deadline
+		}
+		if b.now+b.expected(r) > last || b.now >= r.deadline {
+			b.end(r)
+			continue
+		}
+		i++
+	}
+}
+
+// ---- the pick: tiers, then the capped key hash ----
+
+// rank is the server's tier for the request.
+func (b *Balancer) rank(s *server, r *request) int {
+	switch s.state {
+	case Unhealthy:
+		return 2
+	case UnhealthyPending:
+		// What must not run twice does not check a server while others are healthy.
+		once := b.set.Classes[r.class].Effect == SingleShot
+		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
+			return 1
+		}
+	}
+	return 0
+}
+
+// pick walks the best tier that has anyone in the order of the key's hash and
+// takes the first server that is under its cap and has room. Only servers that
+// matter are scored, and none are sorted: with hundreds of them that took more than
+// the agent's CPU share.
+func (b *Balancer) pick(r *request) *server {
+	waits := b.waits(r)
+	for pass := range 6 {
+		// Of each tier those that rest come last, unless most do: then all are crowded.
+		rank, rest := pass/2, pass%2 == 0
+		tier, resting := b.tier[:0], 0.0
+		r.tierWeight = 0
+		var near [keyServers]*server
+		for _, s := range b.servers {
+			if b.rank(s, r) != rank || !b.maySend(r, s) {
+				continue
+			}
+			r.tierWeight += s.weight * b.ramp(s)
+			if rest && b.now < s.restUntil {
+				resting += s.weight * b.ramp(s)
+				continue
+			}
+			if !waits && !b.hasRoom(s, r) {
+				continue
+			}
+			s.score = b.score(r, s)
+			tier = append(tier, s)
+			for i, at := 0, s; i < keyServers && at != nil; i++ {
+				if near[i] == nil || at.score < near[i].score {
+					near[i], at = at, near[i]
+				}
+			}
+		}
+		b.tier = tier
+		if r.tierWeight == 0 || rest && (len(tier) == 0 || resting > r.tierWeight/2) {
+			continue // an empty tier passes down
+		}
+		if waits && len(tier) > keyServers {
+			r.near, r.epoch = near, b.epoch
+			tier = near[:]
+		}
+		var best *server
+		for _, s := range tier {
+			if (best == nil || s.score < best.score) && b.takes(s, r) {
+				best = s
+			}
+		}
+		return best
+	}
+	return nil
+}
+
+// waits tells whether the request still waits for the servers nearest its key.
+func (b *Balancer) waits(r *request) bool {
+	return r.key != 0 && len(r.attempts) == 0 && b.now-r.arrived < keyWait*(r.aimAt-r.arrived)
+}
+
+// score orders servers by weighted rendezvous hashing: every agent of a zone
+// finds the same order for a key, and a server's share of keys is that of its weight.
+func (b *Balancer) score(r *request, s *server) float64 {
+	x := mix(r.spot ^ s.hash)
+	if r.key == 0 {
+		x = b.rng.Uint64()
+	}
+	u := float64(x>>11) / (1 << 53)
+	w := s.weight * b.coldShare(s)
+	if s.zone == b.set.Zone {
+		w *= b.own
+	}
+	return -math.Log(u+1e-18) / w
+}
+
+// takes tells whether the server is under its cap in the tier of the request's
+// last pick and has room.
+func (b *Balancer) takes(s *server, r *request) bool {
+	share := s.weight * b.ramp(s) / r.tierWeight
+	return float64(len(s.out)) < math.Ceil(capFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
+}
+
+// hasRoom bounds what a server holds of this agent: its window, one at a time
+// until it is validated, and a cold server's credit.
+func (b *Balancer) hasRoom(s *server, r *request) bool {
+	if s.state >= UnhealthyPending {
+		return len(s.out) == 0
+	}
+	// A window under one is kept by pausing: with many agents even one attempt of
+	// each can be too much, and a server that tipped needs rest to recover.
+	if len(s.out) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
+		return false
+	}
+	return b.ramp(s) == 1 || s.credit >= b.cost(r) ||
+		b.warmWeight() == 0 && (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >=
+			b.cost(r)*b.set.Contract.ColdMs
+}
+
+// coldShare is the part of an even share that a server may be sent: of a cold one
+// what keeps the contract, so that its keys move to it as it warms up, instead of
+// waiting for it.
+func (b *Balancer) coldShare(s *server) float64 {
+	if k := b.ramp(s); k < 1 {
+		return k * b.set.Contract.FallMultiple / coldMargin
+	}
+	return 1
+}
+
+// ---- the two guards ----
+
+// maySend is the guard of all attempts: rules 2, 3 and the limits. Rule 4 is in
+// hasRoom, whose credit every attempt to a cold server is charged in send.
+func (b *Balancer) maySend(r *request, s *server) bool {
+	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
+		len(r.attempts) >= b.set.Limits.MaxAttempts {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.s == s && len(b.servers) > len(r.attempts) {
+			return false // further attempts go elsewhere
+		}
+	}
+	if r.risky == 0 {
+		return true
+	}
+	c := &b.set.Classes[r.class]
+	switch c.Effect {
+	case Free:
+		return true
+	case Guarded:
+		if b.now-r.ranAt > c.KeyTTLMs-2*b.set.RoundMs {
+			return false
+		}
+		return c.Group == GroupAll || c.Group == GroupZone && s.zone == r.ranOn.zone ||
+			c.Group == GroupCell && s.cell == r.ranOn.cell
+	}
+	return false
+}
+
+func (b *Balancer) send(r *request, s *server) bool {
+	if !b.maySend(r, s) {
+		return false
+	}
+	a := &attempt{r: r, s: s, index: len(r.attempts), alone: len(s.out) == 0, sentAt: b.now,
+		cost: b.cost(r)}
+	r.attempts = append(r.attempts, a)
+	r.open++
+	if r.risky == 0 {
+		r.ranAt, r.ranOn = b.now, s
+	}
+	r.risky++
+	s.out = append(s.out, a)
+	if s.sentAt > 0 {
+		s.gap = mean(s.gap, b.now-s.sentAt, smooth)
+	}
+	if b.sentAt > 0 {
+		b.gap = mean(b.gap, b.now-b.sentAt, slowSmooth)
+	}
+	s.sentAt, b.sentAt = b.now, b.now
+	b.inflight++
+	if b.ramp(s) < 1 {
+		s.credit -= a.cost
+	}
+	b.do(Action{Kind: ActSend, Request: r.id, Server: s.id, Ms: r.deadline - b.now})
+	return true
+}
+
+// earn keeps each cold server's credit: for all that warm servers have served it may
+// get its share by weight and ramp. Then the servers' shares of all agents together
+// stay in proportion to what they can do, without any agreement. What was only sent
+// does not count: in a crowd it is many times what gets done (ifa9784: 6 attempts a
+// request, most turned away, and 4 times its capacity sent to a cold server).
+func (b *Balancer) earn(s *server, cost float64) {
+	warm := b.warmWeight()
+	if b.ramp(s) < 1 || warm == 0 {
+		return
+	}
+	b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
+	b.flowAt = b.now
+	for _, o := range b.servers {
+		if b.ramp(o) < 1 {
+			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
+		}
+	}
+}
+
+// end is the guard of all final answers but served ones: a refusal where the
+// class allows the claim that a retry is harmless, else a failure.
+func (b *Balancer) end(r *request) {
+	if r.closed || r.started {
+		return
+	}
+	b.remember(r)
+	c := &b.set.Classes[r.class]
+	// Past the window a repeat of a guarded request would run again.
+	harmless := r.risky == 0 || c.Effect == Free ||
+		c.Effect == Guarded && c.Group == GroupAll && b.now-r.ranAt < c.KeyTTLMs
+	b.close(r)
+	if harmless {
+		b.do(Action{Kind: ActRefuse, Request: r.id, Ms: b.set.Limits.MaxRetryAfterMs})
+	} else {
+		b.do(Action{Kind: ActFail, Request: r.id})
+	}
+}
+
+// close forgets a finished request as soon as no attempt of it is out.
+func (b *Balancer) close(r *request) {
+	r.closed = true
+	if i := slices.Index(b.held, r); i >= 0 {
+		b.held = slices.Delete(b.held, i, i+1)
+	}
+	for _, a := range r.attempts {
+		if !a.done && b.set.Limits.Cancelling {
+			b.do(Action{Kind: ActCancel, Request: r.id, Attempt: a.index})
+		}
+	}
+	if r.open == 0 {
+		delete(b.requests, r.id)
+	}
+}
+
+// ---- outcomes and health ----
+
+func (b *Balancer) onOutcome(ev *Event) {
+	r := b.requests[ev.Request]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || r.attempts[ev.Attempt].done {
+		return
+	}
+	a := r.attempts[ev.Attempt]
+	s := a.s
+	a.done = true
+	r.open--
+	b.inflight--
+	if i := slices.Index(s.out, a); i >= 0 {
+		s.out = slices.Delete(s.out, i, i+1)
+	}
+	if ev.Status.NeverRan() {
+		r.risky--
+	}
+	b.judge(a, ev)
+	b.hangUp(s)
+	if r.closed || r.started || ev.Final || ev.Status == OK {
+		b.close(r)
+	} else {
+		b.further(r, ev.Status)
+	}
+}
+
+// hangUp closes the connections to a server that idle where, by its prices, keeping them
+// until the next attempt costs more than opening one: of a thousand agents each would
+// hold some to a third of the servers (i29baa9: 23 points of service).
+func (b *Balancer) hangUp(s *server) {
+	p, n := &b.set.Prices, float64(len(b.servers))
+	gap := s.gap
+	if gap == 0 {
+		gap = b.gap * n
+	}
+	if len(s.out) == 0 && p.Open*gap*float64(b.set.Replicas) > 100*n*b.gap*p.Handshake {
+		b.do(Action{Kind: ActClose, Server: s.id})
+	}
+}
+
+// further holds an unanswered request for another server where its class and time
+// allow, and ends it otherwise. Further attempts are earned by served requests: where few
+// are served they would only multiply the load (ia9314f, ifa9784: two to six attempts a
+// request, most turned away).
+func (b *Balancer) further(r *request, why Status) {
+	c := &b.set.Classes[r.class]
+	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
+	if !able || b.again < 1 || len(r.attempts) >= b.set.Limits.MaxAttempts || why == Moot ||
+		b.now >= r.deadline {
+		if why == Full || why == Timeout {
+			b.gain(0) // errors and lost connections tell nothing of crowds
+		}
+		b.end(r)
+		return
+	}
+	b.again--
+	b.held = append(b.held, r)
+}
+
+// judge takes what an attempt's end says about its server.
+func (b *Balancer) judge(a *attempt, ev *Event) {
+	s := a.s
+	switch ev.Status {
+	case OK:
+		b.served(a, ev)
+	case Error, Reset:
+		s.heard = b.now
+		b.demote(s, false)
+	case ConnectFailed:
+		b.demote(s, true)
+		if s.lostAt == 0 {
+			s.lostAt = b.now
+		}
+	case Timeout:
+		// A server that answered others meanwhile is not to blame for a costly
+		// request; it counts as slow.
+		b.rest(s)
+		if s.heard > a.sentAt {
+			b.learnHint(a.r, ev.LatencyMs)
+			b.learn(s, b.partOfAim(a.r, ev.LatencyMs))
+		} else {
+			b.demote(s, true)
+		}
+	case Full:
+		s.heard = b.now
+		b.cut(s, 0.7, 1)
+		b.rest(s)
+	}
+}
+
+// weighZone moves the own zone's weight up while the part of what is sent there and not
+// served in time is under the price of crossing, and down while it is above: one zone may
+// have more traffic than its servers can carry.
+func (b *Balancer) weighZone(s *server, missed bool) {
+	if s.zone != b.set.Zone {
+		return
+	}
+	x := b.set.Prices.CrossZone
+	if missed {
+		x--
+	}
+	b.own = min(max(b.own*(1+ownStep*x), ownLeast), ownMost)
+}
+
+// crowded tells whether a server reports well more requests than the mean of the others:
+// the cap by what all agents have in flight there.
+func (b *Balancer) crowded(s *server, report []float32) bool {
+	i := slices.Index(b.set.Report.Names, "inflight")
+	if i < 0 || i >= len(report) {
+		return false
+	}
+	x := finite(float64(report[i])) / s.weight
+	b.load = mean(b.load, x, 4*slowSmooth)
+	return x > loadFactor*b.load+1
+}
+
+// rest lets a crowded server miss about one turn of this agent. One that sees it twice a
+// minute cannot follow its crowd by window; but all agents together send it less by the
+// part of them that met it crowded.
+func (b *Balancer) rest(s *server) {
+	b.weighZone(s, true)
+	s.restUntil = b.now + min(b.gap*float64(len(b.servers)), b.set.Contract.ColdMs)*(0.5+b.rng.Float64())
+}
+
+func (b *Balancer) served(a *attempt, ev *Event) {
+	s, r, rtt := a.s, a.r, ev.LatencyMs
+	b.earn(s, a.cost)
+	b.again = min(b.again+againShare, againMost)
+	b.learnHint(r, rtt)
+	b.heardFrom(s)
+	s.rtt = mean(s.rtt, rtt, smooth)
+	c := &b.set.Classes[r.class]
+	b.expect[r.class] = mean(b.expect[r.class], min(rtt, 2*c.AimMs), 4*slowSmooth)
+	gain := c.LateShare
+	if b.now <= r.aimAt {
+		b.weighZone(s, false)
+		b.won[r.class] += 1 - fade
+		gain = 1
+	}
+	if !r.closed {
+		b.gain(gain)
+	}
+	x := b.partOfAim(r, rtt)
+	b.answers++
+	b.fleetLat = mean(b.fleetLat, x, max(slowSmooth, 1/b.answers))
+	switch {
+	case b.answers <= learnFor:
+		// One quick answer must not set the measure, nor a crowd at the start (id08146).
+		b.calmLat = min(b.fleetLat, crowdShare/2)
+	case b.fleetLat < b.calmLat:
+		b.calmLat = mean(b.calmLat, b.fleetLat, slowSmooth)
+	default:
+		b.calmLat = mean(b.calmLat, b.fleetLat, b.calmRise(a))
+	}
+	b.learn(s, x)
+	if late := b.now > r.aimAt; b.crowded(s, ev.Report) || late {
+		b.rest(s)
+	}
+	limit := b.limit(s)
+	if s.state == Unhealthy && a.sentAt < s.since && !s.silent {
+		return // sent before the failure: says nothing about what came after
+	}
+	if s.state != Connected {
+		b.enter(s, Connected)
+	}
+	if s.silent {
+		s.silent, s.strikes = false, max(s.strikes-1, 0)
+	}
+	if s.good++; s.good >= 16*s.strikes {
+		s.good, s.strikes = 0, max(s.strikes-1, 0)
+	}
+	switch {
+	case s.lat > limit && b.now-s.cutAt > rtt:
+		least := 1.0
+		if s.lat > tipFactor*limit {
+			least = leastWindow
+		}
+		b.cut(s, 0.85, least)
+	case s.lat < limit && float64(len(s.out)+2) > s.window && b.answers > learnFor:
+		s.window += min(1/s.window, s.window)
+	}
+}
+
+// limit is the mean answer time, as a part of the aim, from which a server counts as
+// crowded. A few agents see most of the load, and need not fear to crowd a server that
+// answers well within the aim; a calm taken too low would leave it idle. A cold server
+// is slow before it is crowded (i5d0607: only cold ones were left).
+func (b *Balancer) limit(s *server) float64 {
+	least := 2 * crowdShare / (2 + float64(b.set.Replicas))
+	return min(crowdShare, max(crowdFactor*b.calmLat, least)) / b.ramp(s)
+}
+
+// calmRise is how fast calm follows longer answer times: hardly, or a crowd would
+// become the measure. An attempt that was alone of its agent tells more the fewer
+// agents there are, as those see most of the load: a lone agent that took quick first
+// answers for calm would leave its servers idle for good.
+func (b *Balancer) calmRise(a *attempt) float64 {
+	if a.alone {
+		return slowSmooth / min(2*math.Pow(float64(max(b.set.Replicas, 1)), 3), 250)
+	}
+	return slowSmooth / 250
+}
+
+// heardFrom notes an answer. A server that no connect reached for long may be a new
+// process, cold and not yet listed as such: it is ramped as if it had started now.
+// Time-outs alone don't tell: crowded servers would be left to idle (i228a10).
+// Quick answers do not clear it: a cold server is quick while it has little.
+func (b *Balancer) heardFrom(s *server) {
+	if s.lostAt > 0 && b.now-s.lostAt > b.set.Contract.TipAfterMs {
+		s.startedAt, s.window, s.credit = b.now, 1, 0
+	}
+	s.heard, s.lostAt = b.now, 0
+}
+
+func (b *Balancer) learn(s *server, x float64) {
+	s.samples++
+	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples)))
+}
+
+func (b *Balancer) cut(s *server, by, least float64) {
+	s.window, s.cutAt = min(s.window, max(s.window*by, least)), b.now
+}
+
+// demote makes a server Unhealthy. Failures of one moment count as one strike.
+func (b *Balancer) demote(s *server, silent bool) {
+	if s.state != Unhealthy {
+		s.strikes = min(s.strikes+1, maxStrikes)
+		b.enter(s, Unhealthy)
+		s.silent = silent
+		s.good, s.lat, s.samples = 0, 0, 0
+		s.window = max(s.window/2, 1)
+	}
+	b.refetch()
+}
+
+// holdFor is how long a server stays Unhealthy before it is validated again: one
+// aim for a stray failure, doubled with each further strike. While the others have
+// no room there is none: a server that fails some requests is better than refusing
+// them all. One that answers nothing is not.
+func (b *Balancer) holdFor(s *server) float64 {
+	if b.scarce && !s.silent {
+		return 0
+	}
+	return b.aimMin * float64(int(1)<<max(s.strikes-1, 0))
+}
+
+// watchSilence demotes servers that took attempts and have answered nothing for
+// several answer times: hung or gone silent, they would stay Connected.
+func (b *Balancer) watchSilence() {
+	for _, s := range b.servers {
+		if len(s.out) == 0 || s.state == Unhealthy {
+			continue
+		}
+		a := s.out[0]
+		if b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*8/float64(min(len(s.out), 3)) {
+			b.demote(s, true)
+		}
+	}
+}
+
+// revalidate is what each request triggers: servers that were Unhealthy long
+// enough are refreshed to pending and validated in the background.
+func (b *Balancer) revalidate() {
+	for _, s := range b.servers {
+		if s.state == Unhealthy && s.usable && len(s.out) == 0 && b.now-s.since >= b.holdFor(s) {
+			b.enter(s, UnhealthyPending)
+			b.refetch()
+		}
+		pending := s.state == UnhealthyPending && s.usable
+		if pending && b.set.Limits.Probing && !s.probing && b.mayProbe >= 1 && b.probes < probeCap {
+			s.probing = true
+			b.probes++
+			b.mayProbe--
+			b.do(Action{Kind: ActProbe, Server: s.id})
+		}
+	}
+}
+
+func (b *Balancer) onProbed(ev *Event) {
+	s := b.byAddr[ev.Server]
+	if s == nil || !s.probing {
+		return
+	}
+	s.probing = false
+	b.probes--
+	switch {
+	case s.state != UnhealthyPending:
+	case ev.Status == OK:
+		b.heardFrom(s)
+		b.enter(s, Connected)
+	case ev.Status != Full:
+		b.demote(s, true)
+	}
+}
+
+// ---- the list ----
+
+// refetch asks for the whole list, seldom: the stream of changes is as fresh,
+// and every call loads discovery.
+func (b *Balancer) refetch() {
+	if b.now-b.lookedAt >= max(b.set.Contract.AskWithinMs, 1000) {
+		b.lookedAt = b.now
+		b.do(Action{Kind: ActFetch})
+	}
+}
+
+func (b *Balancer) onList(ev *Event) {
+	if ev.List == ListFailed {
+		b.follows++
+		if b.set.Membership == "on_request" {
+			wait := min(500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs)
+			b.do(Action{Kind: ActTimer, Ms: wait * (0.5 + 0.5*b.rng.Float64()), Token: followToken})
+		}
+		return
+	}
+	b.follows = 0
+	b.epoch++
+	named := map[Addr]bool{}
+	for i := range ev.Entries {
+		named[ev.Entries[i].Server] = true
+		b.update(&ev.Entries[i])
+	}
+	if ev.List != ListDelta {
+		for _, s := range b.servers {
+			s.usable = s.usable && named[s.id]
+		}
+	}
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
+		forget := !s.usable && len(s.out) == 0 && !s.probing
+		if forget {
+			delete(b.byAddr, s.id)
+		}
+		return forget
+	})
+}
+
+func (b *Balancer) update(e *Entry) {
+	s, since := b.byAddr[e.Server], min(finite(e.SinceMs), b.now)
+	if s == nil {
+		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
+			window: firstWindow, startedAt: since, listedAt: since}
+		b.byAddr[s.id] = s
+		s.credit = b.rng.Float64()
+		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
+			return cmp.Compare(hashAddr(x.id), hashAddr(y.id))
+		})
+		b.servers = slices.Insert(b.servers, i, s)
+	}
+	if since > s.listedAt {
+		// A new process: nothing known of the old one holds, and it is cold.
+		s.listedAt = since
+		s.startedAt, s.state, s.since, s.silent = since, Unknown, b.now, false
+		s.strikes, s.good, s.lat, s.samples, s.window = 0, 0, 0, 0, 1
+		// A part of a request by chance: of many agents that never earn a whole one, as
+		// many send one as together earned one (ia9314f: new servers were left idle).
+		s.credit = b.rng.Float64()
+	}
+	s.zone, s.cell, s.usable = e.Zone, e.Cell, e.Health == Ready
+	if s.weight = finite(e.Weight); s.weight <= 0 {
+		s.weight = 1
+	}
+}
+
+// overShare tells whether a tenant sends more than its portion of what comes.
+func (b *Balancer) overShare(tenant int) bool {
+	if tenant < 0 || tenant >= len(b.usage) {
+		return false
+	}
+	return b.usage[tenant] > 1.1*b.set.Tenants[tenant].Portion
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,975 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// rig drives one Balancer by hand.
+type rig struct {
+	t   *testing.T
+	b   *Balancer
+	now float64
+	id  RequestID
+	// popular lets keys be split; elsewhere each is taken for one of very many.
+	popular bool
+}
+
+func addr(i int) Addr { return Addr{10, 0, byte(i >> 8), byte(i), 0x13, 0x8b} }
+
+func testSettings() Settings {
+	s := Settings{
+		Classes: []Class{
+			{Name: "free", AimMs: 300, GiveUpMs: 1000, Effect: Free, Credit: 1},
+			{Name: "once", AimMs: 300, GiveUpMs: 1000, Effect: SingleShot, Credit: 4},
+			{Name: "keyed", AimMs: 300, GiveUpMs: 1000, Effect: Guarded, Group: GroupCell, KeyTTLMs: 500, Credit: 2},
+		},
+		Limits: Limits{Cancelling: true, MaxAttempts: 3, MaxRetryAfterMs: 500, ParallelTries: true,
+			ConnectTimeoutMs: 100},
+		Contract: Contract{AnswerSlackMs: 20, AskWithinMs: 8000, ColdFrom: 0.2, ColdMs: 10000, DrainGraceMs: 500,
+			FallMultiple: 3, TipAfterMs: 1000},
+		Membership: "pushed", Replicas: 3, RoundMs: 5, WorthBy: "request", Weights: "nominal",
+	}
+	s.Clients.MarksRetry = true
+	return s
+}
+
+func newRig(t *testing.T, s Settings, servers int) *rig {
+	t.Helper()
+	b, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, b: b, now: 1e6}
+	b.Start(r.now, nil)
+	entries := make([]Entry, servers)
+	for i := range entries {
+		entries[i] = Entry{Server: addr(i), Health: Ready, Weight: 1, Cell: i % 2, Zone: i % 2}
+	}
+	r.list(ListCached, entries...)
+	return r
+}
+
+func (r *rig) do(ev Event) []Action { return r.b.Handle(r.now, &ev, nil) }
+
+func (r *rig) list(kind ListKind, entries ...Entry) []Action {
+	return r.do(Event{Kind: EvList, List: kind, Entries: entries})
+}
+
+func (r *rig) ask(class int, key uint64) (RequestID, []Action) {
+	r.id++
+	if !r.popular {
+		r.b.keys, r.b.keyed = map[uint64]float64{}, keyMemory*float64(len(r.b.servers))/keyPart-1
+	}
+	return r.id, r.do(Event{Kind: EvRequest, Request: r.id, Class: class, Key: key, LeftMs: 600})
+}
+
+func (r *rig) outcome(id RequestID, try int, s Addr, st Status, rtt float64) []Action {
+	return r.do(Event{Kind: EvOutcome, Request: id, Attempt: try, Server: s, Status: st, LatencyMs: rtt, Final: st == OK})
+}
+
+func find(actions []Action, kind ActionKind) *Action {
+	for i := range actions {
+		if actions[i].Kind == kind {
+			return &actions[i]
+		}
+	}
+	return nil
+}
+
+// sent asks once and returns where the request went.
+func (r *rig) sent(class int, key uint64) (RequestID, Addr) {
+	r.t.Helper()
+	id, actions := r.ask(class, key)
+	a := find(actions, ActSend)
+	if a == nil {
+		r.t.Fatalf("request %d of class %d was not sent: %+v", id, class, actions)
+	}
+	return id, a.Server
+}
+
+// tick fires the running timer after ms.
+func (r *rig) tick(ms float64) []Action {
+	r.now += ms
+	return r.do(Event{Kind: EvTimer, Token: tickToken})
+}
+
+func TestStateTransitions(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	id, s := r.sent(0, 7)
+	srv := r.b.byAddr[s]
+	if srv.state != Unknown {
+		t.Fatalf("a listed server starts in state %d, want Unknown", srv.state)
+	}
+	r.now += 50
+	r.outcome(id, 0, s, OK, 50)
+	if srv.state != Connected {
+		t.Fatalf("served: state %d, want Connected", srv.state)
+	}
+	id, s2 := r.sent(0, 7)
+	if s2 != s {
+		t.Fatalf("key moved from %v to %v without a cause", s, s2)
+	}
+	actions := r.outcome(id, 0, s, Error, 5)
+	if srv.state != Unhealthy {
+		t.Fatalf("error: state %d, want Unhealthy", srv.state)
+	}
+	if find(actions, ActFetch) == nil {
+		t.Error("a demotion did not force a refresh of the list")
+	}
+	if a := find(actions, ActSend); a == nil || a.Server == s {
+		t.Errorf("the free request did not go on to another server: %+v", actions)
+	}
+	// While it is Unhealthy its key goes elsewhere; after its hold the next
+	// request makes it pending, and a served answer Connected.
+	if _, s3 := r.sent(0, 7); s3 == s {
+		t.Error("an Unhealthy server was chosen before the better tier")
+	}
+	r.now += r.b.holdFor(srv) + 1
+	id, s4 := r.sent(0, 7)
+	if srv.state != UnhealthyPending || s4 != s {
+		t.Fatalf("after the hold: state %d, sent to %v; want pending and the first send to check it", srv.state, s4)
+	}
+	r.now += 50
+	r.outcome(id, 0, s, OK, 50)
+	if srv.state != Connected {
+		t.Fatalf("validated: state %d, want Connected", srv.state)
+	}
+}
+
+func TestFullDemotesNobody(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	id, s := r.sent(1, 7)
+	actions := r.outcome(id, 0, s, Full, 1)
+	if got := r.b.byAddr[s].state; got == Unhealthy {
+		t.Error("full demoted the server")
+	}
+	if a := find(actions, ActSend); a == nil || a.Server == s {
+		t.Errorf("a request that was turned away did not go elsewhere: %+v", actions)
+	}
+}
+
+func TestProbesValidateWhereAllowed(t *testing.T) {
+	set := testSettings()
+	set.Limits.Probing = true
+	r := newRig(t, set, 3)
+	id, s := r.sent(0, 7)
+	r.outcome(id, 0, s, Error, 5)
+	r.now += 2 * r.b.holdFor(r.b.byAddr[s])
+	_, actions := r.ask(0, 7)
+	if p := find(actions, ActProbe); p == nil || p.Server != s {
+		t.Fatalf("no probe of the pending server: %+v", actions)
+	}
+	if a := find(actions, ActSend); a == nil || a.Server == s {
+		t.Error("a request went to a pending server before its probe")
+	}
+	r.do(Event{Kind: EvProbed, Server: s, Status: Timeout, LatencyMs: 100})
+	if r.b.byAddr[s].state != Unhealthy {
+		t.Error("a failed probe did not demote")
+	}
+	r.now += 10 * r.b.holdFor(r.b.byAddr[s])
+	r.ask(0, 8)
+	r.do(Event{Kind: EvProbed, Server: s, Status: OK, LatencyMs: 5})
+	if r.b.byAddr[s].state != Connected {
+		t.Error("a good probe did not set Connected")
+	}
+}
+
+func TestEmptyTopTierPassesDown(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	for range 2 {
+		id, s := r.sent(1, 3)
+		r.outcome(id, 0, s, Error, 5)
+	}
+	if _, s := r.sent(0, 3); s == (Addr{}) {
+		t.Error("nothing was sent though Unhealthy servers are the only ones")
+	}
+}
+
+func TestSingleShotIsNotRepeated(t *testing.T) {
+	for _, st := range []Status{Error, Timeout, Reset, Cancelled} {
+		r := newRig(t, testSettings(), 3)
+		id, s := r.sent(1, 5)
+		actions := r.outcome(id, 0, s, st, 50)
+		if find(actions, ActSend) != nil || find(actions, ActRefuse) != nil || find(actions, ActFail) == nil {
+			t.Errorf("ending %d: want a failure and nothing else, got %+v", st, actions)
+		}
+	}
+	r := newRig(t, testSettings(), 3)
+	id, s := r.sent(1, 5)
+	if actions := r.outcome(id, 0, s, ConnectFailed, 50); find(actions, ActSend) == nil {
+		t.Errorf("an attempt that never ran was not repeated: %+v", actions)
+	}
+}
+
+func TestGuardedStaysInItsGroupAndTime(t *testing.T) {
+	r := newRig(t, testSettings(), 6)
+	id, s := r.sent(2, 5)
+	actions := r.outcome(id, 0, s, Error, 20)
+	a := find(actions, ActSend)
+	if a == nil || r.b.byAddr[a.Server].cell != r.b.byAddr[s].cell {
+		t.Fatalf("a guarded repeat did not stay in its cell: %+v", actions)
+	}
+	r.now += 496 // just inside the 500 ms less the margin
+	actions = r.outcome(id, 1, a.Server, Error, 20)
+	if find(actions, ActSend) != nil || find(actions, ActFail) == nil && len(r.b.held) == 0 {
+		t.Errorf("a guarded repeat went out after its time: %+v", actions)
+	}
+}
+
+func TestDrainingAndGoneGetNothing(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	r.list(ListDelta, Entry{Server: addr(0), Health: Draining, Weight: 1})
+	for key := range uint64(20) {
+		id, s := r.sent(0, key+1)
+		if s == addr(0) {
+			t.Fatal("sent to a draining server")
+		}
+		r.outcome(id, 0, s, OK, 20)
+	}
+	r.list(ListFull, Entry{Server: addr(0), Health: Ready, Weight: 1})
+	for key := range uint64(20) {
+		id, s := r.sent(0, key+1)
+		if s == addr(1) {
+			t.Fatal("sent to a server that left the list")
+		}
+		r.outcome(id, 0, s, OK, 20)
+	}
+}
+
+func TestEmptyListIsAnsweredInTime(t *testing.T) {
+	r := newRig(t, testSettings(), 0)
+	id, actions := r.ask(1, 1)
+	for range 130 {
+		if a := find(actions, ActRefuse); a != nil {
+			if a.Request != id {
+				t.Fatalf("refused %d, want %d", a.Request, id)
+			}
+			return
+		}
+		actions = r.tick(10)
+	}
+	t.Error("a request with an empty list was never answered")
+}
+
+// A cold server gets no more than its share by ramp, even after a quiet time.
+func TestColdServerBudget(t *testing.T) {
+	r := newRig(t, testSettings(), 5)
+	r.list(ListDelta, Entry{Server: addr(4), Health: Ready, Weight: 1, SinceMs: r.now - 10})
+	got, all := 0, 2000
+	for range all {
+		r.now++
+		id, s := r.sent(0, uint64(r.b.rng.Int64()))
+		if s == addr(4) {
+			got++
+		}
+		r.outcome(id, 0, s, OK, 20)
+	}
+	even := float64(all) / 4
+	if limit := even * 0.36 * 0.5 * 1.2; float64(got) > limit || got == 0 {
+		t.Errorf("a cold server got %d of %d sends; want some, and at most %.0f", got, all, limit)
+	}
+}
+
+// i299663: 69 requests hinted as ten mean ones pushed a cold server over.
+func TestColdServerTakesNoneForSmall(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	r.b.meanHint = 50
+	if c := r.b.cost(&request{hint: 1}); c != 1 {
+		t.Errorf("a request hinted small costs %.2f mean ones, want 1", c)
+	}
+	if c := r.b.cost(&request{hint: 200}); c != 4 {
+		t.Errorf("a request hinted at four times the mean costs %.2f, want 4", c)
+	}
+}
+
+// A day with one agent and four servers: the first answers were quick (a few hot
+// keys), and what came after counted as crowded at one attempt a server, for good.
+func TestLoneAgentLearnsThatItsServersAreCalm(t *testing.T) {
+	for _, agents := range []int{1, 5} {
+		set := testSettings()
+		set.Replicas = agents
+		r := newRig(t, set, 4)
+		for i := range 2500 {
+			rtt := 20.0
+			if i > 100 {
+				rtt = 60
+			}
+			id, s := r.sent(0, uint64(r.b.rng.Int64()))
+			r.now += rtt
+			r.outcome(id, 0, s, OK, rtt)
+		}
+		if grown := r.b.calmLat > 0.15; grown != (agents == 1) {
+			t.Errorf("%d agents: after 2400 answers in 0.2 of the aim, one at a time, calm is %.3f", agents, r.b.calmLat)
+		}
+	}
+}
+
+// Few agents see most of the load: what answers well within the aim is not crowded,
+// however low calm was taken. Cold servers are slower before they are.
+func TestLeastLimitFallsWithTheAgents(t *testing.T) {
+	limit := func(agents int, calm float64) float64 {
+		set := testSettings()
+		set.Replicas = agents
+		r := newRig(t, set, 1)
+		r.b.calmLat = calm
+		return r.b.limit(r.b.byAddr[addr(0)])
+	}
+	if one, many := limit(1, 0.01), limit(20, 0.01); one < 0.3 || many > 0.1 {
+		t.Errorf("least limits: %.2f for one agent, want about a third; %.2f for twenty, want little", one, many)
+	}
+	if l := limit(1, 0.9); l != crowdShare {
+		t.Errorf("limit %.2f with a high calm, want %.2f", l, crowdShare)
+	}
+	r := newRig(t, testSettings(), 1)
+	r.list(ListDelta, Entry{Server: addr(1), Health: Ready, Weight: 1, SinceMs: r.now})
+	r.b.calmLat = 0.2
+	if cold, warm := r.b.limit(r.b.byAddr[addr(1)]), r.b.limit(r.b.byAddr[addr(0)]); cold < 2*warm {
+		t.Errorf("limit %.2f of a cold server, %.2f of a warm one", cold, warm)
+	}
+}
+
+// id08146: agents restarted one by one while the fleet was crowded.
+func TestACrowdAtTheStartIsNotTakenForCalm(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	for range learnFor {
+		id, s := r.sent(0, uint64(r.b.rng.Int64()))
+		r.now += 270
+		r.outcome(id, 0, s, OK, 270)
+	}
+	if r.b.calmLat > crowdShare/2 {
+		t.Errorf("answers in 0.9 of the aim were taken for calm: %.2f", r.b.calmLat)
+	}
+}
+
+// i5d0607: a zone was lost and only cold servers were left.
+func TestColdServersServeWhenTheWarmOnesFailed(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	for range 200 {
+		r.now += 10
+		id, s := r.sent(0, uint64(r.b.rng.Int64()))
+		r.outcome(id, 0, s, OK, 20)
+	}
+	r.list(ListDelta, Entry{Server: addr(2), Health: Ready, Weight: 1, SinceMs: r.now})
+	r.b.byAddr[addr(2)].sentAt = 0
+	for i := range 2 {
+		r.b.demote(r.b.byAddr[addr(i)], true)
+	}
+	if _, s := r.sent(0, 9); s != addr(2) {
+		t.Errorf("sent to %v, want the cold server", s)
+	}
+}
+
+// i958eff: servers came back from silence cold, before the list told.
+func TestReturnFromSilenceIsRamped(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	id, s := r.sent(0, 9)
+	r.outcome(id, 0, s, ConnectFailed, 100)
+	r.now += r.b.set.Contract.TipAfterMs + 500
+	for key := uint64(9); ; key++ {
+		id, to := r.sent(0, 9)
+		r.now += 20
+		r.outcome(id, 0, to, OK, 20)
+		if to == s {
+			break
+		}
+		if key > 50 {
+			t.Fatal("the silent server was never checked again")
+		}
+	}
+	if srv := r.b.byAddr[s]; r.b.ramp(srv) >= 0.5 {
+		t.Errorf("a server back from silence is taken for warm: ramp %.2f", r.b.ramp(srv))
+	}
+}
+
+// Hung servers stay Connected in the source's scheme; silence demotes them.
+func TestHungServerIsLeft(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	for range 200 { // learn what an answer takes
+		id, s := r.sent(0, uint64(r.b.rng.Int64()))
+		r.now += 10
+		r.outcome(id, 0, s, OK, 10)
+	}
+	_, s := r.sent(0, 9)
+	for range 30 {
+		if r.tick(10); r.b.byAddr[s].state == Unhealthy {
+			return
+		}
+	}
+	t.Error("a server that answers nothing for 300 ms was not demoted")
+}
+
+// South's rough days: a server that failed often rests long while others can take
+// its requests, but is tried again at once while they are full.
+func TestFailingServerIsTriedAgainWhileOthersAreFull(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		r := newRig(t, testSettings(), 4)
+		bad := r.b.byAddr[addr(0)]
+		for range 3 {
+			r.b.enter(bad, Connected)
+			r.b.demote(bad, false)
+		}
+		if full {
+			for range 40 { // more than the other windows hold
+				r.ask(0, 0)
+			}
+		}
+		r.now += r.b.aimMin + 1
+		r.ask(0, 0)
+		if tried := bad.state == UnhealthyPending; tried != full {
+			t.Errorf("others full: %v; failing server tried after one aim: %v", full, tried)
+		}
+	}
+}
+
+// Kyushu's and south's failing servers: what must not run twice would be lost on a
+// server that is only being checked.
+func TestSingleShotDoesNotCheckAServer(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	bad := r.b.byAddr[addr(0)]
+	r.b.enter(bad, UnhealthyPending)
+	free, once := 0, 0
+	for range 200 {
+		r.now += 10
+		for class, n := range []*int{&free, &once} {
+			id, s := r.sent(class, uint64(r.b.rng.Int64()))
+			if s == bad.id {
+				*n++
+			}
+			r.outcome(id, 0, s, OK, 5)
+			r.b.enter(bad, UnhealthyPending)
+		}
+	}
+	if free == 0 || once > 0 {
+		t.Errorf("a pending server was checked by %d free and %d single shot requests; want some and none", free, once)
+	}
+}
+
+// i8d4be0, ifafc7b: held requests that wait for their key's servers must not
+// keep others from servers that have room.
+func TestWaitingForAKeyBlocksNobody(t *testing.T) {
+	r := newRig(t, testSettings(), 6)
+	for range 30 {
+		r.ask(0, 42) // one key: fills its two servers, the rest are held
+	}
+	if len(r.b.held) == 0 {
+		t.Fatal("nothing is held; the test does not test what it says")
+	}
+	free := 0
+	for key := uint64(100); key < 140; key++ {
+		if _, actions := r.ask(0, key); find(actions, ActSend) != nil {
+			free++
+		}
+	}
+	if free == 0 {
+		t.Error("requests for idle servers were held behind a crowded key")
+	}
+}
+
+func TestCrowdedWindowShrinks(t *testing.T) {
+	set := testSettings()
+	set.Replicas = 20 // many, as on ie9df20: each sees little of the load
+	r := newRig(t, set, 1)
+	srv := r.b.servers[0]
+	for range 300 { // long enough to know the calm answer time
+		id, s := r.sent(0, 1)
+		r.now += 20
+		r.outcome(id, 0, s, OK, 20)
+	}
+	grown := srv.window
+	for range 200 {
+		if id, actions := r.ask(0, 1); find(actions, ActSend) != nil {
+			r.now += 140
+			r.outcome(id, 0, srv.id, OK, 140)
+		}
+		r.now += 10
+	}
+	if srv.window >= grown {
+		t.Errorf("answers took seven times as long and the window went from %.2f to %.2f", grown, srv.window)
+	}
+	// ie9df20: with many agents one attempt of each keeps a tipped server busy.
+	if srv.window >= 1 {
+		t.Errorf("a tipped server is not left to rest: window %.2f", srv.window)
+	}
+}
+
+// The client's retry of a hopeless request is judged by the client's time.
+func TestRetryKeepsTheClientsTime(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	id, s := r.sent(0, 5)
+	r.now += 200
+	r.do(Event{Kind: EvDropped, Request: id})
+	r.outcome(id, 0, s, Cancelled, 200)
+	r.id++
+	r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: 5, LeftMs: 600, Retry: true})
+	if q := r.b.requests[r.id]; q == nil || q.aimAt-r.now > 101 {
+		t.Error("a retry was given the whole aim again")
+	}
+}
+
+func TestListIsFollowedAgainAfterFailures(t *testing.T) {
+	set := testSettings()
+	set.Membership = "on_request"
+	b, err := New(set, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := find(b.Start(0, nil), ActTimer)
+	if first == nil || first.Ms > set.Contract.AskWithinMs {
+		t.Fatalf("no subscription within the contract's time: %+v", first)
+	}
+	if find(b.Handle(first.Ms, &Event{Kind: EvTimer, Token: first.Token}, nil), ActFollow) == nil {
+		t.Fatal("the timer did not subscribe")
+	}
+	for range 8 {
+		again := find(b.Handle(first.Ms, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer)
+		if again == nil || again.Ms > set.Contract.AskWithinMs {
+			t.Fatalf("a failed call was not repeated in the contract's time: %+v", again)
+		}
+	}
+}
+
+func TestSettingsThatMakeNoSense(t *testing.T) {
+	for key, spoil := range map[string]func(*Settings){
+		"classes":             func(s *Settings) { s.Classes = nil },
+		"classes[0].aimMs":    func(s *Settings) { s.Classes[0].AimMs = math.NaN() },
+		"classes[1].giveUpMs": func(s *Settings) { s.Classes[1].GiveUpMs = -1 },
+		"classes[0].effect":   func(s *Settings) { s.Classes[0].Effect = "maybe" },
+		"classes[2].group":    func(s *Settings) { s.Classes[2].Group = "moon" },
+		"contract.coldMs":     func(s *Settings) { s.Contract.ColdMs = -5 },
+		"membershipMode":      func(s *Settings) { s.Membership = "" },
+	} {
+		s := testSettings()
+		spoil(&s)
+		if _, err := New(s, 1); err == nil || !contains(err.Error(), key) {
+			t.Errorf("spoilt %s: error %v does not name it", key, err)
+		}
+	}
+}
+
+func contains(s, part string) bool {
+	for i := 0; i+len(part) <= len(s); i++ {
+		if s[i:i+len(part)] == part {
+			return true
+		}
+	}
+	return false
+}
+
+func ExampleBalancer() {
+	settings := Settings{
+		Classes:    []Class{{Name: "read", AimMs: 200, GiveUpMs: 800, Effect: Free, Credit: 1}},
+		Limits:     Limits{MaxAttempts: 3},
+		Membership: "pushed",
+		RoundMs:    5,
+	}
+	b, err := New(settings, 42)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := 1000.0
+	b.Start(now, nil)
+	list := []Entry{{Server: Addr{10, 0, 0, 1, 0x1f, 0x90}, Health: Ready, Weight: 1}}
+	b.Handle(now, &Event{Kind: EvList, List: ListFull, Entries: list}, nil)
+	for _, a := range b.Handle(now, &Event{Kind: EvRequest, Request: 1, Key: 7, LeftMs: 800}, nil) {
+		if a.Kind == ActSend {
+			fmt.Println("send request", a.Request, "to", a.Server)
+		}
+	}
+	// Output: send request 1 to [10 0 0 1 31 144]
+}
+
+// i452d3e: windows that grew before calm was known crowded the servers, and the
+// crowded time became the measure of calm.
+func TestNoWindowGrowsBeforeCalmIsKnown(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	for range learnFor - 1 {
+		id, s := r.sent(0, r.b.rng.Uint64())
+		r.now += 20
+		r.outcome(id, 0, s, OK, 20)
+		if w := r.b.byAddr[s].window; w > firstWindow {
+			t.Fatalf("window %.2f after %.0f answers", w, r.b.answers)
+		}
+	}
+	var ids []RequestID
+	var tos []Addr
+	for range 40 {
+		ids, tos = ids[:0], tos[:0]
+		for range 3 {
+			if id, actions := r.ask(0, r.b.rng.Uint64()); find(actions, ActSend) != nil {
+				ids, tos = append(ids, id), append(tos, find(actions, ActSend).Server)
+			}
+		}
+		r.now += 20
+		for i := range ids {
+			r.outcome(ids[i], 0, tos[i], OK, 20)
+		}
+	}
+	if w := max(r.b.servers[0].window, r.b.servers[1].window); w <= firstWindow {
+		t.Errorf("no window grew once calm was known: %.2f", w)
+	}
+}
+
+// i7e1314: the class of least worth was starved though the worst class counts.
+func TestWorstClassCountsAmongHeld(t *testing.T) {
+	set := testSettings()
+	set.Objective = Objective{Whole: 0.5, WorstClass: 0.5}
+	r := newRig(t, set, 2)
+	once, free := &request{class: 1, aimAt: r.now + 500}, &request{class: 0, aimAt: r.now + 500}
+	for range 500 { // of class 1 all are served, of class 0 none
+		r.b.tally(0)
+		r.b.tally(1)
+		r.b.won[1] += 1 - fade
+	}
+	with := r.b.value(free) / r.b.value(once)
+	r.b.worst = 1
+	if without := r.b.value(free) / r.b.value(once); with <= without {
+		t.Errorf("the starved class weighs %.2f, when served well %.2f", with, without)
+	}
+}
+
+// Crossing zones costs time and a price: of many keys more stay in the own zone
+// than its servers' part, and still most other servers are used.
+func TestOwnZoneIsPreferredByKey(t *testing.T) {
+	r := newRig(t, testSettings(), 6) // zones 0 and 1 in turn; this agent is in 0
+	own, used, all := 0, map[Addr]bool{}, 600
+	for key := range uint64(all) {
+		id, s := r.sent(0, mix(key+1))
+		r.outcome(id, 0, s, OK, 20)
+		used[s] = true
+		if r.b.byAddr[s].zone == 0 {
+			own++
+		}
+	}
+	if share := float64(own) / float64(all); share < 0.53 || share > 0.68 || len(used) != 6 {
+		t.Errorf("own zone got %.2f of the keys over %d servers, want about 0.6 over 6", share, len(used))
+	}
+}
+
+// A started stream belongs to the client: nothing more is sent or answered for it.
+func TestStartedStreamIsLeftAlone(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Streamed = true
+	r := newRig(t, set, 4)
+	id, s := r.sent(0, 3)
+	r.now += 30
+	r.do(Event{Kind: EvStarted, Request: id, Attempt: 0, Server: s, LatencyMs: 30})
+	for range 200 {
+		for _, a := range r.tick(10) {
+			if a.Request == id && a.Kind != ActTimer {
+				t.Fatalf("action %+v for a request whose answer streams", a)
+			}
+		}
+	}
+	actions := r.do(Event{Kind: EvOutcome, Request: id, Attempt: 0, Server: s, Status: Reset, LatencyMs: 2000, Final: true})
+	if find(actions, ActSend) != nil || find(actions, ActFail) != nil || len(r.b.requests) != 0 {
+		t.Errorf("a stream that broke: %+v, %d requests kept", actions, len(r.b.requests))
+	}
+}
+
+// ifa9784: in a crowd most attempts were turned away, and counting them as flow gave a
+// cold server many times its share.
+func TestColdServerEarnsByWhatIsServedOnly(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	r.list(ListDelta, Entry{Server: addr(4), Health: Ready, Weight: 1, SinceMs: r.now})
+	cold := r.b.byAddr[addr(4)]
+	first := cold.credit
+	for range 50 {
+		r.now += 5
+		id, actions := r.ask(1, r.b.rng.Uint64())
+		if a := find(actions, ActSend); a != nil {
+			r.outcome(id, 0, a.Server, Full, 1)
+		}
+	}
+	if cold.credit > first || r.b.flow > 0 {
+		t.Errorf("nothing was served, and the cold server has credit %.2f of a flow of %.2f", cold.credit, r.b.flow)
+	}
+}
+
+// ia9314f: one key drew a tenth of the traffic and one server got all of it, as no agent
+// had more than one of its requests in flight. Other keys keep to few servers.
+func TestPopularKeyIsSpreadByItsShare(t *testing.T) {
+	r := newRig(t, testSettings(), 20)
+	r.popular = true
+	popular, rare := map[Addr]bool{}, map[Addr]bool{}
+	for i := range 4000 {
+		r.now += 20
+		key := 1000 + r.b.rng.Uint64N(1000)
+		if i%5 == 0 {
+			key = 7
+		} else if i%100 == 1 {
+			key = 8
+		}
+		id, s := r.sent(0, key)
+		r.outcome(id, 0, s, OK, 10)
+		switch key {
+		case 7:
+			popular[s] = true
+		case 8:
+			rare[s] = true
+		}
+	}
+	if len(popular) < 8 || len(rare) > 5 {
+		t.Errorf("a fifth of all requests went to %d servers, a hundredth to %d", len(popular), len(rare))
+	}
+}
+
+// ia9314f, ifa9784: where nothing is served, further attempts only multiply the load.
+func TestFurtherAttemptsAreEarnedByServedRequests(t *testing.T) {
+	for _, served := range []bool{true, false} {
+		r := newRig(t, testSettings(), 8)
+		further := 0
+		for i := range 100 {
+			r.now += 500
+			r.b.tried = 0 // nothing is shed
+			id, s := r.sent(0, r.b.rng.Uint64())
+			if served && i%5 > 0 {
+				r.outcome(id, 0, s, OK, 10)
+				continue
+			}
+			for try := 0; ; try++ {
+				a := find(r.outcome(id, try, s, Full, 1), ActSend)
+				if a == nil {
+					break
+				}
+				s, further = a.Server, further+1
+			}
+		}
+		if served && further < 15 || !served && further > int(againMost) {
+			t.Errorf("four of five served: %v; %d further attempts", served, further)
+		}
+	}
+}
+
+// i29baa9: each of a thousand agents held connections to a third of the servers, which
+// had a price; opening one has another.
+func TestIdleConnectionsAreClosedWhereKeepingCostsMore(t *testing.T) {
+	for _, c := range []struct {
+		agents          int
+		open, handshake float64
+		closes          bool
+	}{{1000, 0.05, 0.05, true}, {10, 0.05, 0.05, false}, {1000, 0, 0, false}, {1000, 0, 0.05, false}} {
+		set := testSettings()
+		set.Replicas, set.Prices.Open, set.Prices.Handshake = c.agents, c.open, c.handshake
+		r := newRig(t, set, 8)
+		closed := 0
+		for range 200 {
+			r.now += 50
+			id, s := r.sent(0, r.b.rng.Uint64())
+			if a := find(r.outcome(id, 0, s, OK, 20), ActClose); a != nil && a.Server == s {
+				closed++
+			}
+		}
+		if c.closes && closed < 150 || !c.closes && closed > 20 {
+			t.Errorf("%+v: closed %d times of 200", c, closed)
+		}
+	}
+}
+
+// bogota-turnos big-2: 3.5 probes a request, as a crowded server turns probes away too
+// and each request sent the next.
+func TestProbesAreFewerThanRequests(t *testing.T) {
+	set := testSettings()
+	set.Limits.Probing = true
+	r := newRig(t, set, 6)
+	for i := range 4 {
+		r.b.demote(r.b.byAddr[addr(i)], true)
+	}
+	probes := 0
+	for range 200 {
+		r.now += 50
+		id, actions := r.ask(0, r.b.rng.Uint64())
+		sent := find(actions, ActSend)
+		for _, a := range actions {
+			if a.Kind == ActProbe {
+				probes++
+				r.do(Event{Kind: EvProbed, Server: a.Server, Status: Full, LatencyMs: 1})
+			}
+		}
+		if sent != nil {
+			r.outcome(id, 0, sent.Server, Full, 1)
+		}
+	}
+	if probes == 0 || probes > 30 {
+		t.Errorf("%d probes in 200 requests", probes)
+	}
+}
+
+// bogota-turnos, nairobi-runner: crowded servers work for clients that have left, and
+// each refusal brings a retry. Errors are no crowd, nor is what finds no room here.
+func TestLateServersAreRelieved(t *testing.T) {
+	for _, c := range []struct {
+		end  Status
+		rtt  float64
+		want bool
+	}{{OK, 20, false}, {OK, 500, true}, {Full, 1, true}, {Timeout, 600, true}, {Error, 5, false}} {
+		set := testSettings()
+		set.Limits.MaxAttempts = 1
+		r := newRig(t, set, 6)
+		refused := 0
+		for range 200 {
+			r.now += 500
+			id, actions := r.ask(0, r.b.rng.Uint64())
+			if a := find(actions, ActSend); a != nil {
+				r.now += c.rtt
+				r.outcome(id, 0, a.Server, c.end, c.rtt)
+			} else if find(actions, ActRefuse) != nil {
+				refused++
+			}
+		}
+		if c.want && (refused < 100 || refused > 170) || !c.want && refused > 0 {
+			t.Errorf("all end with %d after %.0f ms: %d of 200 refused", c.end, c.rtt, refused)
+		}
+	}
+}
+
+// nairobi-runner big-1: an agent that meets a server twice a minute cannot follow its
+// crowd by window. One that was full, late or reports far more than the mean is passed
+// over for about a turn, and where most of the tier would be, none is.
+func TestCrowdedServerMissesATurn(t *testing.T) {
+	for _, c := range []struct {
+		crowd  string
+		passed bool
+	}{{"calm", false}, {"full", true}, {"late", true}, {"reported", true}, {"all", false}} {
+		set := testSettings()
+		set.Report = Report{How: "inline", Names: []string{"eps", "inflight"}}
+		r := newRig(t, set, 6)
+		for range 40 {
+			r.now += 500
+			id, s := r.sent(0, r.b.rng.Uint64())
+			r.do(Event{Kind: EvOutcome, Request: id, Server: s, Status: OK, LatencyMs: 20, Final: true,
+				Report: []float32{0, 2}})
+		}
+		id, s := r.sent(0, 7)
+		ev := Event{Kind: EvOutcome, Request: id, Server: s, Status: OK, LatencyMs: 20, Final: true}
+		switch c.crowd {
+		case "full":
+			ev.Status, ev.Final = Full, false
+		case "late":
+			ev.LatencyMs = 400
+		case "reported":
+			ev.Report = []float32{0, 40}
+		case "all":
+			ev.LatencyMs = 400
+			for i := range 6 {
+				r.b.byAddr[addr(i)].restUntil = r.now + 5000
+			}
+		}
+		r.now += ev.LatencyMs
+		r.do(ev)
+		r.b.byAddr[s].window = 9
+		if _, again := r.sent(0, 7); (again != s) != c.passed {
+			t.Errorf("%s: the key's next request went to %v after %v", c.crowd, again, s)
+		}
+	}
+}
+
+// Reports may be nonsense; none of it reaches a decision.
+func TestReportsOfNonsenseAreNoCrowd(t *testing.T) {
+	set := testSettings()
+	set.Report = Report{How: "inline", Names: []string{"inflight"}}
+	r := newRig(t, set, 3)
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	for _, report := range [][]float32{nil, {nan}, {inf}, {-inf}, {-3}} {
+		if s := r.b.servers[0]; r.b.crowded(s, report) || r.b.load != 0 {
+			t.Errorf("report %v: taken for a crowd, or the mean is %v", report, r.b.load)
+		}
+	}
+}
+
+// ia9314f: of a thousand agents none earned a whole request for a new server, and the new
+// half of the fleet stood idle until it was warm.
+func TestColdServersGetTheirShareFromManySmallAgents(t *testing.T) {
+	cold, all := 0, 0
+	for seed := range uint64(200) {
+		r := newRig(t, testSettings(), 19)
+		b, err := New(testSettings(), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries := make([]Entry, 20)
+		for i := range entries {
+			entries[i] = Entry{Server: addr(i), Health: Ready, Weight: 1}
+		}
+		r.b = b
+		r.list(ListFull, entries...)
+		entries[19].SinceMs = r.now - 2000
+		r.list(ListFull, entries...)
+		for range 20 {
+			r.now += 100
+			id, s := r.sent(0, r.b.rng.Uint64())
+			if all++; s == addr(19) {
+				cold++
+			}
+			r.outcome(id, 0, s, OK, 20)
+		}
+	}
+	if even := all / 20; cold < even/20 || cold > even {
+		t.Errorf("a cold server got %d of %d requests, where an even share is %d", cold, all, even)
+	}
+}
+
+// nairobi-runner: crossing has a price, but one hall has more traffic than its servers
+// carry. A fixed weight by the price gained on some days and lost on others.
+func TestOwnZoneWeighsMoreWhileItServesInTime(t *testing.T) {
+	weight := func(price, rtt float64) float64 {
+		set := testSettings()
+		set.Prices.CrossZone = price
+		r := newRig(t, set, 6)
+		for range 400 {
+			r.now += 500
+			id, actions := r.ask(0, r.b.rng.Uint64())
+			if a := find(actions, ActSend); a != nil {
+				r.now += rtt
+				r.outcome(id, 0, a.Server, OK, rtt)
+			}
+		}
+		return r.b.own
+	}
+	if w := weight(0.1, 20); w < 4 {
+		t.Errorf("own zone in time: weight %.1f, want much", w)
+	}
+	for _, w := range []float64{weight(0.1, 500), weight(0, 20)} {
+		if w != ownLeast {
+			t.Errorf("own zone late, or crossing free: weight %.1f, want the least", w)
+		}
+	}
+}
+
+// A refusal tells the client that trying again is harmless: past the window in which
+// repeats are dropped it is not.
+func TestGuardedIsRefusedOnlyWithinItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		after float64
+		want  ActionKind
+	}{{100, ActRefuse}, {550, ActFail}} {
+		set := testSettings()
+		set.Classes[2].Group, set.Limits.MaxAttempts = GroupAll, 1
+		r := newRig(t, set, 4)
+		id, s := r.sent(2, 5)
+		r.now += c.after
+		if actions := r.outcome(id, 0, s, Error, c.after); find(actions, c.want) == nil {
+			t.Errorf("failed after %.0f of 500 ms: %+v", c.after, actions)
+		}
+	}
+}
+
+// Numbers that are none reach no decision: every request is still sent and ended.
+func TestNumbersThatMakeNoSense(t *testing.T) {
+	for _, x := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, math.MaxFloat64} {
+		r := newRig(t, testSettings(), 3)
+		r.list(ListFull, Entry{Server: addr(0), Health: Ready, Weight: x, SinceMs: x},
+			Entry{Server: addr(1), Health: Ready, Weight: 1, SinceMs: -x})
+		id, s := r.sent(0, 7)
+		r.do(Event{Kind: EvOutcome, Request: id, Server: s, Status: OK, LatencyMs: x, Final: true})
+		r.do(Event{Kind: EvRequest, Request: 99, LeftMs: x, HintMs: x, HasHint: true, Attempt: -1})
+		r.do(Event{Kind: EvOutcome, Request: 99, Attempt: -1, Server: s, Status: OK})
+		for _, srv := range r.b.servers {
+			if w := r.b.score(&request{spot: 3}, srv); math.IsNaN(w) || math.IsNaN(srv.lat) || srv.startedAt > r.now {
+				t.Errorf("%v: server %v has score %v, time %v, start %v", x, srv.id, w, srv.lat, srv.startedAt)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/policy/property_test.go
@@ -0,0 +1,266 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+)
+
+// world plays random clients, servers and lists against one Balancer and
+// checks the rules from outside, on the actions alone.
+type world struct {
+	t        *testing.T
+	rng      *rand.Rand
+	set      Settings
+	b        *Balancer
+	now      float64
+	next     RequestID
+	reqs     map[RequestID]*worldReq
+	timers   []worldTimer
+	list     map[Addr]Entry
+	badSince map[Addr]float64 // told that it drains or is gone
+	history  []Action
+}
+
+type worldTry struct {
+	server Addr
+	sentAt float64
+	endsAt float64
+	status Status
+	ended  bool
+}
+
+type worldReq struct {
+	class    int
+	deadline float64
+	tries    []*worldTry
+	final    int
+}
+
+type worldTimer struct {
+	at    float64
+	token uint32
+}
+
+func randomSettings(rng *rand.Rand) Settings {
+	s := testSettings()
+	s.Limits.ParallelTries = rng.IntN(2) == 0
+	s.Limits.Cancelling = rng.IntN(2) == 0
+	s.Limits.Probing = rng.IntN(2) == 0
+	s.Limits.MaxAttempts = 1 + rng.IntN(5)
+	s.Classes[2].Group = []Group{GroupAll, GroupZone, GroupCell}[rng.IntN(3)]
+	s.Classes[2].KeyTTLMs = 100 + 900*rng.Float64()
+	for i := range s.Classes {
+		s.Classes[i].AimMs = 50 + 400*rng.Float64()
+		s.Classes[i].LateShare = []float64{0, 0.2}[rng.IntN(2)]
+	}
+	if rng.IntN(2) == 0 {
+		s.Membership = "on_request"
+	}
+	if rng.IntN(2) == 0 {
+		s.Tenants = []Tenant{{Name: "a", Portion: 0.7}, {Name: "b", Portion: 0.3}}
+		s.OverShareWorth = 0.1
+	}
+	s.Clients.MarksRetry = rng.IntN(2) == 0
+	return s
+}
+
+func (w *world) apply(actions []Action) {
+	w.history = append(w.history, actions...)
+	for _, a := range actions {
+		r := w.reqs[a.Request]
+		switch a.Kind {
+		case ActSend:
+			w.checkSend(r, &a)
+			ends := w.now + 1 + 150*w.rng.Float64()
+			st := []Status{OK, OK, OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset}[w.rng.IntN(10)]
+			if st == Timeout {
+				ends = w.now + a.Ms
+			}
+			r.tries = append(r.tries, &worldTry{server: a.Server, sentAt: w.now, endsAt: min(ends, w.now+a.Ms), status: st})
+		case ActRefuse, ActFail:
+			if r.final++; r.final > 1 {
+				w.t.Fatalf("request %d: a second final answer", a.Request)
+			}
+			if w.now > r.deadline+w.set.Contract.AnswerSlackMs {
+				w.t.Fatalf("request %d answered %.1f ms after its deadline", a.Request, w.now-r.deadline)
+			}
+			c := w.set.Classes[r.class]
+			if a.Kind == ActRefuse && r.mayHaveRun() && (c.Effect == SingleShot || c.Effect == Guarded && c.Group != GroupAll) {
+				w.t.Fatalf("request %d of effect %s refused though it may have run", a.Request, c.Effect)
+			}
+		case ActCancel:
+			if !w.set.Limits.Cancelling {
+				w.t.Fatal("cancelled where it is not allowed")
+			}
+			if try := r.tries[a.Attempt]; !try.ended {
+				try.status, try.endsAt = Cancelled, w.now+5
+			}
+		case ActProbe:
+			if !w.set.Limits.Probing {
+				w.t.Fatal("probed where it is not allowed")
+			}
+		case ActTimer:
+			w.timers = append(w.timers, worldTimer{w.now + a.Ms, a.Token})
+		}
+	}
+}
+
+func (r *worldReq) mayHaveRun() bool {
+	return slices.ContainsFunc(r.tries, func(t *worldTry) bool { return !t.ended || !t.status.NeverRan() })
+}
+
+func (w *world) checkSend(r *worldReq, a *Action) {
+	c := w.set.Classes[r.class]
+	if r.final > 0 || w.now > r.deadline {
+		w.t.Fatalf("request %d sent after its end", a.Request)
+	}
+	if len(r.tries) >= w.set.Limits.MaxAttempts {
+		w.t.Fatalf("request %d: attempt %d of at most %d", a.Request, len(r.tries)+1, w.set.Limits.MaxAttempts)
+	}
+	if since, bad := w.badSince[a.Server]; bad && w.now-since > w.set.Contract.DrainGraceMs {
+		w.t.Fatalf("sent to %v %.0f ms after it was told to drain", a.Server, w.now-since)
+	}
+	for _, t := range r.tries {
+		if !t.ended && !w.set.Limits.ParallelTries {
+			w.t.Fatalf("request %d: two attempts out at once", a.Request)
+		}
+		if t.ended && t.status.NeverRan() {
+			continue
+		}
+		x, y := w.list[t.server], w.list[a.Server]
+		switch {
+		case c.Effect == SingleShot:
+			w.t.Fatalf("request %d sent again though it may have run", a.Request)
+		case c.Effect == Guarded && w.now-t.sentAt > c.KeyTTLMs:
+			w.t.Fatalf("request %d sent again %.0f ms after it may have run", a.Request, w.now-t.sentAt)
+		case c.Effect == Guarded && (c.Group == GroupZone && x.Zone != y.Zone || c.Group == GroupCell && x.Cell != y.Cell):
+			w.t.Fatalf("request %d sent again outside its group", a.Request)
+		}
+	}
+}
+
+func (w *world) handle(ev Event) { w.apply(w.b.Handle(w.now, &ev, nil)) }
+
+func (w *world) step() {
+	w.now += w.set.RoundMs
+	for i := 0; i < len(w.timers); i++ {
+		if t := w.timers[i]; t.at <= w.now {
+			w.timers = slices.Delete(w.timers, i, i+1)
+			i--
+			w.handle(Event{Kind: EvTimer, Token: t.token})
+		}
+	}
+	for id := RequestID(1); id <= w.next; id++ {
+		r := w.reqs[id]
+		if r == nil {
+			continue
+		}
+		open := false
+		for i, t := range r.tries {
+			if t.ended {
+				continue
+			}
+			if t.endsAt > w.now {
+				open = true
+				continue
+			}
+			t.ended = true
+			if t.status == OK {
+				r.final++ // a second copy's answer changes nothing
+				r.final = min(r.final, 1)
+			}
+			w.handle(Event{Kind: EvOutcome, Request: id, Attempt: i, Server: t.server, Status: t.status,
+				LatencyMs: w.now - t.sentAt, Final: r.final > 0})
+		}
+		if r.final == 0 && w.now > r.deadline+w.set.Contract.AnswerSlackMs {
+			w.t.Fatalf("request %d of class %d lost: no answer %.0f ms after its deadline", id, r.class, w.now-r.deadline)
+		}
+		if r.final > 0 && !open && len(r.tries) > 0 && w.now > r.deadline+100 {
+			delete(w.reqs, id)
+		}
+	}
+}
+
+func (w *world) changeList() {
+	s := addr(w.rng.IntN(8))
+	e := Entry{Server: s, Zone: int(s[3]) % 2, Cell: int(s[3]) % 3, Weight: 1 + w.rng.Float64(),
+		Health: []Health{Ready, Ready, Draining, Gone}[w.rng.IntN(4)]}
+	if w.rng.IntN(3) == 0 {
+		e.SinceMs = w.now - 100*w.rng.Float64()
+	}
+	w.list[s] = e
+	if e.Health == Ready {
+		delete(w.badSince, s)
+	} else if _, told := w.badSince[s]; !told {
+		w.badSince[s] = w.now
+	}
+	w.handle(Event{Kind: EvList, List: ListDelta, Entries: []Entry{e}})
+}
+
+func play(t *testing.T, seed uint64) []Action {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	w := &world{t: t, rng: rng, set: randomSettings(rng), now: 5000, reqs: map[RequestID]*worldReq{},
+		list: map[Addr]Entry{}, badSince: map[Addr]float64{}}
+	var err error
+	if w.b, err = New(w.set, seed); err != nil {
+		t.Fatal(err)
+	}
+	w.apply(w.b.Start(w.now, nil))
+	for range 10 {
+		w.changeList()
+	}
+	for i := range 1500 {
+		w.step()
+		for i < 1200 && rng.IntN(3) == 0 {
+			w.next++
+			left := 20 + 800*rng.Float64()
+			class := rng.IntN(len(w.set.Classes))
+			w.reqs[w.next] = &worldReq{class: class, deadline: w.now + left}
+			w.handle(Event{Kind: EvRequest, Request: w.next, Class: class, Tenant: rng.IntN(2), Key: uint64(rng.IntN(30)),
+				LeftMs: left, HasHint: rng.IntN(2) == 0, HintMs: 100 * rng.Float64(), Retry: rng.IntN(5) == 0})
+		}
+		switch rng.IntN(40) {
+		case 0:
+			w.changeList()
+		case 1:
+			if r := w.reqs[w.next]; r != nil && r.final == 0 {
+				r.final = 1
+				w.handle(Event{Kind: EvDropped, Request: w.next})
+			}
+		case 2: // what is unknown or over is ignored
+			w.handle(Event{Kind: EvOutcome, Request: 1 << 30, Server: addr(1), Status: OK})
+			w.handle(Event{Kind: EvDropped, Request: 1 << 30})
+			w.handle(Event{Kind: EvTimer, Token: 99})
+			w.handle(Event{Kind: EvList, List: ListFailed})
+		}
+	}
+	if n := len(w.b.requests); n != 0 || len(w.b.held) != 0 || w.b.inflight != 0 {
+		t.Errorf("seed %d: %d requests, %d held, %d in flight left at the end", seed, n, len(w.b.held), w.b.inflight)
+	}
+	for _, s := range w.b.servers {
+		if len(s.out) != 0 {
+			t.Errorf("seed %d: server %v keeps %d attempts", seed, s.id, len(s.out))
+		}
+	}
+	if len(w.b.pasts) > maxHeld {
+		t.Errorf("seed %d: %d past requests remembered", seed, len(w.b.pasts))
+	}
+	return w.history
+}
+
+func TestRulesHoldOnRandomDays(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, seed) })
+	}
+}
+
+func TestEqualInputsGiveEqualActions(t *testing.T) {
+	for seed := range uint64(5) {
+		if !reflect.DeepEqual(play(t, seed), play(t, seed)) {
+			t.Errorf("seed %d: two runs differ", seed)
+		}
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,328 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// This file holds what a Balancer remembers and plain arithmetic on it; the
+// decisions are in policy.go.
+
+// server is what the agent knows of one listed server.
+type server struct {
+	id        Addr
+	hash      uint64
+	zone      int
+	cell      int
+	weight    float64
+	listedAt  float64 // start of its process by the list
+	startedAt float64 // the same, or later where a restart is assumed
+	usable    bool    // listed as ready
+	state     State
+	since     float64 // when the state was entered
+	silent    bool    // demoted for silence, not for an answer
+	lostAt    float64 // first failed connect since it last answered; 0: none
+	strikes   int     // how often it failed of late; sets the hold
+	good      int     // served since the last change of strikes
+	probing   bool
+	out       []*attempt // attempts out, oldest first
+	heard     float64    // when it last answered anything
+	lat       float64    // mean answer time as a part of the aim
+	samples   int
+	window    float64 // attempts it may hold of this agent
+	cutAt     float64
+	sentAt    float64 // last attempt
+	gap       float64 // mean time between attempts
+	restUntil float64 // passed over in its tier
+	rtt       float64 // mean answer time
+	credit    float64 // work a cold server may still be sent
+	score     float64 // place in a request's order; lower is nearer
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	r      *request
+	s      *server
+	index  int
+	sentAt float64
+	alone  bool // no other of this agent was out on its server
+	cost   float64
+	done   bool
+}
+
+// request is one try of a client, kept until it is answered and no attempt is out.
+type request struct {
+	id         RequestID
+	class      int
+	tenant     int
+	key        uint64
+	spot       uint64 // the key, or one of its parts
+	hint       float64
+	first      float64 // when the client's first try came, as far as known
+	arrived    float64
+	aimAt      float64
+	deadline   float64 // margin already taken off
+	attempts   []*attempt
+	open       int // attempts out
+	risky      int // attempts that may have run
+	ranAt      float64
+	ranOn      *server
+	near       [keyServers]*server // nearest its key, as of epoch
+	epoch      uint64
+	tierWeight float64 // of the tier at its last pick
+	value      float64
+	closed     bool
+	started    bool // a streamed answer belongs to the client now
+}
+
+// past is what is remembered of an unserved request, to know its retry.
+type past struct {
+	class int
+	key   uint64
+	first float64
+}
+
+// Balancer makes the decisions of one agent. It is not safe for concurrent use.
+type Balancer struct {
+	set       Settings
+	rng       *rand.Rand
+	now       float64
+	out       []Action
+	servers   []*server // by address
+	byAddr    map[Addr]*server
+	requests  map[RequestID]*request
+	held      []*request
+	keys      map[uint64]float64 // requests of each key, of keyed in all, halved now and then
+	keyed     float64
+	tier      []*server // scratch of pick
+	pasts     []past
+	warm      float64 // weight of warm servers, at warmAt and warmEpoch
+	warmAt    float64
+	warmEpoch uint64
+	epoch     uint64  // counts changes of tiers and list
+	own       float64 // how much more a server of the own zone weighs
+	inflight  int
+	load      float64 // mean reported requests for weight one
+	sentAt    float64 // last attempt
+	gap       float64 // mean time between attempts
+	tried     float64 // ended tries, fading, and what they gained
+	gained    float64
+	again     float64 // further attempts that may be made
+	probes    int
+	mayProbe  float64   // probes that may be sent
+	expect    []float64 // per class: mean answer time
+	meanHint  float64
+	hints     float64 // answers to hinted requests, and their means and spread
+	hintMean  float64
+	hintTime  float64
+	hintVar   float64
+	hintCov   float64
+	answers   float64   // served so far
+	fleetLat  float64   // mean answer time as a part of the aim, all servers
+	calmLat   float64   // the same when nothing is crowded
+	usage     []float64 // tenants' shares of requests
+	asked     []float64 // classes' shares of requests
+	won       []float64 // and of those served in time
+	worst     int       // the class served worst
+	credit    float64   // mean worth of a request
+	aimMin    float64
+	lookedAt  float64 // last fetch of the list
+	follows   int     // failed calls in a row
+	flow      float64 // work sent to a warm server of weight one, fading over the cold time
+	flowAt    float64
+	ticking   bool
+	scarce    bool // requests that would take any server find no room
+}
+
+// tally keeps the classes' shares of requests and of those served in time.
+func (b *Balancer) tally(class int) {
+	b.credit = 0
+	for i, c := range b.set.Classes {
+		b.asked[i] *= fade
+		b.won[i] *= fade
+		if i == class {
+			b.asked[i] += 1 - fade
+		}
+		b.credit += b.asked[i] * c.Credit
+	}
+}
+
+// count keeps the tenants' shares of this agent's requests.
+func (b *Balancer) count(tenant int) {
+	if tenant < 0 || tenant >= len(b.usage) {
+		return
+	}
+	for i := range b.usage {
+		b.usage[i] *= fade
+	}
+	b.usage[tenant] += 1 - fade
+}
+
+// countKey counts a request of the key; counts are halved when there are too many.
+func (b *Balancer) countKey(key uint64, most float64) {
+	if b.keyed >= most {
+		b.keyed /= 2
+		for k := range b.keys {
+			if b.keys[k] /= 2; b.keys[k] < 0.5 {
+				delete(b.keys, k)
+			}
+		}
+	}
+	b.keyed++
+	b.keys[key]++
+}
+
+// learnHint keeps the straight line of answer time over hinted work: the network's
+// share does not grow with the work.
+func (b *Balancer) learnHint(r *request, rtt float64) {
+	if r.hint <= 0 {
+		return
+	}
+	b.hints++
+	w := max(slowSmooth, 1/b.hints)
+	dh, dt := r.hint-b.hintMean, rtt-b.hintTime
+	b.hintMean += w * dh
+	b.hintTime += w * dt
+	b.hintVar += w * (dh*dh*(1-w) - b.hintVar)
+	b.hintCov += w * (dh*dt*(1-w) - b.hintCov)
+}
+
+// hintedTime is what the line says for the request; 0 while little is known.
+func (b *Balancer) hintedTime(r *request) float64 {
+	if r.hint <= 0 || b.hints < 1/(4*slowSmooth) || b.hintVar <= 0 {
+		return 0
+	}
+	return max(b.hintTime+b.hintCov/b.hintVar*(r.hint-b.hintMean), 0)
+}
+
+// remember keeps when an unserved request first came, so that its retry is
+// judged by the time that has passed for the client.
+func (b *Balancer) remember(r *request) {
+	if !b.set.Clients.MarksRetry {
+		return
+	}
+	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool {
+		return b.now-p.first > b.set.Classes[p.class].GiveUpMs
+	})
+	if len(b.pasts) < maxHeld {
+		b.pasts = append(b.pasts, past{r.class, r.key, r.first})
+	}
+}
+
+func (b *Balancer) recall(r *request) float64 {
+	i := slices.IndexFunc(b.pasts, func(p past) bool { return p.class == r.class && p.key == r.key })
+	if i < 0 {
+		return r.arrived
+	}
+	first := b.pasts[i].first
+	b.pasts = slices.Delete(b.pasts, i, i+1)
+	return first
+}
+
+// gain counts an ended try and the part of its worth that it earned.
+func (b *Balancer) gain(part float64) {
+	b.tried += 1 - b.tried/shedMemory
+	b.gained += part - b.gained/shedMemory
+}
+
+// ramp is the part of its capacity that a started server has by the contract.
+func (b *Balancer) ramp(s *server) float64 {
+	c := &b.set.Contract
+	age := b.now - s.startedAt
+	if s.startedAt <= 0 || age >= c.ColdMs || s.startedAt != s.listedAt && age > c.AskWithinMs {
+		return 1 // long past, or assumed and not borne out by the list in its time
+	}
+	return c.ColdFrom + (1-c.ColdFrom)*max(age, 0)/c.ColdMs
+}
+
+// warmWeight is the weight of the servers of the top tier that are not cold, counted
+// once for all decisions of a moment.
+func (b *Balancer) warmWeight() float64 {
+	if b.warmAt == b.now && b.warmEpoch == b.epoch {
+		return b.warm
+	}
+	b.warm, b.warmAt, b.warmEpoch = 0, b.now, b.epoch
+	for _, s := range b.servers {
+		if s.usable && s.state <= Unknown && b.ramp(s) == 1 {
+			b.warm += s.weight
+		}
+	}
+	return b.warm
+}
+
+// partOfAim is an answer time as a part of the aim. Where hints tell the work a
+// costly request counts as one of mean work; a small one is not scaled up, as its
+// time is mostly the network's.
+func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
+	x := rtt / b.set.Classes[r.class].AimMs
+	if r.hint > 0 {
+		x *= min(b.meanHint/r.hint, 1)
+	}
+	return min(x, 2)
+}
+
+// expected is how long an answer to the request takes, on the mean.
+func (b *Balancer) expected(r *request) float64 {
+	e := b.expect[r.class]
+	if t := b.hintedTime(r); t > 0 {
+		e = max(t, e/4)
+	}
+	return e
+}
+
+// cost is the work of a request in units of the mean one, and never less: hints are
+// rough, and a cold server would be sent the small ones that are not (i299663).
+func (b *Balancer) cost(r *request) float64 {
+	if r.hint > b.meanHint {
+		return r.hint / b.meanHint
+	}
+	return 1
+}
+
+// enter notes a server's new state and its time; tiers have changed.
+func (b *Balancer) enter(s *server, to State) {
+	if s.state > Unknown || to > Unknown {
+		b.epoch++
+	}
+	s.state, s.since = to, b.now
+}
+
+// finite is the number, or 0 where it is negative or none.
+func finite(x float64) float64 {
+	if !(x > 0) || math.IsInf(x, 1) {
+		return 0
+	}
+	return x
+}
+
+// finite is the event with numbers that make sense.
+func (ev *Event) finite() *Event {
+	e := *ev
+	e.LeftMs, e.HintMs, e.LatencyMs = finite(e.LeftMs), finite(e.HintMs), finite(e.LatencyMs)
+	return &e
+}
+
+// mean moves a running mean towards x; the first value is taken whole.
+func mean(old, x, weight float64) float64 {
+	if old == 0 {
+		return x
+	}
+	return old + weight*(x-old)
+}
+
+func hashAddr(a Addr) uint64 {
+	h := uint64(0)
+	for _, x := range a {
+		h = h<<8 | uint64(x)
+	}
+	return h
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/policy/types.go
@@ -0,0 +1,255 @@
+// Package policy decides, for one agent (a sidecar balancer), where each
+// request of its client goes: which server, when, for how long, whether again,
+// and when to give up. It is a state machine without I/O: the caller hands in
+// events with a clock and carries out the actions that come back, in order.
+//
+// All decisions are in policy.go; this file holds the interface only.
+package policy
+
+// Addr names a server: four bytes of address and a port. It has no meaning
+// beyond equality and is sent back exactly as it came.
+type Addr [6]byte
+
+// RequestID names one try of a client; an id is never used twice.
+type RequestID uint32
+
+// State is what an agent holds a listed server to be.
+type State uint8
+
+// The four states, best first.
+const (
+	Connected State = iota
+	Unknown
+	UnhealthyPending
+	Unhealthy
+)
+
+// Effect tells whether a request of a class may run more than once.
+type Effect string
+
+// The effects a class may have.
+const (
+	Free       Effect = "free"        // safe to repeat
+	Guarded    Effect = "guarded"     // repeats are dropped within a group of servers, for a time
+	SingleShot Effect = "single_shot" // must never run twice
+)
+
+// Group tells which servers drop repeats of a guarded request.
+type Group string
+
+// The groups a guarded class may have.
+const (
+	GroupAll  Group = "all"
+	GroupZone Group = "zone"
+	GroupCell Group = "cell"
+)
+
+// Class is one class of requests.
+type Class struct {
+	Name       string  `json:"name"`
+	AimMs      float64 `json:"aimMs"`
+	AimStretch float64 `json:"aimStretch"`
+	GiveUpMs   float64 `json:"giveUpMs"`
+	Effect     Effect  `json:"effect"`
+	Group      Group   `json:"group"`
+	KeyTTLMs   float64 `json:"keyTtlMs"`
+	Credit     float64 `json:"credit"`
+	LateShare  float64 `json:"lateShare"`
+	Streamed   bool    `json:"streamed"`
+}
+
+// Tenant is a customer with a share of what the servers can do.
+type Tenant struct {
+	Name      string  `json:"name"`
+	QuotaPerS float64 `json:"quotaPerS"`
+	Portion   float64 `json:"portion"`
+}
+
+// Limits is what a deployment permits an agent.
+type Limits struct {
+	Cancelling       bool    `json:"cancelling"`
+	ConnectTimeoutMs float64 `json:"connectTimeoutMs"`
+	KeepaliveMs      float64 `json:"keepaliveMs"`
+	MaxAttempts      int     `json:"maxAttempts"`
+	MaxRetryAfterMs  float64 `json:"maxRetryAfterMs"`
+	ParallelTries    bool    `json:"parallelTries"`
+	Probing          bool    `json:"probing"`
+	RetryAfter       bool    `json:"retryAfter"`
+	OpenCap          int     `json:"openCap"`
+}
+
+// Contract holds the figures of the four rules.
+type Contract struct {
+	AnswerSlackMs float64 `json:"answerSlackMs"`
+	AskWithinMs   float64 `json:"askWithinMs"`
+	ColdFrom      float64 `json:"coldFrom"`
+	ColdMs        float64 `json:"coldMs"`
+	DrainGraceMs  float64 `json:"drainGraceMs"`
+	FallMultiple  float64 `json:"fallMultiple"`
+	TipAfterMs    float64 `json:"tipAfterMs"`
+}
+
+// Prices are points taken off the result, each times its share or rate.
+type Prices struct {
+	CrossZone float64 `json:"crossZone"`
+	Handshake float64 `json:"handshake"`
+	Open      float64 `json:"connection"`
+	LateFail  float64 `json:"lateFail"`
+	Probe     float64 `json:"probe"`
+	Waste     float64 `json:"waste"`
+	List      float64 `json:"membershipMode"`
+}
+
+// Objective holds the weights of the result's components.
+type Objective struct {
+	Whole       float64 `json:"whole"`
+	WorstWindow float64 `json:"worstWindow"`
+	WorstClass  float64 `json:"worstClass"`
+	WorstTenant float64 `json:"worstTenant"`
+}
+
+// Report names the values of the servers' load reports.
+type Report struct {
+	How   string   `json:"how"`
+	Names []string `json:"names"`
+}
+
+// Settings is what an agent is told at its start.
+type Settings struct {
+	Classes    []Class   `json:"classes"`
+	Tenants    []Tenant  `json:"tenants"`
+	Limits     Limits    `json:"limits"`
+	Contract   Contract  `json:"contract"`
+	Prices     Prices    `json:"prices"`
+	Objective  Objective `json:"objectiveMix"`
+	Report     Report    `json:"report"`
+	Membership string    `json:"membershipMode"` // "pushed" or "on_request"
+	Clients    struct {
+		MarksRetry bool `json:"marksRetry"`
+	} `json:"clients"`
+	FamilyInfo struct {
+		WarmKeys bool `json:"warmKeys"`
+	} `json:"familyInfo"`
+	Index          int     `json:"index"`
+	Replicas       int     `json:"replicasOfMe"`
+	OverShareWorth float64 `json:"overShareWorth"`
+	RoundMs        float64 `json:"roundMs"`
+	Weights        string  `json:"weights"` // "off", "nominal", "rough" or "live"
+	WorthBy        string  `json:"worthBy"` // "request" or "work"
+	Zone           int     `json:"zone"`
+}
+
+// Health is what the list says of a server.
+type Health uint8
+
+// The list's words.
+const (
+	Draining Health = iota
+	Ready
+	Gone
+)
+
+// Entry is one line of the list of servers.
+type Entry struct {
+	Server  Addr
+	Zone    int
+	Cell    int
+	Kind    int
+	SinceMs float64 // clock time of the latest start; 0: long past
+	Health  Health
+	Weight  float64
+}
+
+// ListKind tells how a list event changes the list at hand.
+type ListKind uint8
+
+// The kinds of list events.
+const (
+	ListDelta ListKind = iota
+	ListFull
+	ListCached
+	ListFailed
+)
+
+// Status is how an attempt or a probe ended.
+type Status uint16
+
+// The endings.
+const (
+	OK            Status = 100
+	Error         Status = 301
+	Full          Status = 302
+	Timeout       Status = 303
+	ConnectFailed Status = 304
+	Reset         Status = 305
+	Cancelled     Status = 306
+	Moot          Status = 307
+)
+
+// NeverRan tells whether the ending proves that the attempt did not run.
+func (s Status) NeverRan() bool { return s == Full || s == ConnectFailed || s == Moot }
+
+// EventKind tells which fields of an Event count.
+type EventKind uint8
+
+// The events.
+const (
+	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, LeftMs, HintMs, HasHint, Retry
+	EvOutcome                      // Request, Attempt, Server, Status, LatencyMs, Final, Report
+	EvStarted                      // Request, Attempt, Server, LatencyMs: a streamed answer began
+	EvDropped                      // Request: the client left
+	EvList                         // List, Entries
+	EvProbed                       // Server, Status, LatencyMs, Report
+	EvTimer                        // Token
+	EvPeer                         // a message of another agent; carries nothing that is used
+)
+
+// Event is something that happened to one agent.
+type Event struct {
+	Kind      EventKind
+	Request   RequestID
+	Class     int
+	Tenant    int
+	Key       uint64 // 0: none
+	LeftMs    float64
+	HintMs    float64
+	HasHint   bool
+	Retry     bool
+	Attempt   int
+	Server    Addr
+	Status    Status
+	LatencyMs float64
+	Final     bool // the request is finished
+	Report    []float32
+	List      ListKind
+	Entries   []Entry // not changed and not kept by the Balancer
+	Token     uint32
+}
+
+// ActionKind tells which fields of an Action count.
+type ActionKind uint8
+
+// The actions.
+const (
+	ActSend   ActionKind = iota + 1 // Request, Server, Ms: time-out
+	ActCancel                       // Request, Attempt
+	ActRefuse                       // Request, Ms: advice
+	ActFail                         // Request
+	ActProbe                        // Server
+	ActTimer                        // Ms, Token
+	ActFollow                       // subscribe to the list
+	ActFetch                        // ask for the whole list once
+	ActLog                          // Text
+	ActClose                        // Server: close idle connections
+)
+
+// Action is something the agent is to do, in the order given.
+type Action struct {
+	Kind    ActionKind
+	Request RequestID
+	Server  Addr
+	Attempt int
+	Ms      float64
+	Token   uint32
+	Text    string
+}
