--- /dev/null
+++ b/cmd/ringtrack/main.go
@@ -0,0 +1,45 @@
+// Command ringtrack is one agent: it takes requests from the application beside
+// it and places them on backends, as the decision module says.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"clayproxy.example/clayproxy/internal/agent"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "ringtrack:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	cfg, err := agent.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
+	// Collect seldom, as the heap is small and the core is shared, but long
+	// before the memory limit, over which the agent would be killed.
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return agent.Run(stop, cfg, ln)
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,47 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+)
+
+// Run serves until stop is done, then ends in order. It returns nil when every
+// request that was held has been answered.
+func Run(stop context.Context, cfg *Config, ln net.Listener) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel() // only after the front: requests held need the loop to the end
+	f := newFront(cfg)
+	l, err := newLoop(ctx, cfg, func() { f.ready.Store(true) })
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	f.loop = l
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.run()
+	}()
+	failed := make(chan error, 1)
+	go func() { failed <- f.serve(ln) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+	}
+	// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM:
+	// what came last has its whole time, and the end is well before that.
+	held := 100 * time.Millisecond
+	for _, c := range cfg.Settings.Classes {
+		held = max(held, ms(c.GiveUpMs)+50*time.Millisecond)
+	}
+	if err := f.shutdown(held); err != nil {
+		slog.Warn("shutdown", "err", err) // connections that never brought a request
+	}
+	cancel()
+	<-ended
+	slog.Info("stopped", "figures", fmt.Sprintf("%+v", l.figures))
+	return nil
+}
--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+
+	"clayproxy.example/clayproxy/internal/wire"
+	"clayproxy.example/clayproxy/policy"
+)
+
+// Config is what the platform tells one agent, validated.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Cores     float64
+	MemoryMB  int
+	Sockets   int
+	Known     List
+	Settings  policy.Settings
+	Zones     []string // names of zones and of machine kinds, by the number the module knows
+	Kinds     []string
+}
+
+// file is the form of $PROXY_CONFIG.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    List            `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// LoadConfig reads the configuration from the environment and from the file it
+// names. Where both tell a thing the environment wins: it is what the platform
+// set for this very start.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("config: PROXY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	for _, over := range []struct {
+		name string
+		to   *string
+	}{{"PROXY_NAME", &f.Name}, {"PROXY_LISTEN", &f.Listen}, {"PROXY_DISCOVERY", &f.Discovery}} {
+		if v := getenv(over.name); v != "" {
+			*over.to = v
+		}
+	}
+	return f.config()
+}
+
+func (f *file) config() (*Config, error) {
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
+	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, port, err := net.SplitHostPort(a.value); err != nil || port == "" {
+			return nil, fmt.Errorf("config: %s: %q is no host:port", a.key, a.value)
+		}
+	}
+	switch {
+	case !(c.Cores > 0) || math.IsInf(c.Cores, 0):
+		return nil, fmt.Errorf("config: limits.cores: must be above 0, is %v", c.Cores)
+	case c.MemoryMB < 16:
+		return nil, fmt.Errorf("config: limits.memory_mb: must be 16 at least, is %d", c.MemoryMB)
+	case c.Sockets < minSockets:
+		return nil, fmt.Errorf("config: limits.sockets: must be %d at least, is %d", minSockets, c.Sockets)
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("config: seed: %q is no hexadecimal number of 64 bits", f.Seed)
+	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("config: settings: none given")
+	}
+	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	// The module knows zones and kinds by number only; discovery names them.
+	var names struct {
+		Zones []string `json:"failureDomains"`
+		Kinds []string `json:"shapes"`
+	}
+	if err := json.Unmarshal(f.Settings, &names); err != nil {
+		return nil, fmt.Errorf("config: settings: %w", err)
+	}
+	c.Zones, c.Kinds = names.Zones, names.Kinds
+	if _, err := policy.New(c.Settings, c.Seed); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return c, nil
+}
+
+// minSockets leaves a few connections to each side beside the reserve.
+const minSockets = 64
+
+// clientConns and backendConns divide the descriptors: neither side can take
+// the other's, and the rest is for the listener, discovery, the log and the
+// runtime's own.
+func (c *Config) clientConns() int  { return c.Sockets * 7 / 16 }
+func (c *Config) backendConns() int { return c.Sockets * 7 / 16 }
