Test the agent over loopback sockets

The tests cover the outcomes of an attempt, kept connections, drains, moves, discovery down, clients that leave or send what can't be used, limits and SIGTERM. One test failed at first through its own fault: its backend echoed the largest body with a prefix, and an answer over 64 KiB is rightly an error.

--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -41,5 +41,6 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	slog.Info("listening", "name", cfg.Name, "addr", ln.Addr().String())
 	return agent.Run(stop, cfg, ln)
 }
--- /dev/null
+++ b/cmd/ringtrack/main_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+// The test binary is the program itself when it is started with this variable.
+func TestMain(m *testing.M) {
+	if os.Getenv("RINGTRACK_AS_PROGRAM") == "1" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func program(t *testing.T, config string) *exec.Cmd {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "RINGTRACK_AS_PROGRAM=1", "PROXY_CONFIG="+path,
+		"PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY=")
+	return cmd
+}
+
+const settings = `{"classes":[{"name":"order","aimMs":2000,"giveUpMs":3000,"effect":"single_shot","credit":5,"lateShare":0.2}],
+"contract":{"askWithinMs":1600,"drainGraceMs":250},"failureDomains":["east"],"shapes":["big"],"replicasOfMe":1,
+"limits":{"cancelling":true,"connectTimeoutMs":1000,"keepaliveMs":30000,"maxAttempts":3,"maxRetryAfterMs":600},
+"membershipMode":"on_request","objectiveMix":{"whole":1},"roundMs":5}`
+
+func TestBadConfigEndsTheProgramWithOneLine(t *testing.T) {
+	cmd := program(t, strings.Replace(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+"limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":`+settings+`}`, "single_shot", "twice", 1))
+	var stderr strings.Builder
+	cmd.Stderr = &stderr
+	err := cmd.Run()
+	if code := cmd.ProcessState.ExitCode(); err == nil || code != 1 {
+		t.Errorf("exit code %d, want 1", code)
+	}
+	if text := stderr.String(); strings.Count(text, "\n") != 1 || !strings.Contains(text, "classes[0].effect") {
+		t.Errorf("standard error %q, want one line that names the key", text)
+	}
+}
+
+// SIGTERM under traffic: connections go on coming for a while and those there are
+// go on being used; each request on an accepted connection has its answer, and
+// the program ends by itself, without error, well before it would be killed.
+func TestSIGTERMUnderTraffic(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(20 * time.Millisecond) // work, so that requests are held at the signal
+		fmt.Fprint(w, "done")
+	}))
+	defer backend.Close()
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(patience):
+		}
+	}))
+	defer discovery.Close()
+	defer discovery.CloseClientConnections()
+	config, err := json.Marshal(map[string]any{
+		"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.Listener.Addr().String(), "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
+		"known": map[string]any{"version": 1, "full": true, "servers": []any{map[string]any{"id": "s-1",
+			"addr": backend.Listener.Addr().String(), "zone": "east", "kind": "big", "state": "up", "weight": 1}}},
+		"settings": json.RawMessage(settings)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := program(t, string(config))
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	log := bufio.NewReader(stderr)
+	line, err := log.ReadString('\n')
+	found := regexp.MustCompile(`addr=(\S+)`).FindStringSubmatch(line)
+	if err != nil || found == nil {
+		t.Fatalf("no address in %q: %v", line, err)
+	}
+	addr := found[1]
+
+	var answered, lost, afterSignal atomic.Int64
+	var signalled atomic.Bool
+	request := "POST /api/a1 HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: order\r\n" +
+		"Request-Timeout-Ms: 3000\r\nContent-Length: 1\r\n\r\nx"
+	stop := make(chan struct{})
+	worker := func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				return // no longer accepted: nothing is taken
+			}
+			c.SetDeadline(time.Now().Add(patience))
+			br := bufio.NewReader(c)
+			for first := true; ; first = false {
+				late := signalled.Load()
+				_, err := c.Write([]byte(request))
+				var resp *http.Response
+				if err == nil {
+					resp, err = http.ReadResponse(br, nil)
+				}
+				if err != nil {
+					// A kept connection may be closed between requests; the first
+					// request on a new one is owed an answer.
+					if first {
+						lost.Add(1)
+					}
+					break
+				}
+				resp.Body.Close()
+				answered.Add(1)
+				if late {
+					afterSignal.Add(1)
+				}
+				if resp.Close {
+					break
+				}
+			}
+			c.Close()
+		}
+	}
+	var workers sync.WaitGroup
+	for range 8 {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			worker()
+		}()
+	}
+	for end := time.Now().Add(patience); answered.Load() < 50 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	signalled.Store(true)
+	from := time.Now()
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(300*time.Millisecond, func() { close(stop) }) // new connections cease before 0.4 s
+	for err == nil {
+		_, err = log.ReadString('\n')
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+	took := time.Since(from)
+	workers.Wait()
+	if lost.Load() > 0 || afterSignal.Load() == 0 {
+		t.Errorf("%d requests lost; %d answered, %d of them asked after the signal", lost.Load(), answered.Load(), afterSignal.Load())
+	}
+	if took > 3700*time.Millisecond {
+		t.Errorf("ended %v after SIGTERM", took)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,11 @@
 // Run serves until stop is done, then ends in order. It returns nil when every
 // request that was held has been answered.
 func Run(stop context.Context, cfg *Config, ln net.Listener) error {
+	return run(stop, cfg, ln, func(*loop) {})
+}
+
+// run is Run, which also hands out the loop before it starts.
+func run(stop context.Context, cfg *Config, ln net.Listener, made func(*loop)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel() // only after the front: requests held need the loop to the end
 	f := newFront(cfg)
@@ -19,6 +24,7 @@
 		return fmt.Errorf("agent: %w", err)
 	}
 	f.loop = l
+	made(l)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,564 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/policy"
+)
+
+// one starts an agent in front of one backend with the given script.
+func one(t *testing.T, answer func(c net.Conn, req *http.Request, n int) bool) (*testAgent, *fakeBackend) {
+	t.Helper()
+	b := newBackend(t, answer)
+	return startAgent(t, newDiscoveryServer(t, target("s-1", b.addr)), nil), b
+}
+
+func TestServed(t *testing.T) {
+	var mu sync.Mutex
+	var seen http.Header
+	a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		mu.Lock()
+		seen = req.Header.Clone()
+		mu.Unlock()
+		return serving(c, req, n)
+	})
+	req := newRequest(a.addr, "send", "hello")
+	req.URL.RawQuery = "a=1&b=%20"
+	status, header, body := a.ask(req)
+	wantStatus(t, status, 200)
+	if want := "POST /api/00000000000000a1?a=1&b=%20 hello"; body != want {
+		t.Errorf("body %q, want %q", body, want)
+	}
+	if header.Get("Content-Length") != fmt.Sprint(len(body)) {
+		t.Errorf("Content-Length %q", header.Get("Content-Length"))
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if seen.Get("Request-Id") != "1" || seen.Get("Idempotency-Key") != "k1" {
+		t.Errorf("the backend got %v", seen)
+	}
+	var left int
+	if _, err := fmt.Sscan(seen.Get("Request-Timeout-Ms"), &left); err != nil || left < 1 || left > 4000 {
+		t.Errorf("the backend was told %q ms", seen.Get("Request-Timeout-Ms"))
+	}
+	if b.count() != 1 {
+		t.Errorf("%d arrivals, want 1", b.count())
+	}
+}
+
+// The ends of an attempt: what the client is told and how often the backend saw it.
+func TestOutcomes(t *testing.T) {
+	always := func(status int, header, body string) func(net.Conn, *http.Request, int) bool {
+		return func(c net.Conn, _ *http.Request, _ int) bool { return send(c, status, header, body) }
+	}
+	raw := func(text string, keep bool) func(net.Conn, *http.Request, int) bool {
+		return func(c net.Conn, _ *http.Request, _ int) bool {
+			fmt.Fprint(c, text)
+			return keep
+		}
+	}
+	for _, test := range []struct {
+		name     string
+		class    string
+		answer   func(net.Conn, *http.Request, int) bool
+		status   int
+		arrivals int
+	}{
+		{"500 may have run", "order", always(500, "", ""), 502, 1},
+		{"503 without proof may have run", "order", always(503, "", ""), 502, 1},
+		{"reset after the last byte may have run", "order",
+			func(c net.Conn, _ *http.Request, _ int) bool { return reset(c) }, 502, 1},
+		{"close after the last byte may have run", "order", raw("", false), 502, 1},
+		{"broken body may have run", "order", raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false), 502, 1},
+		{"broken chunk may have run", "order",
+			raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", false), 502, 1},
+		{"unreadable head may have run", "order", raw("nonsense\r\n\r\n", true), 502, 1},
+		{"a body too large may have run", "order", always(200, "", strings.Repeat("x", maxBody+1)), 502, 1},
+		{"turned away never ran", "order", always(503, "Not-Started: 1\r\n", ""), 503, 3},
+		{"504 with proof never ran", "order", always(504, "Not-Started: 1\r\n", ""), 503, 3},
+		{"an error is repeated for a keyed one, three attempts at most", "send", always(500, "", ""), 503, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a, b := one(t, test.answer)
+			status, header, _ := a.ask(newRequest(a.addr, test.class, "x"))
+			wantStatus(t, status, test.status)
+			if b.count() != test.arrivals {
+				t.Errorf("%d arrivals, want %d", b.count(), test.arrivals)
+			}
+			if status == 503 && header.Get("Retry-After") != "0.600" {
+				t.Errorf("refused with Retry-After %q", header.Get("Retry-After"))
+			}
+			if f := a.figures(); f.backstops+f.guarded > 0 {
+				t.Errorf("a guard had to act: %+v", f)
+			}
+		})
+	}
+}
+
+func TestTurnedAwayGoesAgain(t *testing.T) {
+	a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		if n == 0 {
+			return send(c, 503, "Not-Started: 1\r\n", "")
+		}
+		return serving(c, req, n)
+	})
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+	if b.count() != 2 {
+		t.Errorf("%d arrivals, want 2", b.count())
+	}
+}
+
+func TestInterimAnswerIsPassedOver(t *testing.T) {
+	a, _ := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		fmt.Fprint(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+		return serving(c, req, n)
+	})
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+}
+
+func TestRefusedConnectNeverRan(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", addr)), nil)
+	status, header, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 503)
+	if header.Get("Retry-After") == "" {
+		t.Error("refused without Retry-After")
+	}
+}
+
+// A connection that breaks before the last byte is written proves that the
+// attempt never ran; only the count of bytes written tells it from a reset.
+func TestBreakBeforeLastByteNeverRan(t *testing.T) {
+	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	ln, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		c.Read(make([]byte, 1)) // the request has begun, and does not fit the buffers
+		reset(c)
+		c.Close()
+	}()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.(*net.TCPConn).SetWriteBuffer(4096)
+	addr := ln.Addr().String()
+	p := &pool{connectTimeout: time.Second, keepalive: time.Minute, max: 8, open: 1, idle: map[string][]*conn{
+		addr: {{Conn: nc, br: bufio.NewReader(nc), addr: addr, since: time.Now()}}}}
+	req := newRequest(addr, "order", "")
+	c := &call{method: req.Method, url: req.URL, header: req.Header, body: make([]byte, maxBody)}
+	now := time.Now()
+	if res := p.do(context.Background(), &backend{}, addr, c, now, now.Add(patience)); res.status != policy.ConnectFailed {
+		t.Errorf("ended as %d, want %d", res.status, policy.ConnectFailed)
+	}
+	if p.open != 0 {
+		t.Errorf("%d connections counted as open", p.open)
+	}
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	a, b := one(t, serving)
+	for range 3 {
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		wantStatus(t, status, 200)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.arrivals != 3 || b.most != 1 || len(b.ended) != 0 {
+		t.Errorf("%d arrivals, %d connections at once, %d ended", b.arrivals, b.most, len(b.ended))
+	}
+}
+
+// A kept connection that the backend has closed must be noticed before it carries
+// a request: an unsafe one would end as a reset and fail.
+func TestClosedKeptConnectionIsNotUsed(t *testing.T) {
+	a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		serving(c, req, n)
+		return n > 0
+	})
+	wantServed := func() {
+		t.Helper()
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		wantStatus(t, status, 200)
+	}
+	wantServed()
+	select {
+	case <-b.ended:
+	case <-time.After(patience):
+		t.Fatal("the backend did not close")
+	}
+	wantServed()
+	if b.count() != 2 {
+		t.Errorf("%d arrivals, want 2", b.count())
+	}
+}
+
+// A kept connection that breaks on a request whose last byte was written: the
+// request may have run and is never sent again behind the module's back, not even
+// with the key or without the body that make http.Transport do so.
+func TestNoSilentResend(t *testing.T) {
+	a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		return n == 0 && serving(c, req, n)
+	})
+	status, _, _ := a.ask(newRequest(a.addr, "order", ""))
+	wantStatus(t, status, 200)
+	status, _, _ = a.ask(newRequest(a.addr, "order", ""))
+	wantStatus(t, status, 502)
+	if b.count() != 2 {
+		t.Errorf("%d arrivals, want 2", b.count())
+	}
+}
+
+// A backend that says nothing: the request fails within its time, and the
+// connection is closed, as the late answer would be taken for the next one's.
+func TestSilentBackend(t *testing.T) {
+	a, b := one(t, func(net.Conn, *http.Request, int) bool { return true })
+	req := newRequest(a.addr, "order", "x")
+	req.Header.Set("Request-Timeout-Ms", "600")
+	from := time.Now()
+	status, _, _ := a.ask(req)
+	if status != 502 && status != 504 {
+		t.Errorf("answered %d, want a failure", status)
+	}
+	if took := time.Since(from); took < 400*time.Millisecond {
+		t.Errorf("gave up after %v", took)
+	}
+	select {
+	case <-b.ended:
+	case <-time.After(patience):
+		t.Error("the connection stays open")
+	}
+	if b.count() != 1 {
+		t.Errorf("%d arrivals, want 1", b.count())
+	}
+}
+
+// The backstop answers before the deadline when the module does not.
+func TestBackstop(t *testing.T) {
+	l, err := newLoop(t.Context(), startAgent(t, newDiscoveryServer(t, target("s-1", "127.0.0.1:1")), nil).loop.cfg, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A request that the module was never told of stands for one that it forgot.
+	c := &call{class: 2, deadline: time.Now().Add(time.Second), answer: make(chan answer, 1)}
+	r := &request{id: 1, call: c}
+	l.requests[1], l.open = r, 1
+	l.late(r)
+	if a := <-c.answer; a.verdict != failed || !a.late {
+		t.Errorf("answered %+v, want a late failure", a)
+	}
+	l.finish(r, answer{verdict: served})
+	if len(c.answer) != 0 || l.figures.backstops != 1 || l.open != 0 || len(l.requests) != 0 {
+		t.Errorf("%d further answers, figures %+v, %d open", len(c.answer), l.figures, l.open)
+	}
+}
+
+// The guards hold whatever the module says.
+func TestGuards(t *testing.T) {
+	up := func() *backend { return &backend{addr: "127.0.0.1:1"} }
+	drained := up()
+	drained.closed.Store(true)
+	now := time.Now()
+	l := startAgent(t, newDiscoveryServer(t, target("s-1", "127.0.0.1:1")), nil).loop
+	for _, test := range []struct {
+		name  string
+		r     request
+		b     *backend
+		until time.Time
+		want  bool
+	}{
+		{"allowed", request{}, up(), now.Add(time.Second), true},
+		{"drained", request{}, drained, now.Add(time.Second), false},
+		{"unknown backend", request{}, nil, now.Add(time.Second), false},
+		{"one out", request{out: 1}, up(), now.Add(time.Second), false},
+		{"answered", request{answered: true}, up(), now.Add(time.Second), false},
+		{"may have run", request{mayRun: 1}, up(), now.Add(time.Second), false},
+		{"fourth attempt", request{attempts: make([]*attempt, 4)}, up(), now.Add(time.Second), false},
+		{"no time", request{}, up(), now, false},
+	} {
+		test.r.call = &call{class: 2}
+		if why := l.forbidden(&test.r, test.b, now, test.until); (why == "") != test.want {
+			t.Errorf("%s: %q", test.name, why)
+		}
+	}
+	// A refusal after an attempt that may have run is turned into a failure.
+	c := &call{class: 2, answer: make(chan answer, 1)}
+	done := make(chan bool)
+	l.post(func() { l.refuse(&request{id: 1 << 30, call: c, mayRun: 1}, 1); close(done) })
+	<-done
+	if a := <-c.answer; a.verdict != failed {
+		t.Errorf("answered %+v, want a failure", a)
+	}
+}
+
+func TestDrain(t *testing.T) {
+	old, other := newBackend(t, serving), newBackend(t, serving)
+	d := newDiscoveryServer(t, target("s-1", old.addr))
+	a := startAgent(t, d, nil)
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+	d.set(target("s-2", other.addr))
+	drains := target("s-1", old.addr)
+	drains.State = "draining"
+	d.told(t, drains)
+	before := old.count()
+	for range 8 {
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		wantStatus(t, status, 200)
+	}
+	if old.count() != before || other.count() < 8 {
+		t.Errorf("%d arrivals after the telling, %d elsewhere", old.count()-before, other.count())
+	}
+	select { // its idle connection is closed
+	case <-old.ended:
+	case <-time.After(patience):
+		t.Error("the idle connection to the draining backend stays open")
+	}
+}
+
+func TestAddressChange(t *testing.T) {
+	old, moved := newBackend(t, serving), newBackend(t, serving)
+	d := newDiscoveryServer(t, target("s-1", old.addr))
+	a := startAgent(t, d, nil)
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+	d.told(t, target("s-1", moved.addr))
+	status, _, _ = a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+	if old.count() != 1 || moved.count() != 1 {
+		t.Errorf("%d arrivals at the old address, %d at the new", old.count(), moved.count())
+	}
+}
+
+// While discovery is down the list at hand serves on and the calls are few; when
+// it is back the agent hears of what has changed.
+func TestDiscoveryDownAndBack(t *testing.T) {
+	first, second := newBackend(t, serving), newBackend(t, serving)
+	d := newDiscoveryServer(t, target("s-1", first.addr))
+	a := startAgent(t, d, nil)
+	d.wait(t, 1)
+	d.setDown(true)
+	before := d.callCount()
+	for d.callCount() == before { // the module asks again, after a time of its choice
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		wantStatus(t, status, 200)
+		time.Sleep(5 * time.Millisecond)
+	}
+	if n := d.callCount() - before; n > 2 {
+		t.Errorf("%d calls at once to a discovery that is down", n)
+	}
+	d.setDown(false)
+	gone := target("s-1", first.addr)
+	gone.State = "removed"
+	d.set(target("s-2", second.addr))
+	d.told(t, gone)
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+	if second.count() == 0 {
+		t.Error("the new backend is not used")
+	}
+}
+
+// What crosses on the way from discovery does not turn the list back.
+func TestOldListIsDropped(t *testing.T) {
+	l := startAgent(t, newDiscoveryServer(t, target("s-1", "127.0.0.1:1")), nil).loop
+	done := make(chan bool)
+	l.post(func() {
+		defer close(done)
+		drains := target("s-1", "127.0.0.1:1")
+		drains.State = "draining"
+		l.onList(&List{Version: 9, Servers: []Target{drains}}, true, nil)
+		l.onList(&List{Version: 8, Full: true, Servers: []Target{target("s-1", "127.0.0.1:1")}}, false, nil)
+		if !l.table.byID["s-1"].closed.Load() {
+			t.Error("an older list took back a drain")
+		}
+		l.onList(&List{Version: 10, Full: true}, true, nil)
+		if len(l.table.byID) != 0 || len(l.table.byAddr) != 0 {
+			t.Error("a backend that is gone is kept")
+		}
+	})
+	<-done
+}
+
+func TestNamesAreTheSameAtEveryAgentAndNeverCollide(t *testing.T) {
+	x, y := newTable(nil, nil), newTable(nil, nil)
+	a, b := x.backend("s-1"), y.backend("s-1")
+	if a.name != b.name {
+		t.Error("two agents name one backend differently")
+	}
+	delete(y.byID, "s-1") // now its name is taken by another id
+	if c := y.backend("s-1"); c.name == b.name {
+		t.Error("two backends have one name")
+	}
+}
+
+// A client that goes away has its attempt withdrawn.
+func TestClientGone(t *testing.T) {
+	arrived := make(chan struct{}, 10)
+	a, b := one(t, func(net.Conn, *http.Request, int) bool {
+		arrived <- struct{}{}
+		return true
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := testClient.Do(newRequest(a.addr, "order", "x").WithContext(ctx))
+		failed <- err
+	}()
+	<-arrived
+	leave()
+	<-failed
+	select {
+	case <-b.ended:
+	case <-time.After(patience):
+		t.Fatal("the attempt goes on")
+	}
+	if f := a.figures(); f.gone != 1 || f.backstops != 0 {
+		t.Errorf("figures %+v", f)
+	}
+}
+
+func TestMalformedInput(t *testing.T) {
+	a, b := one(t, func(c net.Conn, req *http.Request, _ int) bool { // no echo: it would be too large
+		body, _ := io.ReadAll(req.Body)
+		return send(c, 200, "", fmt.Sprint(len(body)))
+	})
+	set := func(name, value string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Set(name, value) }
+	}
+	for _, test := range []struct {
+		name   string
+		class  string
+		change func(*http.Request)
+		body   string
+		status int
+	}{
+		{"class", "order", set("Request-Class", "nobody's"), "x", 400},
+		{"no class", "order", func(r *http.Request) { r.Header.Del("Request-Class") }, "x", 400},
+		{"no id", "order", func(r *http.Request) { r.Header.Del("Request-Id") }, "x", 400},
+		{"no key", "send", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, "x", 400},
+		{"time-out a word", "order", set("Request-Timeout-Ms", "soon"), "x", 400},
+		{"time-out negative", "order", set("Request-Timeout-Ms", "-5"), "x", 400},
+		{"time-out zero", "order", set("Request-Timeout-Ms", "0"), "x", 400},
+		{"time-out huge", "order", set("Request-Timeout-Ms", "99999999999999999999"), "x", 400},
+		{"method", "order", func(r *http.Request) { r.Method = "DELETE" }, "x", 405},
+		{"oversize", "order", nil, strings.Repeat("x", maxBody+1), 413},
+	} {
+		req := newRequest(a.addr, test.class, test.body)
+		if test.change != nil {
+			test.change(req)
+		}
+		if status, _, _ := a.ask(req); status != test.status {
+			t.Errorf("%s: answered %d, want %d", test.name, status, test.status)
+		}
+	}
+	for _, text := range []string{"nonsense\r\n\r\n", "POST /api/x HTTP/1.1\r\nHost: x\r\nContent-Length: -3\r\n\r\n",
+		"POST /api/x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc"} {
+		c, err := net.Dial("tcp", a.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		fmt.Fprint(c, text)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 400 {
+			t.Errorf("%q: %v, %v", text, resp, err)
+		}
+		c.Close()
+	}
+	if status, _, got := a.ask(newRequest(a.addr, "order", strings.Repeat("x", maxBody))); status != 200 || got != fmt.Sprint(maxBody) {
+		t.Errorf("the largest body: answered %d, arrived %s", status, got)
+	}
+	if b.count() != 1 {
+		t.Errorf("%d arrivals, want 1", b.count())
+	}
+}
+
+// Idle clients give way to new ones, and attempts beyond the limit don't open
+// connections: neither side can use up the descriptors.
+func TestDescriptorLimit(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c net.Conn, req *http.Request, n int) bool {
+		<-release
+		return serving(c, req, n)
+	})
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", b.addr)), func(c *Config) { c.Sockets = minSockets })
+	most := a.loop.cfg.clientConns()
+	for range 2 * most { // clients that stay connected and idle
+		c, err := net.Dial("tcp", a.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		fmt.Fprint(c, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+	close(release)
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+
+	p := &pool{connectTimeout: patience, keepalive: time.Minute, max: 2, idle: map[string][]*conn{}}
+	end := time.Now().Add(patience)
+	x, err := p.get(t.Context(), b.addr, end)
+	if err != nil {
+		t.Fatal(err)
+	}
+	y, err := p.get(t.Context(), b.addr, end)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer y.Close()
+	if _, err := p.get(t.Context(), b.addr, end); err != errTooMany {
+		t.Errorf("a third connection of two: %v", err)
+	}
+	p.put(x, &backend{})
+	z, err := p.get(t.Context(), newBackend(t, serving).addr, end) // the idle one gives way
+	if err != nil {
+		t.Fatal(err)
+	}
+	z.Close()
+	if p.open != 2 {
+		t.Errorf("%d connections counted, want 2", p.open)
+	}
+}
+
+func TestReport(t *testing.T) {
+	p := &pool{reportNames: []string{"qps", "util", "eps"}}
+	for text, want := range map[string]string{
+		"eps=1,qps=3,util=0.5": "[3 0.5 1]", "inflight=7, qps=3, util=0.5, eps=1": "[3 0.5 1]",
+		"qps=3,util=0.5": "[]", "qps=3,util=x,eps=1": "[]", "": "[]", ",=,": "[]",
+	} {
+		if got := fmt.Sprint(p.report(http.Header{"Server-Load": {text}})); got != want {
+			t.Errorf("%q read as %s, want %s", text, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/config_test.go
@@ -0,0 +1,54 @@
+package agent
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestConfig(t *testing.T) {
+	good := `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+"limits":{"cores":0.5,"memory_mb":64,"sockets":256},"known":{"version":4,"full":true,"servers":[{"id":"s-1"}]},
+"settings":` + testSettings + `}`
+	load := func(text string, env map[string]string) (*Config, error) {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return LoadConfig(func(name string) string {
+			if name == "PROXY_CONFIG" {
+				return path
+			}
+			return env[name]
+		})
+	}
+	c, err := load(good, map[string]string{"PROXY_LISTEN": "127.0.0.1:9"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Listen != "127.0.0.1:9" || c.Discovery != "127.0.0.1:2" || c.Seed != 0x8c1f30d27a5be964 ||
+		c.Known.Version != 4 || c.Cores != 0.5 || len(c.Zones) != 2 || len(c.Settings.Classes) != 3 {
+		t.Errorf("read as %+v", c)
+	}
+	for _, bad := range []struct{ from, to, want string }{
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"zz"`, "seed"},
+		{`"listen":"127.0.0.1:1"`, `"listen":"here"`, "listen"},
+		{`"discovery":"127.0.0.1:2"`, `"discovery":""`, "discovery"},
+		{`"cores":0.5`, `"cores":0`, "limits.cores"},
+		{`"memory_mb":64`, `"memory_mb":-1`, "limits.memory_mb"},
+		{`"sockets":256`, `"sockets":8`, "limits.sockets"},
+		{`"sockets":256`, `"sockets":"many"`, "sockets"},
+		{`"effect":"free"`, `"effect":"perhaps"`, "classes[0].effect"},
+		{`"settings":`, `"other":`, "settings"},
+		{`{`, ``, "config"},
+	} {
+		_, err := load(strings.Replace(good, bad.from, bad.to, 1), nil)
+		if err == nil || !strings.Contains(err.Error(), bad.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one line with %q", bad.to, err, bad.want)
+		}
+	}
+	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
+		t.Error("no configuration is accepted")
+	}
+}
--- /dev/null
+++ b/internal/agent/fakes_test.go
@@ -0,0 +1,367 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait of the tests; none of them needs more than a part of it.
+const patience = 20 * time.Second
+
+const testSettings = `{"classes":[
+ {"name":"read","aimMs":2000,"giveUpMs":4000,"effect":"free","credit":1,"lateShare":0.2},
+ {"name":"send","aimMs":2000,"giveUpMs":4000,"effect":"guarded","group":"all","keyTtlMs":8000,"credit":2,"lateShare":0.2},
+ {"name":"order","aimMs":2000,"giveUpMs":4000,"effect":"single_shot","credit":5,"lateShare":0.2}],
+ "clients":{"marksRetry":true},
+ "contract":{"answerSlackMs":20,"askWithinMs":1600,"coldFrom":0.3,"coldMs":8000,"drainGraceMs":250,"fallMultiple":2.5,"tipAfterMs":1000},
+ "failureDomains":["east","west"],"shapes":["big","small"],"index":0,"replicasOfMe":1,
+ "limits":{"cancelling":true,"connectTimeoutMs":1000,"keepaliveMs":30000,"maxAttempts":3,"maxRetryAfterMs":600,"retryAfter":true,"openCap":1000},
+ "membershipMode":"on_request","objectiveMix":{"whole":1},"report":{"how":"inline","names":["qps","util","eps"]},
+ "roundMs":5,"tenants":[],"weights":"nominal","worthBy":"request","zone":0}`
+
+// fakeBackend reads requests off real sockets and lets a script answer them.
+type fakeBackend struct {
+	t    *testing.T
+	ln   net.Listener
+	addr string
+	// answer handles the n-th request (from 0) to this backend; false closes the connection.
+	answer func(c net.Conn, req *http.Request, n int) bool
+
+	mu       sync.Mutex
+	arrivals int
+	conns    int // open now
+	most     int
+	ended    chan struct{} // a value for each connection that the agent closed
+}
+
+func newBackend(t *testing.T, answer func(c net.Conn, req *http.Request, n int) bool) *fakeBackend {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &fakeBackend{t: t, ln: ln, addr: ln.Addr().String(), answer: answer, ended: make(chan struct{}, 1000)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return b
+}
+
+func (b *fakeBackend) serve(c net.Conn) {
+	defer c.Close()
+	b.mu.Lock()
+	b.conns++
+	b.most = max(b.most, b.conns)
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		b.conns--
+		b.mu.Unlock()
+		b.ended <- struct{}{}
+	}()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		req.Body = io.NopCloser(strings.NewReader(string(body)))
+		b.mu.Lock()
+		n := b.arrivals
+		b.arrivals++
+		b.mu.Unlock()
+		if !b.answer(c, req, n) {
+			return
+		}
+	}
+}
+
+func (b *fakeBackend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.arrivals
+}
+
+// send writes an answer as it is.
+func send(c net.Conn, status int, header, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), header, body)
+	return err == nil
+}
+
+// serving answers every request with its own path and body.
+func serving(c net.Conn, req *http.Request, _ int) bool {
+	body, _ := io.ReadAll(req.Body)
+	return send(c, 200, "Server-Load: qps=3,util=0.5,eps=0\r\n", req.Method+" "+req.URL.RequestURI()+" "+string(body))
+}
+
+// reset ends a connection with RST.
+func reset(c net.Conn) bool {
+	c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// fakeDiscovery holds a list and answers fetches and watches.
+type fakeDiscovery struct {
+	*httptest.Server
+	mu      sync.Mutex
+	list    List
+	changed map[string]uint64 // version of each entry's last change
+	down    bool
+	calls   int
+	wake    chan struct{}
+	asked   chan uint64 // the index of each watch call
+}
+
+func newDiscoveryServer(t *testing.T, servers ...Target) *fakeDiscovery {
+	d := &fakeDiscovery{list: List{Version: 1, Full: true, Servers: servers}, changed: map[string]uint64{},
+		wake: make(chan struct{}), asked: make(chan uint64, 1000)}
+	d.Server = httptest.NewServer(http.HandlerFunc(d.serve))
+	t.Cleanup(func() {
+		d.CloseClientConnections()
+		d.Close()
+	})
+	return d
+}
+
+func (d *fakeDiscovery) serve(w http.ResponseWriter, req *http.Request) {
+	d.mu.Lock()
+	d.calls++
+	down := d.down
+	d.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	q := req.URL.Query()
+	if !q.Has("index") {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		json.NewEncoder(w).Encode(d.list)
+		return
+	}
+	index, _ := strconv.ParseUint(q.Get("index"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait"))
+	d.asked <- index
+	over := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		d.mu.Lock()
+		version, wake, down := d.list.Version, d.wake, d.down
+		var delta List
+		if version > index {
+			delta.Version = version
+			for _, s := range d.list.Servers {
+				if d.changed[s.ID] > index {
+					delta.Servers = append(delta.Servers, s)
+				}
+			}
+		}
+		d.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if version > index {
+			json.NewEncoder(w).Encode(delta)
+			return
+		}
+		select {
+		case <-wake:
+		case <-over:
+			json.NewEncoder(w).Encode(List{Version: version})
+			return
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+// set changes or adds an entry.
+func (d *fakeDiscovery) set(s Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list.Version++
+	d.changed[s.ID] = d.list.Version
+	found := false
+	for i := range d.list.Servers {
+		if d.list.Servers[i].ID == s.ID {
+			d.list.Servers[i], found = s, true
+		}
+	}
+	if !found {
+		d.list.Servers = append(d.list.Servers, s)
+	}
+	close(d.wake)
+	d.wake = make(chan struct{})
+}
+
+func (d *fakeDiscovery) setDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	close(d.wake)
+	d.wake = make(chan struct{})
+}
+
+func (d *fakeDiscovery) callCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
+// told changes an entry and returns once the agent has handed the change to its
+// loop: the watch calls again first and hands on then, so one more change is made
+// and the call after that is waited for.
+func (d *fakeDiscovery) told(t *testing.T, s Target) {
+	t.Helper()
+	d.set(s)
+	d.wait(t, d.list.Version)
+	d.set(s)
+	d.wait(t, d.list.Version)
+}
+
+// wait waits for a watch call with an index of at least version.
+func (d *fakeDiscovery) wait(t *testing.T, version uint64) {
+	t.Helper()
+	over := time.After(patience)
+	for {
+		select {
+		case index := <-d.asked:
+			if index >= version {
+				return
+			}
+		case <-over:
+			t.Fatalf("no watch call with index %d", version)
+		}
+	}
+}
+
+func target(id, addr string) Target {
+	return Target{ID: id, Addr: addr, Zone: "east", Kind: "big", State: "up", Weight: 1}
+}
+
+// testAgent is an agent on a port of the kernel's choice.
+type testAgent struct {
+	t    *testing.T
+	addr string
+	loop *loop
+	stop context.CancelFunc
+	done chan error
+}
+
+// startAgent starts an agent that knows the list of the discovery as it is now.
+func startAgent(t *testing.T, d *fakeDiscovery, change func(*Config)) *testAgent {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := file{Listen: ln.Addr().String(), Discovery: d.Listener.Addr().String(), Seed: "7",
+		Known: d.list, Settings: json.RawMessage(testSettings)}
+	f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets = 1, 192, 1024
+	cfg, err := f.config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(cfg)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	a := &testAgent{t: t, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
+	started := make(chan *loop, 1)
+	go func() { a.done <- run(ctx, cfg, ln, func(l *loop) { started <- l }) }()
+	a.loop = <-started
+	t.Cleanup(func() {
+		stop()
+		select {
+		case <-a.done:
+		case <-time.After(patience):
+			t.Error("the agent did not stop")
+		}
+	})
+	a.waitReady()
+	return a
+}
+
+func (a *testAgent) waitReady() {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		resp, err := testClient.Get("http://" + a.addr + "/-/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return
+			}
+		}
+	}
+	a.t.Fatal("the agent is not ready")
+}
+
+// figures reads the loop's counts, in the loop.
+func (a *testAgent) figures() figures {
+	got := make(chan figures, 1)
+	a.loop.post(func() { got <- a.loop.figures })
+	return <-got
+}
+
+// testClient opens a connection for each request, and so never sends one again.
+var testClient = &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func newRequest(addr, class, body string) *http.Request {
+	method := http.MethodPost
+	if class == "read" {
+		method, body = http.MethodGet, ""
+	}
+	req, err := http.NewRequest(method, "http://"+addr+"/api/00000000000000a1", strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("Request-Id", "1")
+	req.Header.Set("Request-Class", class)
+	req.Header.Set("Request-Timeout-Ms", "4000")
+	if class == "send" {
+		req.Header.Set("Idempotency-Key", "k1")
+	}
+	return req
+}
+
+// ask sends a request and returns the answer's status, header and body.
+func (a *testAgent) ask(req *http.Request) (int, http.Header, string) {
+	a.t.Helper()
+	resp, err := testClient.Do(req)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header, string(body)
+}
+
+func wantStatus(t *testing.T, got, want int) {
+	t.Helper()
+	if got != want {
+		t.Errorf("answered %d, want %d", got, want)
+	}
+}
