Bound the calls to discovery; fail answers that no length or chunk ends

Cause, found by reading, not by a failure: a discovery that answers watches at once would be asked in a tight loop (discovery.go, watch), and an answer that only the end of its connection ends can't be told from one cut off (backend.go, readAnswer), yet was served. A test for each fails without the change.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -82,6 +84,7 @@
 		{"broken body may have run", "order", raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false), 502, 1},
 		{"broken chunk may have run", "order",
 			raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", false), 502, 1},
+		{"an answer without an end may have run", "order", raw("HTTP/1.1 200 OK\r\n\r\nhalf", false), 502, 1},
 		{"unreadable head may have run", "order", raw("nonsense\r\n\r\n", true), 502, 1},
 		{"a body too large may have run", "order", always(200, "", strings.Repeat("x", maxBody+1)), 502, 1},
 		{"turned away never ran", "order", always(503, "Not-Started: 1\r\n", ""), 503, 3},
@@ -182,6 +185,33 @@
 	}
 }
 
+// A backend told to drain while the attempt was connecting gets nothing new, and an
+// attempt withdrawn meanwhile says nothing against its backend.
+func TestNothingIsBegunOnceDrainedOrWithdrawn(t *testing.T) {
+	b := newBackend(t, serving)
+	p := &pool{connectTimeout: patience, keepalive: time.Minute, max: 8, idle: map[string][]*conn{}}
+	req := newRequest(b.addr, "order", "")
+	c := &call{method: req.Method, url: req.URL, header: req.Header, body: []byte("x")}
+	now := time.Now()
+	drained := &backend{}
+	drained.closed.Store(true)
+	if res := p.do(t.Context(), drained, b.addr, c, now, now.Add(patience)); res.status != policy.ConnectFailed {
+		t.Errorf("drained: ended as %d, want %d", res.status, policy.ConnectFailed)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if res := p.do(ctx, &backend{}, b.addr, c, now, now.Add(patience)); res.status != policy.Cancelled {
+		t.Errorf("withdrawn: ended as %d, want %d", res.status, policy.Cancelled)
+	}
+	// One more goes through, after which an earlier one would have arrived as well.
+	if res := p.do(t.Context(), &backend{}, b.addr, c, now, now.Add(patience)); res.status != policy.OK {
+		t.Errorf("ended as %d, want %d", res.status, policy.OK)
+	}
+	if b.count() != 1 {
+		t.Errorf("%d arrivals, want 1", b.count())
+	}
+}
+
 func TestConnectionIsReused(t *testing.T) {
 	a, b := one(t, serving)
 	for range 3 {
@@ -385,6 +415,25 @@
 	}
 }
 
+// A discovery that answers every watch at once is not asked in a tight loop.
+func TestDiscoveryIsNotHammered(t *testing.T) {
+	var calls atomic.Int64
+	busy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		fmt.Fprint(w, `{"version":1,"full":false,"servers":[]}`)
+	}))
+	defer busy.Close()
+	d := newDiscovery(busy.Listener.Addr().String(), func(*List, bool, error) {})
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	from := time.Now()
+	d.watch(ctx, 1)
+	most := callBurst + int64(callsPerS*time.Since(from).Seconds()) + 1
+	if n := calls.Load(); n < 2 || n > most {
+		t.Errorf("%d calls, want 2 to %d", n, most)
+	}
+}
+
 // What crosses on the way from discovery does not turn the list back.
 func TestOldListIsDropped(t *testing.T) {
 	l := startAgent(t, newDiscoveryServer(t, target("s-1", "127.0.0.1:1")), nil).loop
@@ -551,6 +600,20 @@
 	}
 }
 
+func TestUnknownTenant(t *testing.T) {
+	b := newBackend(t, serving)
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", b.addr)), func(c *Config) {
+		c.Settings.Tenants = []policy.Tenant{{Name: "acme", Portion: 1}}
+	})
+	for name, want := range map[string]int{"acme": 200, "nobody": 400, "": 400} {
+		req := newRequest(a.addr, "order", "x")
+		req.Header.Set("Tenant", name)
+		if status, _, _ := a.ask(req); status != want {
+			t.Errorf("tenant %q: answered %d, want %d", name, status, want)
+		}
+	}
+}
+
 func TestReport(t *testing.T) {
 	p := &pool{reportNames: []string{"qps", "util", "eps"}}
 	for text, want := range map[string]string{
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -190,6 +190,11 @@
 		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			// It would end where the connection does, and nothing could tell a whole
+			// answer from one that was cut off.
+			return resp, nil, io.ErrUnexpectedEOF
+		}
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 		if err == nil && len(body) > maxBody {
 			err = errors.New("answer too large")
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"clayproxy.example/clayproxy/policy"
 )
 
@@ -38,6 +40,9 @@
 	// callGrace is what a call may take beyond the wait: discovery gives up calls
 	// that stood in its queue for a second.
 	callGrace = 2 * time.Second
+	// callsPerS and callBurst bound the calls: a discovery that answers watches at
+	// once must not be asked in a tight loop. A watch outlives the gap.
+	callsPerS, callBurst = 10, 10
 	// maxList bounds an answer of discovery.
 	maxList = 8 << 20
 )
@@ -49,6 +54,7 @@
 type discovery struct {
 	url    string
 	client *http.Client
+	limit  *rate.Limiter
 	// told is called with each answer; a nil list is a failure.
 	told func(l *List, watch bool, err error)
 }
@@ -61,7 +67,8 @@
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4,
 			IdleConnTimeout: time.Minute, DisableCompression: true,
 		}},
-		told: told,
+		limit: rate.NewLimiter(callsPerS, callBurst),
+		told:  told,
 	}
 }
 
@@ -108,8 +115,11 @@
 	}
 }
 
-func (d *discovery) get(ctx context.Context, query string, limit time.Duration) (*List, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+func (d *discovery) get(ctx context.Context, query string, within time.Duration) (*List, error) {
+	if err := d.limit.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
 	if err != nil {
