Make room for clients without a deadlock; keep the log off the loop

Seen: TestDescriptorLimit hung once in about ten runs, at exactly the limit of client connections, all idle. Cause: clientConns.track (front.go) made room only when a connection came, and chose the same one again while the server had not noticed its close; at the limit none comes, so nobody made room. Now it looks when one falls idle too and chooses none twice. Excluded: the new WriteTimeout (70 s, the hang is sooner), the pool (the request never reached the loop). Also: log lines go through a bounded channel, as a log nobody reads would have stopped the loop (test hangs without). Guessed and ruled out: that ReadTimeout cuts off long answers; net/http clears that deadline (server.go, startBackgroundRead), the test passed without the change, so neither went in.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"clayproxy.example/clayproxy/policy"
 )
 
@@ -495,6 +498,30 @@
 	}
 }
 
+// A log that nobody reads does not hold up the loop.
+func TestLogNeverBlocksTheLoop(t *testing.T) {
+	a, _ := one(t, serving)
+	blocked, held := make(chan struct{}), make(chan struct{})
+	a.loop.lines <- func() { close(held); <-blocked }
+	defer close(blocked)
+	<-held
+	done := make(chan struct{})
+	a.loop.post(func() {
+		a.loop.limit.SetLimit(rate.Inf)
+		for range 2 * cap(a.loop.lines) {
+			a.loop.log(slog.LevelDebug, "line")
+		}
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Fatal("the loop waits for the log")
+	}
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+}
+
 func TestMalformedInput(t *testing.T) {
 	a, b := one(t, func(c net.Conn, req *http.Request, _ int) bool { // no echo: it would be too large
 		body, _ := io.ReadAll(req.Body)
@@ -551,6 +578,47 @@
 	}
 }
 
+// Connections that all come before any is idle reach the limit with nobody to make
+// room; those that fall idle then must. None is chosen twice while its close is
+// under way.
+func TestIdleClientsMakeRoomAtTheLimit(t *testing.T) {
+	const most = 16
+	c := newClientConns(most)
+	var conns []net.Conn
+	for range most {
+		x, y := net.Pipe()
+		defer y.Close()
+		conns = append(conns, x)
+		c.track(x, http.StateNew)
+		c.track(x, http.StateActive)
+	}
+	closed := func() (n int) {
+		for _, x := range conns {
+			if x.SetDeadline(time.Now().Add(time.Hour)) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	for _, x := range conns {
+		c.track(x, http.StateIdle)
+	}
+	if n := closed(); n != most/8 {
+		t.Errorf("%d of %d closed, want %d", n, most, most/8)
+	}
+	for _, x := range conns[:most/8] {
+		c.track(x, http.StateClosed)
+	}
+	for range most / 8 { // new ones, while the server has not noticed a close yet
+		x, y := net.Pipe()
+		defer y.Close()
+		c.track(x, http.StateNew)
+	}
+	if n := closed(); n != most/4 {
+		t.Errorf("%d closed, want %d", n, most/4)
+	}
+}
+
 // Idle clients give way to new ones, and attempts beyond the limit don't open
 // connections: neither side can use up the descriptors.
 func TestDescriptorLimit(t *testing.T) {
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -36,7 +36,7 @@
 	classes map[string]int
 	tenants map[string]int
 	ready   atomic.Bool
-	conns   clientConns
+	conns   *clientConns
 }
 
 func newFront(cfg *Config) *front {
@@ -47,12 +47,12 @@
 	for i, t := range cfg.Settings.Tenants {
 		f.tenants[t.Name] = i
 	}
-	f.conns.max = cfg.clientConns()
-	f.conns.idle = map[net.Conn]*list.Element{}
+	f.conns = newClientConns(cfg.clientConns())
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
+		WriteTimeout:      maxTimeout*time.Millisecond + 10*time.Second, // counts from the request's head
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    16 << 10,
 		ConnState:         f.conns.track,
@@ -183,35 +183,57 @@
 	}
 }
 
-// clientConns keeps the idle client connections, to close the one that has idled
-// longest when new ones come near the limit: clients keep connections for good,
-// and those that wait for a descriptor would wait as long.
+// clientConns closes the client connections that have idled longest when there
+// are nearly as many as may be: clients keep connections for good, and those that
+// wait for a descriptor would wait as long.
+//
+// It looks both when a connection comes and when one falls idle. At the limit none
+// comes any more, and if all fell idle only then nobody would ever make room. One
+// that is being closed no longer counts and is not chosen again: the server
+// notices the close only later.
 type clientConns struct {
-	max   int
-	mu    sync.Mutex
-	count int
-	order list.List // idle connections, the longest idle first
-	idle  map[net.Conn]*list.Element
+	max     int
+	mu      sync.Mutex
+	open    map[net.Conn]bool // true: being closed
+	closing int
+	order   list.List // idle connections, the longest idle first
+	idle    map[net.Conn]*list.Element
+}
+
+func newClientConns(most int) *clientConns {
+	return &clientConns{max: most, open: map[net.Conn]bool{}, idle: map[net.Conn]*list.Element{}}
 }
 
 func (c *clientConns) track(nc net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.idle[nc]; e != nil {
-		c.order.Remove(e)
-		delete(c.idle, nc)
-	}
+	c.busy(nc)
 	switch state {
 	case http.StateNew:
-		if c.count++; c.count > c.max*7/8 {
-			if e := c.order.Front(); e != nil {
-				// The server's own read then fails and it reports the close.
-				e.Value.(net.Conn).Close()
-			}
-		}
+		c.open[nc] = false
 	case http.StateIdle:
-		c.idle[nc] = c.order.PushBack(nc)
+		if !c.open[nc] {
+			c.idle[nc] = c.order.PushBack(nc)
+		}
 	case http.StateClosed, http.StateHijacked:
-		c.count--
+		if c.open[nc] {
+			c.closing--
+		}
+		delete(c.open, nc)
+	}
+	for len(c.open)-c.closing > c.max*7/8 && c.order.Len() > 0 {
+		oldest := c.order.Front().Value.(net.Conn)
+		c.busy(oldest)
+		c.open[oldest] = true
+		c.closing++
+		oldest.Close() // the server's read then fails, and it reports the close
+	}
+}
+
+// busy takes a connection off the idle ones.
+func (c *clientConns) busy(nc net.Conn) {
+	if e := c.idle[nc]; e != nil {
+		c.order.Remove(e)
+		delete(c.idle, nc)
 	}
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -37,7 +37,8 @@
 	table    *table
 	pool     *pool
 	disc     *discovery
-	logs     *rate.Limiter // the log is bounded work on one core
+	limit    *rate.Limiter // the log is bounded work on one core
+	lines    chan func()   // log lines on their way to whoever reads the log
 
 	inbox    chan func()
 	started  time.Time // the clock's base: wall time, then monotonic
@@ -116,7 +117,7 @@
 	}
 	now := time.Now()
 	l := &loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
-		pool: newPool(cfg), logs: rate.NewLimiter(5, 50), inbox: make(chan func(), 4096),
+		pool: newPool(cfg), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
 		requests: map[policy.RequestID]*request{}, ready: ready}
 	l.disc = newDiscovery(cfg.Discovery, func(list *List, watch bool, err error) {
@@ -135,6 +136,7 @@
 
 // run is the loop; it ends with the context.
 func (l *loop) run() {
+	go l.writeLog()
 	l.carryOut(l.balancer.Start(l.now(), l.actions[:0]))
 	// The list as last had comes with the start, however old, as at the simulator.
 	l.list(&l.cfg.Known, policy.ListCached, true)
@@ -457,8 +459,25 @@
 }
 
 func (l *loop) log(level slog.Level, text string, args ...any) {
-	if l.logs.Allow() {
-		slog.Log(l.ctx, level, text, args...)
+	if !l.limit.Allow() {
+		return
+	}
+	select {
+	case l.lines <- func() { slog.Log(l.ctx, level, text, args...) }:
+	default:
+	}
+}
+
+// writeLog writes the loop's log lines. The loop does not write itself: a log that
+// nobody reads blocks its writer, and every request with it.
+func (l *loop) writeLog() {
+	for {
+		select {
+		case line := <-l.lines:
+			line()
+		case <-l.ctx.Done():
+			return
+		}
 	}
 }
 
