--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -56,7 +56,7 @@
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    16 << 10,
 		ConnState:         f.conns.track,
-		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn),
 	}
 	return f
 }
