Reload on SIGHUP; check requests and answers strictly; blame no backend for a bad request

A 4xx is the client's answer now, and no other backend is tried. - heads without end from backends: answer.go reads the head itself, bounded, and gives net/http the head alone. - silent connections: no LimitListener; conns.go makes room from those with no request open. - what never reached a backend for want of something here is Moot, and the module holds such a request again.

A newcomer has 250 ms now.

--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -25,15 +25,19 @@
 }
 
 func run() error {
+	// From the first moment on: its default is to end the program.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	cfg, err := agent.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
-	// Collect seldom, as the heap is small and the core is shared, but long
-	// before the memory limit, over which the agent would be killed.
-	debug.SetGCPercent(400)
+	// The heap is small: to collect at twice its size costs little, and keeps what the
+	// agent holds even. Long before the memory limit, over which it would be killed,
+	// collecting goes before all.
+	debug.SetGCPercent(100)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
@@ -42,5 +46,6 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	slog.Info("listening", "name", cfg.Name, "addr", ln.Addr().String())
-	return agent.Run(stop, cfg, ln)
+	reread := func() (*agent.Config, error) { return agent.ReloadConfig(os.Getenv) }
+	return agent.Run(stop, reload, reread, cfg, ln)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,13 +5,17 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"time"
 )
 
 // Run serves until stop is done, then ends in order. It returns nil when every
-// request that was held has been answered.
-func Run(stop context.Context, cfg *Config, ln net.Listener) error {
-	return run(stop, cfg, ln, func(*loop) {})
+// request that was held has been answered. At each signal of reread it takes over
+// what can change without a restart from the configuration that read returns.
+func Run(stop context.Context, reread <-chan os.Signal, read func() (*Config, error), cfg *Config, ln net.Listener) error {
+	return run(stop, cfg, ln, func(l *loop) {
+		go reload(stop, reread, read, cfg, func(discovery string) { l.post(func() { l.rediscover(discovery) }) })
+	})
 }
 
 // run is Run, which also hands out the loop before it starts.
--- /dev/null
+++ b/internal/agent/answer.go
@@ -0,0 +1,200 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+	"strconv"
+	"strings"
+)
+
+const (
+	// maxBody is the largest body of a message, maxHead the largest head.
+	maxBody, maxHead = 64 << 10, 16 << 10
+	// maxInterim bounds the 1xx answers that may come ahead of the final one.
+	maxInterim = 8
+)
+
+// errSpoilt marks an answer that can't be read: its request may have run, and its
+// connection is of no further use.
+var errSpoilt = errors.New("spoilt answer")
+
+func spoilt(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", errSpoilt, fmt.Sprintf(format, args...))
+}
+
+// reserve asks for memory for a body of n bytes.
+type reserve func(n int64) error
+
+// readAnswer reads one final answer and its whole body. Only an answer whose head
+// and framing leave no doubt is returned; then nothing of what follows on the
+// connection has been taken for part of it.
+func readAnswer(br *bufio.Reader, want reserve) (*http.Response, []byte, error) {
+	for range maxInterim + 1 {
+		head, err := readHead(br)
+		if err != nil {
+			return nil, nil, err
+		}
+		if err := checkHead(head); err != nil {
+			return nil, nil, err
+		}
+		// net/http parses the head alone; it gets no hold of the connection, as it
+		// would read past this answer.
+		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
+		if err != nil {
+			return nil, nil, spoilt("%v", err)
+		}
+		switch {
+		case resp.ProtoMajor != 1:
+			return nil, nil, spoilt("protocol %s", resp.Proto)
+		case resp.StatusCode == http.StatusSwitchingProtocols || resp.StatusCode < 100:
+			return nil, nil, spoilt("status %d", resp.StatusCode)
+		case resp.StatusCode < 200:
+			continue
+		}
+		body, err := readBody(br, resp, want)
+		if err != nil {
+			return nil, nil, err
+		}
+		return resp, body, nil
+	}
+	return nil, nil, spoilt("more than %d interim answers", maxInterim)
+}
+
+// readHead reads up to the empty line, and never more than maxHead.
+func readHead(br *bufio.Reader) ([]byte, error) {
+	var head []byte
+	// Noise may bring no line at all: its first bytes tell it.
+	for _, n := range []int{1, len("HTTP/")} {
+		if start, err := br.Peek(n); err != nil {
+			return nil, err
+		} else if string(start) != "HTTP/"[:n] {
+			return nil, spoilt("no status line")
+		}
+	}
+	for {
+		line, err := br.ReadSlice('\n')
+		head = append(head, line...)
+		switch {
+		case len(head) > maxHead || err == bufio.ErrBufferFull:
+			return nil, spoilt("head too large")
+		case err != nil:
+			return nil, err
+		case len(line) <= 2 && (line[0] == '\n' || line[0] == '\r'):
+			return head, nil
+		}
+	}
+}
+
+// checkHead looks for what net/http settles without a word: a length beside chunked,
+// or more than one of them.
+func checkHead(head []byte) error {
+	_, fields, _ := bytes.Cut(head, []byte("\n"))
+	h, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
+	if err != nil {
+		return spoilt("%v", err)
+	}
+	lengths, codings := len(h["Content-Length"]), len(h["Transfer-Encoding"])
+	if lengths > 1 || codings > 1 || lengths+codings > 1 {
+		return spoilt("%d lengths and %d transfer encodings", lengths, codings)
+	}
+	return nil
+}
+
+func readBody(br *bufio.Reader, resp *http.Response, want reserve) ([]byte, error) {
+	n := resp.ContentLength
+	switch {
+	case resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified:
+		return nil, nil
+	case len(resp.TransferEncoding) > 0:
+		if err := want(maxBody); err != nil {
+			return nil, err
+		}
+		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), maxBody+1))
+		switch {
+		case err == io.ErrUnexpectedEOF || err != nil && isNet(err):
+			return nil, err
+		case err != nil:
+			return nil, spoilt("%v", err)
+		case len(body) > maxBody:
+			return nil, spoilt("body over %d bytes", maxBody)
+		}
+		// What ends a chunked body: trailers, which nobody here wants, and an empty line.
+		for size := 0; size <= maxHead; {
+			line, err := br.ReadSlice('\n')
+			if err != nil {
+				return nil, err
+			}
+			if size += len(line); len(bytes.TrimRight(line, "\r\n")) == 0 {
+				return body, nil
+			}
+		}
+		return nil, spoilt("trailers too large")
+	case n < 0:
+		// It would end where the connection does, and nothing could tell a whole
+		// answer from one that was cut off.
+		return nil, spoilt("an answer without length")
+	case n > maxBody:
+		return nil, spoilt("body of %d bytes", n)
+	}
+	if err := want(n); err != nil {
+		return nil, err
+	}
+	body := make([]byte, n)
+	_, err := io.ReadFull(br, body)
+	return body, err
+}
+
+// parseReport reads a load report in the order of names. One that is not whole, or
+// has what no load can be, is none; of several fields the first that can be read
+// counts.
+func parseReport(fields, names []string) []float32 {
+	if len(names) == 0 {
+		return nil
+	}
+	for _, text := range fields {
+		values := make([]float32, len(names))
+		found := 0
+		sound := true
+		for part := range strings.SplitSeq(text, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+			for i, want := range names {
+				if name == want {
+					v, err := strconv.ParseFloat(value, 32)
+					if err != nil || !(v >= 0) || math.IsInf(v, 1) || found&(1<<i) != 0 {
+						sound = false
+					}
+					values[i] = float32(v)
+					found |= 1 << i
+				}
+			}
+		}
+		if sound && found == 1<<len(names)-1 {
+			return values
+		}
+	}
+	return nil
+}
+
+// hop names the header fields that are for one connection only.
+var hop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
+
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hop {
+		out.Del(name)
+	}
+	return out
+}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -46,6 +46,17 @@
 // names. Where both tell a thing the environment wins: it is what the platform
 // set for this very start.
 func LoadConfig(getenv func(string) string) (*Config, error) {
+	return load(getenv, "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY")
+}
+
+// ReloadConfig reads the file again. By then its discovery is newer than that of the
+// environment, which is as old as the process.
+func ReloadConfig(getenv func(string) string) (*Config, error) {
+	return load(getenv, "PROXY_NAME", "PROXY_LISTEN")
+}
+
+// load reads the file; the variables that are named win over it.
+func load(getenv func(string) string, win ...string) (*Config, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("config: PROXY_CONFIG is not set")
@@ -58,12 +69,10 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
-	for _, over := range []struct {
-		name string
-		to   *string
-	}{{"PROXY_NAME", &f.Name}, {"PROXY_LISTEN", &f.Listen}, {"PROXY_DISCOVERY", &f.Discovery}} {
-		if v := getenv(over.name); v != "" {
-			*over.to = v
+	fields := map[string]*string{"PROXY_NAME": &f.Name, "PROXY_LISTEN": &f.Listen, "PROXY_DISCOVERY": &f.Discovery}
+	for _, name := range win {
+		if v := getenv(name); v != "" {
+			*fields[name] = v
 		}
 	}
 	return f.config()
@@ -118,3 +127,7 @@
 // runtime's own.
 func (c *Config) clientConns() int  { return c.Sockets * 7 / 16 }
 func (c *Config) backendConns() int { return c.Sockets * 7 / 16 }
+
+// budget is the memory for bodies of requests and answers together, beside the small
+// ones: what is left of the limit is for connections, the module and the runtime.
+func (c *Config) budget() int64 { return int64(c.MemoryMB) << 20 / 5 }
--- /dev/null
+++ b/internal/agent/conns.go
@@ -0,0 +1,141 @@
+package agent
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// clientConns makes room among the clients' connections when there are nearly as
+// many as may be. Every client is accepted: one that waits in the accept queue has
+// neither an answer nor a close. Those with no request open give way, first the ones
+// that have never brought one, then those that idle, then those whose request is
+// still coming, and of each kind the oldest: so hundreds that connect and say nothing
+// push out each other, and not the clients that are served.
+//
+// It looks whenever a connection changes its state. One that is being closed no
+// longer counts and is not chosen again: the server notices the close only later.
+type clientConns struct {
+	max     int
+	mu      sync.Mutex
+	conns   map[net.Conn]*clientConn
+	closing int
+	// Connections with no request open, by how readily they give way.
+	waiting [3]list.List
+}
+
+const (
+	silent = iota // nothing whole has come yet
+	idle          // between requests
+	coming        // a head has come, its body is being read
+)
+
+// newcomer is how long a new connection may take to bring its first request before it
+// gives way to all others, while there are not too many of its kind.
+const newcomer = 250 * time.Millisecond
+
+// clientConn is one connection; at is its place in kind, nil while a request is open.
+type clientConn struct {
+	at      *list.Element
+	kind    int
+	since   time.Time
+	closing bool
+}
+
+type connKey struct{}
+
+func newClientConns(most int) *clientConns {
+	return &clientConns{max: most, conns: map[net.Conn]*clientConn{}}
+}
+
+// context lets a handler find its connection.
+func (c *clientConns) context(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// track follows the server's states.
+func (c *clientConns) track(nc net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		c.conns[nc] = &clientConn{since: time.Now()}
+		c.wait(nc, silent)
+	case http.StateActive:
+		c.wait(nc, coming)
+	case http.StateIdle:
+		c.wait(nc, idle)
+	case http.StateClosed, http.StateHijacked:
+		c.busy(nc)
+		if x := c.conns[nc]; x != nil && x.closing {
+			c.closing--
+		}
+		delete(c.conns, nc)
+	}
+	for len(c.conns)-c.closing > c.max*7/8 {
+		old := c.first()
+		if old == nil {
+			break
+		}
+		c.busy(old)
+		c.conns[old].closing = true
+		c.closing++
+		old.Close() // the server's read then fails, and it reports the close
+	}
+}
+
+// first is the connection to give way next, nil if there is none.
+func (c *clientConns) first() net.Conn {
+	if e := c.waiting[silent].Front(); e != nil {
+		old := e.Value.(net.Conn)
+		if c.waiting[silent].Len() > c.max/4 || time.Since(c.conns[old].since) > newcomer {
+			return old
+		}
+	}
+	for _, kind := range []int{idle, silent, coming} {
+		if e := c.waiting[kind].Front(); e != nil {
+			return e.Value.(net.Conn)
+		}
+	}
+	return nil
+}
+
+// taken tells that the handler's connection has brought a whole request: it stays
+// until that is answered.
+func (c *clientConns) taken(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if nc, ok := ctx.Value(connKey{}).(net.Conn); ok {
+		c.busy(nc)
+	}
+}
+
+// hurry gives those that still have to bring a request a short time for it.
+func (c *clientConns) hurry(within time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, kind := range []int{silent, coming} {
+		for e := c.waiting[kind].Front(); e != nil; e = e.Next() {
+			e.Value.(net.Conn).SetReadDeadline(time.Now().Add(within))
+		}
+	}
+}
+
+// wait puts a connection last among those of a kind.
+func (c *clientConns) wait(nc net.Conn, kind int) {
+	c.busy(nc)
+	if x := c.conns[nc]; x != nil && !x.closing {
+		x.kind, x.at = kind, c.waiting[kind].PushBack(nc)
+	}
+}
+
+// busy takes a connection off those that may give way.
+func (c *clientConns) busy(nc net.Conn) {
+	if x := c.conns[nc]; x != nil && x.at != nil {
+		c.waiting[x.kind].Remove(x.at)
+		x.at = nil
+	}
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -38,8 +39,12 @@
 	// find out later that discovery has gone silent.
 	watchWait = 10 * time.Second
 	// callGrace is what a call may take beyond the wait: discovery gives up calls
-	// that stood in its queue for a second.
-	callGrace = 2 * time.Second
+	// that stood in its queue for a second. A change that discovery does not bring
+	// counts as told 2 s after the wait: by then the next call is to be out.
+	callGrace = 1200 * time.Millisecond
+	// wholeTries and wholePause bound how the whole list of a new discovery is asked
+	// for before the module's own, slower, calls: the old one is no longer heard.
+	wholeTries, wholePause = 3, 200 * time.Millisecond
 	// callsPerS and callBurst bound the calls: a discovery that answers watches at
 	// once must not be asked in a tight loop. A watch outlives the gap.
 	callsPerS, callBurst = 10, 10
@@ -52,6 +57,9 @@
 // call ends the watch and is told as ListFailed, and the module answers with a
 // timer, doubled and jittered, so that discovery is never hammered.
 type discovery struct {
+	ctx    context.Context // ends when another discovery takes its place
+	end    context.CancelFunc
+	addr   string
 	url    string
 	client *http.Client
 	limit  *rate.Limiter
@@ -59,23 +67,43 @@
 	told func(l *List, watch bool, err error)
 }
 
-func newDiscovery(addr string, told func(*List, bool, error)) *discovery {
+func newDiscovery(ctx context.Context, addr string) *discovery {
 	dialer := net.Dialer{Timeout: callGrace}
+	ctx, end := context.WithCancel(ctx)
 	return &discovery{
+		ctx: ctx, end: end, addr: addr,
 		url: "http://" + addr + "/api/targets",
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4,
 			IdleConnTimeout: time.Minute, DisableCompression: true,
 		}},
 		limit: rate.NewLimiter(callsPerS, callBurst),
-		told:  told,
 	}
 }
 
-// watch follows the changes from version on, until a call fails or ctx ends. The
-// next call goes out before the last answer is even handed on: a watch lives for
-// 200 ms without one, and a new watch loads discovery.
-func (d *discovery) watch(ctx context.Context, version uint64) {
+// close ends all calls and connections.
+func (d *discovery) close() {
+	d.end()
+	d.client.CloseIdleConnections()
+}
+
+// watch follows the changes from version on, until a call fails or the discovery is
+// left; where no list of this discovery is at hand yet it asks for the whole one
+// first. The next call goes out before the last answer is even handed on: a watch
+// lives for 200 ms without one, and a new watch loads discovery.
+func (d *discovery) watch(version uint64, whole bool) {
+	if whole {
+		l, err := d.whole()
+		if d.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			d.told(nil, true, err)
+			return
+		}
+		version = l.Version
+		d.told(l, true, nil)
+	}
 	type result struct {
 		list *List
 		err  error
@@ -83,16 +111,16 @@
 	call := func(from uint64) chan result {
 		done := make(chan result, 1)
 		go func() {
-			l, err := d.get(ctx, fmt.Sprintf("?index=%d&wait=%d", from, watchWait.Milliseconds()),
+			l, err := d.get(fmt.Sprintf("?index=%d&wait=%d", from, watchWait.Milliseconds()),
 				watchWait+callGrace)
 			done <- result{l, err}
 		}()
 		return done
 	}
 	next := call(version)
-	for first := true; ; first = false {
+	for first := !whole; ; first = false {
 		r := <-next
-		if ctx.Err() != nil {
+		if d.ctx.Err() != nil {
 			return
 		}
 		if r.err != nil {
@@ -108,18 +136,37 @@
 }
 
 // fetch asks for the whole list once.
-func (d *discovery) fetch(ctx context.Context) {
-	l, err := d.get(ctx, "", 2*callGrace)
-	if ctx.Err() == nil {
+func (d *discovery) fetch() {
+	l, err := d.get("", callGrace)
+	if d.ctx.Err() == nil {
 		d.told(l, false, err)
 	}
 }
 
-func (d *discovery) get(ctx context.Context, query string, within time.Duration) (*List, error) {
-	if err := d.limit.Wait(ctx); err != nil {
+// whole asks for the whole list, and again if that fails.
+func (d *discovery) whole() (l *List, err error) {
+	for try := range wholeTries {
+		if try > 0 {
+			select {
+			case <-time.After(wholePause):
+			case <-d.ctx.Done():
+			}
+		}
+		if l, err = d.get("", callGrace); err == nil && l.Full {
+			return l, nil
+		}
+		if err == nil {
+			err = errors.New("discovery: not the whole list")
+		}
+	}
+	return nil, err
+}
+
+func (d *discovery) get(query string, within time.Duration) (*List, error) {
+	if err := d.limit.Wait(d.ctx); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, within)
+	ctx, cancel := context.WithTimeout(d.ctx, within)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
 	if err != nil {
@@ -186,9 +233,9 @@
 	return b
 }
 
-// apply takes a list into the table and returns the module's entries, the
-// addresses whose idle connections are of no more use, and the backends gone.
-func (t *table) apply(l *List, full bool) (entries []policy.Entry, stale []string, gone []*backend) {
+// apply takes a list into the table and returns the module's entries, the backends
+// whose idle connections are of no more use, and those gone.
+func (t *table) apply(l *List, full bool) (entries []policy.Entry, stale, gone []*backend) {
 	named := make(map[string]bool, len(l.Servers))
 	for i := range l.Servers {
 		s := &l.Servers[i]
@@ -214,11 +261,11 @@
 		b := t.backend(s.ID)
 		e.Server = b.name
 		if s.Addr != "" && b.addr != s.Addr {
-			stale = append(stale, b.addr)
+			stale = append(stale, b)
 			b.addr = s.Addr
 		}
 		if b.closed.Store(e.Health != policy.Ready); e.Health != policy.Ready {
-			stale = append(stale, b.addr)
+			stale = append(stale, b)
 		}
 		if b.gone = e.Health == policy.Gone; b.gone {
 			gone = append(gone, b)
@@ -230,7 +277,7 @@
 			if !named[id] {
 				b.closed.Store(true)
 				b.gone = true
-				stale, gone = append(stale, b.addr), append(gone, b)
+				stale, gone = append(stale, b), append(gone, b)
 			}
 		}
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -8,9 +8,9 @@
 	"hash/fnv"
 	"log/slog"
 	"net/http"
-	"net/url"
 	"time"
 
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
 	"clayproxy.example/clayproxy/policy"
@@ -35,7 +35,8 @@
 	ctx      context.Context
 	balancer *policy.Balancer
 	table    *table
-	pool     *pool
+	sender   *sender
+	budget   *semaphore.Weighted // memory for bodies
 	disc     *discovery
 	limit    *rate.Limiter // the log is bounded work on one core
 	lines    chan func()   // log lines on their way to whoever reads the log
@@ -45,10 +46,12 @@
 	baseMs   float64
 	nextID   policy.RequestID
 	requests map[policy.RequestID]*request
-	open     int // requests that have no answer yet
+	ids      map[string]*request // the same by the clients' ids
+	open     int                 // requests that have no answer yet
 	pending  []policy.Event
 	actions  []policy.Action
 	version  uint64 // of the list
+	unknown  bool   // of this discovery no whole list has come yet
 	watching bool
 	fetching bool
 	ready    func()
@@ -60,22 +63,6 @@
 	taken, served, refused, failed, gone, backstops, guarded int
 }
 
-// call is a client's request as the front took it, and where its answer goes.
-type call struct {
-	method, host string
-	url          *url.URL
-	header       http.Header
-	body         []byte
-	class        int
-	tenant       int
-	key          uint64
-	hintMs       float64
-	hasHint      bool
-	retry        bool
-	deadline     time.Time
-	answer       chan answer // of capacity one: the loop never waits for a client
-}
-
 type verdict uint8
 
 const (
@@ -88,9 +75,10 @@
 type answer struct {
 	verdict verdict
 	afterMs float64 // refused: when the client may come back
-	late    bool    // failed: because the time was up
+	status  int     // failed: 0 for the usual one
 	header  http.Header
 	body    []byte
+	held    int64 // of the budget; given back once the answer is written
 }
 
 // request is a call in the loop, kept until it is answered and no attempt is out.
@@ -117,15 +105,40 @@
 	}
 	now := time.Now()
 	l := &loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
-		pool: newPool(cfg), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
+		budget: semaphore.NewWeighted(cfg.budget()), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
-		requests: map[policy.RequestID]*request{}, ready: ready}
-	l.disc = newDiscovery(cfg.Discovery, func(list *List, watch bool, err error) {
-		l.post(func() { l.onList(list, watch, err) })
-	})
+		requests: map[policy.RequestID]*request{}, ids: map[string]*request{}, ready: ready}
+	l.sender = newSender(cfg, l.budget)
+	l.discover(cfg.Discovery)
 	return l, nil
 }
 
+// discover makes an address the one that is asked. What another still has to say is
+// dropped: it comes late, and its versions are not those of this one.
+func (l *loop) discover(addr string) {
+	d := newDiscovery(l.ctx, addr)
+	d.told = func(list *List, watch bool, err error) {
+		l.post(func() {
+			if l.disc == d {
+				l.onList(list, watch, err)
+			}
+		})
+	}
+	l.disc = d
+}
+
+// rediscover leaves the discovery for another and asks that for its whole list. Until
+// it comes the table stays as it is.
+func (l *loop) rediscover(addr string) {
+	if addr == l.disc.addr {
+		return
+	}
+	l.disc.close()
+	l.discover(addr)
+	l.version, l.unknown, l.fetching, l.watching = 0, true, false, true
+	go l.disc.watch(0, true)
+}
+
 // post hands the loop something to do; it may wait, so the loop itself never calls it.
 func (l *loop) post(f func()) {
 	select {
@@ -152,7 +165,7 @@
 			f()
 			l.drain()
 		case <-sweep.C:
-			l.pool.sweep()
+			l.sender.pool.sweep()
 		case <-l.ctx.Done():
 			return
 		}
@@ -208,16 +221,16 @@
 		case policy.ActFollow:
 			if !l.watching { // one watch is enough; it tells what another would
 				l.watching = true
-				go l.disc.watch(l.ctx, l.version)
+				go l.disc.watch(l.version, l.unknown)
 			}
 		case policy.ActFetch:
 			if !l.fetching {
 				l.fetching = true
-				go l.disc.fetch(l.ctx)
+				go l.disc.fetch()
 			}
 		case policy.ActClose:
 			if b := l.table.byAddr[a.Server]; b != nil {
-				l.pool.hangUp(b.addr)
+				l.sender.pool.hangUp(b)
 			}
 		case policy.ActLog:
 			l.log(slog.LevelInfo, "module", "text", a.Text)
@@ -237,13 +250,18 @@
 	l.nextID++
 	r := &request{id: l.nextID, call: c}
 	l.open++
+	if l.ids[c.id] != nil {
+		// Somebody else's, or its own that may still run: neither is to be touched.
+		l.finish(r, answer{verdict: failed, status: http.StatusConflict})
+		return r
+	}
 	left := time.Until(c.deadline)
 	most := l.cfg.Settings.Limits.OpenCap
 	if left <= 0 || most > 0 && l.open > most {
 		l.refuse(r, l.cfg.Settings.Limits.MaxRetryAfterMs)
 		return r
 	}
-	l.requests[r.id] = r
+	l.requests[r.id], l.ids[c.id] = r, r
 	r.backstop = time.AfterFunc(left-min(backstopMargin, left/16), func() {
 		l.post(func() { l.late(r) })
 	})
@@ -263,13 +281,18 @@
 	l.figures.backstops++
 	l.log(slog.LevelWarn, "backstop ended a request", "attempts", len(r.attempts), "out", r.out,
 		"late_ms", float64(time.Since(r.call.deadline.Add(-backstopMargin)).Microseconds())/1000)
-	l.finish(r, answer{verdict: failed, late: true})
+	l.finish(r, answer{verdict: failed, status: http.StatusGatewayTimeout})
 	l.abandon(r)
 }
 
 // left is called when a client has gone away.
 func (l *loop) left(r *request) {
 	if r.answered {
+		select {
+		case a := <-r.call.answer: // nobody will
+			l.budget.Release(a.held)
+		default:
+		}
 		return
 	}
 	l.figures.gone++
@@ -325,8 +348,14 @@
 	if r.backstop != nil {
 		r.backstop.Stop()
 	}
-	if r.out == 0 {
+	l.forget(r)
+}
+
+// forget drops a request that is over once no attempt is out.
+func (l *loop) forget(r *request) {
+	if r.answered && r.out == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
+		delete(l.ids, r.call.id)
 	}
 }
 
@@ -362,7 +391,7 @@
 	t.cancel = cancel
 	addr := b.addr
 	go func() {
-		res := l.pool.do(ctx, b, addr, r.call, now, until)
+		res := l.sender.do(ctx, b, addr, r.call, now, until)
 		cancel()
 		l.post(func() { l.ended(r, index, &res) })
 	}()
@@ -399,14 +428,21 @@
 	if res.status.NeverRan() {
 		r.mayRun--
 	}
-	if res.status == policy.OK && !r.answered {
-		l.finish(r, answer{verdict: served, header: res.header, body: res.body})
+	switch {
+	case r.answered:
+		l.budget.Release(res.held)
+	case res.status == policy.OK:
+		l.finish(r, answer{verdict: served, header: res.header, body: res.body, held: res.held})
+	case res.status == policy.Cancelled && res.code != 0:
+		// The backend found fault with the request: so would any other.
+		l.budget.Release(res.held)
+		l.finish(r, answer{verdict: failed, status: res.code})
+	default:
+		l.budget.Release(res.held)
 	}
 	l.handle(&policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index, Server: t.backend.name,
 		Status: res.status, LatencyMs: res.latencyMs, Final: r.answered, Report: res.report})
-	if r.answered && r.out == 0 {
-		delete(l.requests, r.id)
-	}
+	l.forget(r)
 	l.table.forget(t.backend)
 }
 
@@ -440,10 +476,10 @@
 }
 
 func (l *loop) list(list *List, kind policy.ListKind, full bool) {
-	l.version = list.Version
+	l.version, l.unknown = list.Version, l.unknown && !full
 	entries, stale, gone := l.table.apply(list, full)
-	for _, addr := range stale {
-		l.pool.hangUp(addr)
+	for _, b := range stale {
+		l.sender.pool.hangUp(b)
 	}
 	l.handle(&policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
 	for _, b := range gone {
--- /dev/null
+++ b/internal/agent/request.go
@@ -0,0 +1,164 @@
+package agent
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+
+	"clayproxy.example/clayproxy/policy"
+)
+
+const (
+	// maxTimeout bounds the time that a client may give, in ms.
+	maxTimeout = 60_000
+	// maxToken bounds an id and a key.
+	maxToken = 128
+	// freeBody is read before the budget is asked for the rest of a body, so that who
+	// only claims a long one holds nothing.
+	freeBody = 4 << 10
+)
+
+// single are the fields with a meaning here: one of them twice means two things.
+var single = []string{"Request-Id", "Request-Class", "Tenant", "Request-Timeout-Ms", "Idempotency-Key",
+	"Client-Retry", "Work-Hint", "Request-Info"}
+
+// call is a client's request as the front took it, and where its answer goes.
+type call struct {
+	id       string
+	method   string
+	target   string // as it came, byte for byte
+	host     string
+	header   http.Header
+	body     []byte
+	class    int
+	tenant   int
+	key      uint64
+	hintMs   float64
+	hasHint  bool
+	retry    bool
+	deadline time.Time
+	answer   chan answer // of capacity one: the loop never waits for a client
+}
+
+// bad is what is wrong with a request, and the status that says so. It is never a
+// refusal: that would tell the client to send the same again.
+type bad struct {
+	status int
+	text   string
+}
+
+func (b *bad) Error() string { return b.text }
+
+func badf(status int, format string, args ...any) error {
+	return &bad{status, fmt.Sprintf(format, args...)}
+}
+
+// check turns the head of a client's request into a call or tells what is wrong with
+// it. What passes is what a usual client sends: a backend turns away or closes on the
+// rest, and would be taken for a bad one.
+func (f *front) check(req *http.Request, now time.Time) (*call, error) {
+	h := req.Header
+	refuse := func(format string, args ...any) (*call, error) {
+		return nil, badf(http.StatusBadRequest, format, args...)
+	}
+	switch {
+	case req.ProtoMajor != 1 || req.ProtoMinor != 1:
+		return nil, badf(http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
+	case len(req.TransferEncoding) > 0 || len(h["Transfer-Encoding"]) > 0:
+		// net/http drops a Content-Length beside it, so the two can't be told from one;
+		// what follows may be a request hidden in the body, and is never read.
+		return nil, badf(http.StatusLengthRequired, "a body needs Content-Length, and no Transfer-Encoding")
+	case req.ContentLength > maxBody:
+		return nil, badf(http.StatusRequestEntityTooLarge, "body over %d bytes", maxBody)
+	case req.Method != http.MethodGet && req.Method != http.MethodPost:
+		return nil, badf(http.StatusMethodNotAllowed, "method %s is not allowed", req.Method)
+	case !strings.HasPrefix(req.RequestURI, "/") || strings.ContainsFunc(req.RequestURI, notInTarget):
+		return refuse("the target is no path")
+	}
+	for _, name := range single {
+		if len(h[name]) > 1 {
+			return refuse("%s more than once", name)
+		}
+	}
+	c := &call{id: h.Get("Request-Id"), method: req.Method, target: req.RequestURI, host: req.Host, header: h,
+		answer: make(chan answer, 1)}
+	var ok bool
+	if c.class, ok = f.classes[h.Get("Request-Class")]; !ok {
+		return refuse("unknown Request-Class")
+	}
+	if len(f.tenants) > 0 {
+		if c.tenant, ok = f.tenants[h.Get("Tenant")]; !ok {
+			return refuse("unknown Tenant")
+		}
+	}
+	if !token(c.id) {
+		return refuse("Request-Id is no token of 1 to %d characters", maxToken)
+	}
+	_, keyed := h["Idempotency-Key"]
+	switch effect := f.cfg.Settings.Classes[c.class].Effect; {
+	case (effect == policy.Free) != (req.Method == http.MethodGet):
+		return refuse("method %s does not fit the class", req.Method)
+	case keyed != (effect == policy.Guarded):
+		return refuse("Idempotency-Key does not fit the class")
+	case keyed && !token(h.Get("Idempotency-Key")):
+		return refuse("Idempotency-Key is no token of 1 to %d characters", maxToken)
+	case req.Method == http.MethodGet && req.ContentLength != 0:
+		return refuse("GET with a body")
+	}
+	// ParseUint takes no sign.
+	left, err := strconv.ParseUint(h.Get("Request-Timeout-Ms"), 10, 32)
+	if err != nil || left == 0 || left > maxTimeout {
+		return refuse("Request-Timeout-Ms is no whole number from 1 to %d", maxTimeout)
+	}
+	c.deadline = now.Add(time.Duration(left) * time.Millisecond)
+	if text := h.Get("Work-Hint"); text != "" {
+		us, err := strconv.ParseFloat(text, 64)
+		if c.hasHint = err == nil && us > 0 && us < 1e12; c.hasHint { // a guess: a bad one is none
+			c.hintMs = us / 1000
+		}
+	}
+	c.retry = f.cfg.Settings.Clients.MarksRetry && h.Get("Client-Retry") == "1"
+	if dir, last := path.Split(req.URL.EscapedPath()); len(dir) > 1 && last != "" {
+		c.key = hashString(last)
+	}
+	return c, nil
+}
+
+// readBody reads the whole body, whose length check has bounded. What it takes from
+// the budget of memory the caller gives back: held bytes.
+func (f *front) readBody(req *http.Request, c *call) (held int64, err error) {
+	n := int(req.ContentLength)
+	if n == 0 {
+		return 0, nil
+	}
+	c.body = make([]byte, min(n, freeBody))
+	if _, err = io.ReadFull(req.Body, c.body); err == nil && n > freeBody {
+		if !f.loop.budget.TryAcquire(int64(n)) {
+			return 0, errNoMemory
+		}
+		held = int64(n)
+		c.body = append(make([]byte, 0, n), c.body...)[:n]
+		_, err = io.ReadFull(req.Body, c.body[freeBody:])
+	}
+	if err != nil {
+		return held, badf(http.StatusBadRequest, "body can't be read")
+	}
+	return held, nil
+}
+
+var errNoMemory = errors.New("no memory for a body")
+
+// token tells whether s is one of the words that ids and keys are.
+func token(s string) bool {
+	return len(s) <= maxToken && httpguts.ValidHeaderFieldName(s)
+}
+
+// notInTarget tells the characters that no request target holds as they are.
+func notInTarget(r rune) bool { return r <= ' ' || r > '~' || r == '#' }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -579,15 +579,17 @@
 func (b *Balancer) further(r *request, why Status) {
 	c := &b.set.Classes[r.class]
 	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
-	if !able || b.again < 1 || len(r.attempts) >= b.set.Limits.MaxAttempts || why == Moot ||
-		b.now >= r.deadline {
+	earned := b.again >= 1 || why == Moot // which reached no server, and costs none
+	if !able || !earned || len(r.attempts) >= b.set.Limits.MaxAttempts || b.now >= r.deadline {
 		if why == Full || why == Timeout {
 			b.gain(0) // errors and lost connections tell nothing of crowds
 		}
 		b.end(r)
 		return
 	}
-	b.again--
+	if why != Moot {
+		b.again--
+	}
 	b.held = append(b.held, r)
 }
 
@@ -746,15 +748,6 @@
 	s.heard, s.lostAt = b.now, 0
 }
 
-func (b *Balancer) learn(s *server, x float64) {
-	s.samples++
-	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples)))
-}
-
-func (b *Balancer) cut(s *server, by, least float64) {
-	s.window, s.cutAt = min(s.window, max(s.window*by, least)), b.now
-}
-
 // demote makes a server Unhealthy. Failures of one moment count as one strike.
 func (b *Balancer) demote(s *server, silent bool) {
 	if s.state != Unhealthy {
--- a/policy/state.go
+++ b/policy/state.go
@@ -288,6 +288,16 @@
 	s.state, s.since = to, b.now
 }
 
+// learn keeps a server's mean answer time, cut makes its window smaller.
+func (b *Balancer) learn(s *server, x float64) {
+	s.samples++
+	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples)))
+}
+
+func (b *Balancer) cut(s *server, by, least float64) {
+	s.window, s.cutAt = min(s.window, max(s.window*by, least)), b.now
+}
+
 // finite is the number, or 0 where it is negative or none.
 func finite(x float64) float64 {
 	if !(x > 0) || math.IsInf(x, 1) {
