--- a/cmd/ringtrack/main_test.go
+++ b/cmd/ringtrack/main_test.go
@@ -205,3 +205,103 @@
 		t.Errorf("ended %v after SIGTERM", took)
 	}
 }
+
+// SIGHUP never ends the program, whatever the file holds then, and the discovery that
+// the file comes to name is asked although the environment named another at the start.
+func TestSIGHUPChangesDiscovery(t *testing.T) {
+	discovery := func(asked chan struct{}) string {
+		d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+			if r.URL.Query().Has("index") {
+				<-r.Context().Done()
+				return
+			}
+			fmt.Fprint(w, `{"version":1,"full":true,"servers":[]}`)
+		}))
+		t.Cleanup(func() {
+			d.CloseClientConnections()
+			d.Close()
+		})
+		return d.Listener.Addr().String()
+	}
+	before, after := make(chan struct{}, 1), make(chan struct{}, 1)
+	old, next := discovery(before), discovery(after)
+	config := func(discovery string) string {
+		return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"version":1,"full":true,"servers":[]},"settings":%s}`, discovery, settings)
+	}
+	cmd := program(t, config(old))
+	cmd.Env = append(cmd.Env, "PROXY_DISCOVERY="+old)
+	path := ""
+	for _, v := range cmd.Env {
+		if value, ok := strings.CutPrefix(v, "PROXY_CONFIG="); ok {
+			path = value
+		}
+	}
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := make(chan string, 100)
+	go func() {
+		defer close(lines)
+		for in := bufio.NewScanner(stderr); in.Scan(); {
+			lines <- in.Text()
+		}
+	}()
+	wait := func(what string, got <-chan struct{}) {
+		t.Helper()
+		select {
+		case <-got:
+		case <-time.After(patience):
+			t.Fatal(what)
+		}
+	}
+	logged := func(text string) {
+		t.Helper()
+		for {
+			select {
+			case line, ok := <-lines:
+				if !ok {
+					t.Fatalf("the program ended without %q in its log", text)
+				}
+				if strings.Contains(line, text) {
+					return
+				}
+			case <-time.After(patience):
+				t.Fatalf("no %q in the log", text)
+			}
+		}
+	}
+	wait("the first discovery is not asked", before)
+	for _, text := range []string{"", config(next)[:200], config(next)} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if text != config(next) {
+			logged("not used")
+		}
+	}
+	wait("the new discovery is not asked", after)
+	cmd.Process.Signal(syscall.SIGHUP)
+	cmd.Process.Signal(syscall.SIGTERM)
+	cmd.Process.Signal(syscall.SIGHUP)
+	logged("stopped")
+	for range lines { // to the end, before Wait closes the pipe
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
--- /dev/null
+++ b/internal/agent/answer_test.go
@@ -0,0 +1,218 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/policy"
+)
+
+// Spoilt answers: the request may have run, so an unsafe one fails and goes nowhere
+// else; its connection is closed at once, and the next request has its own answer.
+func TestSpoiltAnswers(t *testing.T) {
+	good := "Content-Length: 4\r\nServer-Load: qps=1,util=0.5,eps=0\r\n\r\ngood"
+	for name, text := range map[string]string{
+		"noise":                           "\xf8n;\xf9\xfd\r\n\r\n",
+		"noise without a line's end":      "\xf8n;\xf9\xfd",
+		"another protocol":                "ICY 200 OK\r\n" + good,
+		"status and reason changed":       "HTTP/1.1 OK 200\r\n" + good,
+		"a status that is none":           "HTTP/1.1 2x0 OK\r\n" + good,
+		"a line without colon":            "HTTP/1.1 200 OK\r\nno colon here\r\n" + good,
+		"a line that never ends":          "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("p", 1<<20),
+		"a head that never ends":          "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: pppp\r\n", 1<<16),
+		"interim heads that never end":    strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", 1<<16),
+		"negative length":                 "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n" + good,
+		"two lengths":                     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + good,
+		"two lengths alike":               "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + good,
+		"length and chunked":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		"a chunk that is none":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
+		"3 GB":                            "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" + strings.Repeat("x", 1<<20),
+		"3 GB in chunks":                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc0000000\r\n" + strings.Repeat("x", 1<<20),
+		"no length":                       "HTTP/1.1 200 OK\r\n\r\ngood",
+		"another protocol is switched to": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+				if n > 0 {
+					return serving(c, req, n)
+				}
+				io.WriteString(c, text)
+				return true // it stays open, as far as the backend goes
+			})
+			from := time.Now()
+			status, _, body := a.ask(newRequest(a.addr, "order", "x"))
+			wantStatus(t, status, 502)
+			if strings.Contains(body, "good") || b.count() != 1 {
+				t.Errorf("body %q, %d arrivals", body, b.count())
+			}
+			if took := time.Since(from); took > 2*time.Second { // half of the request's time
+				t.Errorf("took %v: the rest was waited for", took)
+			}
+			select {
+			case <-b.ended:
+			case <-time.After(patience):
+				t.Error("the connection is kept")
+			}
+			status, _, body = a.ask(newRequest(a.addr, "order", "y"))
+			if status != 200 || !strings.HasSuffix(body, " y") {
+				t.Errorf("the next one: answered %d, %q", status, body)
+			}
+		})
+	}
+}
+
+// What stands behind a good answer, or comes before the next request, is never the
+// next one's: the connection is closed.
+func TestMoreThanTheAnswer(t *testing.T) {
+	for name, later := range map[string]bool{"right behind": false, "later": true} {
+		t.Run(name, func(t *testing.T) {
+			came := make(chan struct{}, 8)
+			a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+				second := "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
+				if !later {
+					body := "first"
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s", len(body), body, second)
+					came <- struct{}{}
+					return true
+				}
+				send(c, 200, "", "first")
+				time.Sleep(20 * time.Millisecond)
+				io.WriteString(c, second)
+				came <- struct{}{}
+				return true
+			})
+			for range 3 {
+				status, _, body := a.ask(newRequest(a.addr, "order", "x"))
+				if status != 200 || body != "first" {
+					t.Errorf("answered %d, %q", status, body)
+				}
+				<-came
+			}
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if b.arrivals != 3 {
+				t.Errorf("%d arrivals, want 3", b.arrivals)
+			}
+		})
+	}
+}
+
+// A backend's word that the request is bad says nothing of the backend: it is used
+// for the next one as before, and so is its connection.
+func TestBadRequestDemotesNobody(t *testing.T) {
+	a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		if n < 20 {
+			return send(c, 400, "", "")
+		}
+		return serving(c, req, n)
+	})
+	for range 20 {
+		status, _, _ := a.ask(newRequest(a.addr, "send", "x"))
+		wantStatus(t, status, 400)
+	}
+	from := time.Now()
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+	if b.count() != 21 || b.most != 1 {
+		t.Errorf("%d arrivals on %d connections, want 21 on one", b.count(), b.most)
+	}
+	if took := time.Since(from); took > time.Second {
+		t.Errorf("held for %v", took)
+	}
+}
+
+// A failure of the agent's own says nothing of the backend.
+func TestBlame(t *testing.T) {
+	b := newBackend(t, serving)
+	now := time.Now()
+	full := testSender(0)
+	if res := full.do(t.Context(), &backend{}, b.addr, testCall(nil), now, now.Add(patience)); res.status != policy.Moot {
+		t.Errorf("no descriptor: ended as %d, want %d", res.status, policy.Moot)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	if res := testSender(8).do(t.Context(), &backend{}, ln.Addr().String(), testCall(nil), now, now.Add(patience)); res.status != policy.ConnectFailed {
+		t.Errorf("refused: ended as %d, want %d", res.status, policy.ConnectFailed)
+	}
+}
+
+// A new backend at the address of one that has gone gets none of its connections.
+func TestAddressOfAGoneBackend(t *testing.T) {
+	b := newBackend(t, serving)
+	p, old, heir := testSender(8).pool, &backend{}, &backend{}
+	x, err := p.get(t.Context(), old, b.addr, time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.put(x)
+	y, err := p.get(t.Context(), heir, b.addr, time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if x == y {
+		t.Error("the heir got the connection")
+	}
+	p.put(y)
+	old.closed.Store(true)
+	p.sweep()
+	if p.open != 1 || len(p.idle) != 1 || len(p.idle[heir]) != 1 {
+		t.Errorf("%d open, idle %v", p.open, p.idle)
+	}
+}
+
+func TestReport(t *testing.T) {
+	names := []string{"qps", "util", "eps"}
+	for text, want := range map[string]string{
+		"eps=1,qps=3,util=0.5": "[3 0.5 1]", "inflight=7, qps=3, util=0.5, eps=1": "[3 0.5 1]",
+		"qps=3,util=0.5": "[]", "qps=3,util=x,eps=1": "[]", "": "[]", ",=,": "[]",
+		"qps=3,util=NaN,eps=1": "[]", "qps=Inf,util=0,eps=1": "[]", "qps=3,util=-1,eps=1": "[]",
+		"qps=3,util=0.5,eps=1,qps=4": "[]", "qps=1e99,util=0,eps=0": "[]",
+		"%%%|qps=3,util=0.5,eps=1": "[3 0.5 1]", // two fields, the first unreadable
+	} {
+		if got := fmt.Sprint(parseReport(strings.Split(text, "|"), names)); got != want {
+			t.Errorf("%q read as %s, want %s", text, got, want)
+		}
+	}
+}
+
+// Whatever comes, the reader ends, within its bounds, and what it takes for an
+// answer is one to net/http as well.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 103 E\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokrest"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: x\r\n\r\nrest"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		resp, body, err := readAnswer(bufio.NewReader(bytes.NewReader(text)), func(int64) error { return nil })
+		if err != nil {
+			return
+		}
+		if len(body) > maxBody || resp.StatusCode < 200 {
+			t.Fatalf("%d bytes, status %d", len(body), resp.StatusCode)
+		}
+		br := bufio.NewReader(bytes.NewReader(text))
+		for {
+			other, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatalf("net/http: %v", err)
+			}
+			if other.StatusCode < 200 {
+				continue
+			}
+			want, err := io.ReadAll(other.Body)
+			if err != nil || other.StatusCode != resp.StatusCode || !bytes.Equal(body, want) {
+				t.Errorf("read %d %q, net/http %d %q, %v", resp.StatusCode, body, other.StatusCode, want, err)
+			}
+			return
+		}
+	})
+}
--- a/internal/agent/conns.go
+++ b/internal/agent/conns.go
@@ -11,10 +11,11 @@
 
 // clientConns makes room among the clients' connections when there are nearly as
 // many as may be. Every client is accepted: one that waits in the accept queue has
-// neither an answer nor a close. Those with no request open give way, first the ones
-// that have never brought one, then those that idle, then those whose request is
-// still coming, and of each kind the oldest: so hundreds that connect and say nothing
-// push out each other, and not the clients that are served.
+// neither an answer nor a close. Those with no request open give way: first the ones
+// that have not brought a whole one in the moment that it takes, or that are too many,
+// then those that idle, then the rest, and of each the oldest. So hundreds that
+// connect and say nothing, or half of something, push out each other, and not the
+// clients that are served.
 //
 // It looks whenever a connection changes its state. One that is being closed no
 // longer counts and is not chosen again: the server notices the close only later.
@@ -33,15 +34,15 @@
 	coming        // a head has come, its body is being read
 )
 
-// newcomer is how long a new connection may take to bring its first request before it
-// gives way to all others, while there are not too many of its kind.
+// newcomer is how long a connection may take to bring a request, and its body, before
+// it gives way to all others.
 const newcomer = 250 * time.Millisecond
 
 // clientConn is one connection; at is its place in kind, nil while a request is open.
 type clientConn struct {
 	at      *list.Element
 	kind    int
-	since   time.Time
+	since   time.Time // of that kind
 	closing bool
 }
 
@@ -62,7 +63,7 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		c.conns[nc] = &clientConn{since: time.Now()}
+		c.conns[nc] = &clientConn{}
 		c.wait(nc, silent)
 	case http.StateActive:
 		c.wait(nc, coming)
@@ -89,18 +90,24 @@
 
 // first is the connection to give way next, nil if there is none.
 func (c *clientConns) first() net.Conn {
-	if e := c.waiting[silent].Front(); e != nil {
-		old := e.Value.(net.Conn)
-		if c.waiting[silent].Len() > c.max/4 || time.Since(c.conns[old].since) > newcomer {
-			return old
+	var oldest net.Conn
+	for _, kind := range []int{silent, coming} {
+		e := c.waiting[kind].Front()
+		if e == nil {
+			continue
 		}
-	}
-	for _, kind := range []int{idle, silent, coming} {
-		if e := c.waiting[kind].Front(); e != nil {
-			return e.Value.(net.Conn)
+		nc := e.Value.(net.Conn)
+		if c.waiting[kind].Len() > c.max/4 || time.Since(c.conns[nc].since) > newcomer {
+			return nc
 		}
+		if oldest == nil || c.conns[nc].since.Before(c.conns[oldest].since) {
+			oldest = nc
+		}
+	}
+	if e := c.waiting[idle].Front(); e != nil {
+		return e.Value.(net.Conn)
 	}
-	return nil
+	return oldest
 }
 
 // taken tells that the handler's connection has brought a whole request: it stays
@@ -128,7 +135,7 @@
 func (c *clientConns) wait(nc net.Conn, kind int) {
 	c.busy(nc)
 	if x := c.conns[nc]; x != nil && !x.closing {
-		x.kind, x.at = kind, c.waiting[kind].PushBack(nc)
+		x.kind, x.at, x.since = kind, c.waiting[kind].PushBack(nc), time.Now()
 	}
 }
 
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -279,10 +279,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := file{Listen: ln.Addr().String(), Discovery: d.Listener.Addr().String(), Seed: "7",
-		Known: d.list, Settings: json.RawMessage(testSettings)}
-	f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets = 1, 192, 1024
-	cfg, err := f.config()
+	cfg, err := testConfig(ln.Addr().String(), d.Listener.Addr().String(), d.list)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -306,6 +303,12 @@
 	return a
 }
 
+func testConfig(listen, discovery string, known List) (*Config, error) {
+	f := file{Listen: listen, Discovery: discovery, Seed: "7", Known: known, Settings: json.RawMessage(testSettings)}
+	f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets = 1, 192, 1024
+	return f.config()
+}
+
 func (a *testAgent) waitReady() {
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		resp, err := testClient.Get("http://" + a.addr + "/-/ready")
--- /dev/null
+++ b/internal/agent/reload_test.go
@@ -0,0 +1,110 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// wantServedBy asks until a backend serves; others may be asked meanwhile.
+func wantServedBy(t *testing.T, a *testAgent, b *fakeBackend) {
+	t.Helper()
+	for end := time.Now().Add(patience); b.count() == 0; {
+		if time.Now().After(end) {
+			t.Fatal("the backend is never used")
+		}
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		wantStatus(t, status, 200)
+	}
+}
+
+// On a new address the agent leaves the old discovery at once and takes the whole
+// list of the new one, whose versions are its own: a lower one, and a list that no
+// longer has the old backend. What the old one says late is dropped.
+func TestReloadChangesDiscovery(t *testing.T) {
+	old, fresh := newBackend(t, serving), newBackend(t, serving)
+	d := newDiscoveryServer(t, target("s-1", old.addr))
+	d.list.Version = 1000
+	a := startAgent(t, d, nil)
+	d.wait(t, 1000)
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+
+	next := newDiscoveryServer(t, target("s-2", fresh.addr))
+	before := a.loop.disc
+	a.loop.post(func() { a.loop.rediscover(next.Listener.Addr().String()) })
+	next.wait(t, 1) // the watch goes on from the new list's version
+	wantServedBy(t, a, fresh)
+	if before.ctx.Err() == nil {
+		t.Error("the old discovery is still asked")
+	}
+	asked, n := d.callCount(), old.count()
+	before.told(&List{Version: 2000, Full: true, Servers: []Target{target("s-1", old.addr)}}, true, nil)
+	next.told(t, target("s-3", fresh.addr))
+	for range 10 {
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		wantStatus(t, status, 200)
+	}
+	if d.callCount() != asked || old.count() != n {
+		t.Errorf("%d calls to the old discovery, %d requests to its backend, after it was left", d.callCount()-asked, old.count()-n)
+	}
+	done := make(chan bool)
+	a.loop.post(func() {
+		defer close(done)
+		if a.loop.table.byID["s-1"] != nil || a.loop.table.byID["s-3"] == nil {
+			t.Error("the table is not the new discovery's")
+		}
+	})
+	<-done
+}
+
+// While the new discovery is down the table stays, and the agent finds it later.
+func TestReloadToADiscoveryThatIsDown(t *testing.T) {
+	old, fresh := newBackend(t, serving), newBackend(t, serving)
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", old.addr)), nil)
+	next := newDiscoveryServer(t, target("s-2", fresh.addr))
+	next.setDown(true)
+	a.loop.post(func() { a.loop.rediscover(next.Listener.Addr().String()) })
+	for next.callCount() < wholeTries+1 {
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		wantStatus(t, status, 200)
+		time.Sleep(5 * time.Millisecond)
+	}
+	next.setDown(false)
+	wantServedBy(t, a, fresh)
+}
+
+// A file that can't be used changes nothing and is read again; signals may repeat.
+func TestReloadKeepsTheOldConfigurationUntilANewOneIsSound(t *testing.T) {
+	signals, used := make(chan os.Signal, 1), make(chan string, 10)
+	var reads atomic.Int64
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		reload(ctx, signals, func() (*Config, error) {
+			if reads.Add(1) <= 3 {
+				return nil, errors.New("half-written")
+			}
+			return &Config{Discovery: "new"}, nil
+		}, &Config{Discovery: "old"}, func(d string) { used <- d })
+	}()
+	signals <- syscall.SIGHUP
+	for want := int64(4); want < 6; want++ {
+		select {
+		case d := <-used:
+			if d != "new" || reads.Load() != want {
+				t.Errorf("used %q after %d reads", d, reads.Load())
+			}
+		case <-time.After(patience):
+			t.Fatal("the sound file is not used")
+		}
+		signals <- syscall.SIGHUP
+	}
+	cancel()
+	<-ended
+}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -70,7 +70,7 @@
 	}
 	switch {
 	case req.ProtoMajor != 1 || req.ProtoMinor != 1:
-		return nil, badf(http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
+		return nil, badf(http.StatusHTTPVersionNotSupported, "the protocol version is not spoken here")
 	case len(req.TransferEncoding) > 0 || len(h["Transfer-Encoding"]) > 0:
 		// net/http drops a Content-Length beside it, so the two can't be told from one;
 		// what follows may be a request hidden in the body, and is never read.
--- /dev/null
+++ b/internal/agent/request_test.go
@@ -0,0 +1,331 @@
+package agent
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// dial connects to the agent as a client that writes what it likes.
+func (a *testAgent) dial() net.Conn {
+	a.t.Helper()
+	c, err := net.Dial("tcp", a.addr)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// say writes text on a new connection and returns all that comes until it is closed.
+func (a *testAgent) say(text string) string {
+	a.t.Helper()
+	c := a.dial()
+	io.WriteString(c, text)
+	got, err := io.ReadAll(c)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		a.t.Errorf("the connection stays open after %.60q", text)
+	}
+	return string(got)
+}
+
+// rawOrder is an unsafe request; lines go into its head.
+func rawOrder(target, id, lines, body string) string {
+	return "POST " + target + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id + "\r\nRequest-Class: order\r\n" +
+		"Request-Timeout-Ms: 4000\r\n" + lines + "\r\n" + body
+}
+
+// What can't be used gets an error and a close, and never reaches a backend: that
+// would turn it away, or close, and be taken for a bad one.
+func TestBadRequestsAreRejectedAndClosed(t *testing.T) {
+	a, b := one(t, serving)
+	get := func(lines string) string {
+		return "GET /api/a1 HTTP/1.1\r\nHost: x\r\nRequest-Id: g\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 4000\r\n" + lines + "\r\n"
+	}
+	keyed := func(lines string) string {
+		return strings.Replace(rawOrder("/api/a1", "k", lines, ""), "Class: order", "Class: send", 1)
+	}
+	hidden := rawOrder("/api/a1", "hidden", "Content-Length: 0\r\n", "")
+	for _, test := range []struct {
+		name, text string
+		status     int
+	}{
+		{"noise", "\x01\x02nonsense\r\n\r\n", 400},
+		{"no version", "GET f919335c\r\n\r\n", 400},
+		{"a line without colon", rawOrder("/api/a1", "1", "no colon\r\n", ""), 400},
+		{"a head too large", rawOrder("/api/a1", "1", "X: "+strings.Repeat("p", 2*maxHead)+"\r\n", ""), 431},
+		{"HTTP/1.0", strings.Replace(rawOrder("/api/a1", "1", "Content-Length: 0\r\n", ""), "1.1", "1.0", 1), 505},
+		{"length and chunked, a request hidden", rawOrder("/api/a1", "1",
+			fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", len(hidden)+5), "0\r\n\r\n"+hidden), 411},
+		{"chunked", rawOrder("/api/a1", "1", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"+hidden), 411},
+		{"two lengths", rawOrder("/api/a1", "1", "Content-Length: 3\r\nContent-Length: 4\r\n", "abcd"), 400},
+		{"negative length", rawOrder("/api/a1", "1", "Content-Length: -4\r\n", "abcd"), 400},
+		{"signed length", rawOrder("/api/a1", "1", "Content-Length: +4\r\n", "abcd"), 400},
+		{"length of 60 MB, nothing sent", rawOrder("/api/a1", "1", "Content-Length: 60000000\r\n", ""), 413},
+		{"no id", strings.Replace(rawOrder("/api/a1", "1", "", ""), "Request-Id: 1\r\n", "", 1), 400},
+		{"id of two words", rawOrder("/api/a1", "1 2", "", ""), 400},
+		{"id too long", rawOrder("/api/a1", strings.Repeat("1", maxToken+1), "", ""), 400},
+		{"two ids", rawOrder("/api/a1", "1", "Request-Id: 2\r\n", ""), 400},
+		{"two time-outs", rawOrder("/api/a1", "1", "Request-Timeout-Ms: 5\r\n", ""), 400},
+		{"time-out with a sign", strings.Replace(rawOrder("/api/a1", "1", "", ""), "4000", "+480", 1), 400},
+		{"time-out a word", strings.Replace(rawOrder("/api/a1", "1", "", ""), "4000", "soon", 1), 400},
+		{"time-out empty", strings.Replace(rawOrder("/api/a1", "1", "", ""), "4000", "", 1), 400},
+		{"time-out zero", strings.Replace(rawOrder("/api/a1", "1", "", ""), "4000", "0", 1), 400},
+		{"time-out negative", strings.Replace(rawOrder("/api/a1", "1", "", ""), "4000", "-5", 1), 400},
+		{"time-out huge", strings.Replace(rawOrder("/api/a1", "1", "", ""), "4000", "99999999999999999999", 1), 400},
+		{"unknown class", strings.Replace(rawOrder("/api/a1", "1", "", ""), "order", "orders", 1), 400},
+		{"a key that does not fit the class", rawOrder("/api/a1", "1", "Idempotency-Key: k\r\n", ""), 400},
+		{"no key", keyed(""), 400},
+		{"an empty key", keyed("Idempotency-Key: \r\n"), 400},
+		{"GET with a body", get("Content-Length: 1\r\n") + "x", 400},
+		{"GET of an unsafe class", strings.Replace(get(""), "read", "order", 1), 400},
+		{"POST of a safe class", strings.Replace(rawOrder("/api/a1", "1", "", ""), "order", "read", 1), 400},
+		{"method", strings.Replace(get(""), "GET", "DELETE", 1), 405},
+		{"OPTIONS *", "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n", 405},
+		{"target with a host", rawOrder("http://x/api/a1", "1", "", ""), 400},
+		{"target beyond ASCII", rawOrder("/api/\xc3\xa9", "1", "", ""), 400},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			got := a.say(test.text + get("")) // what stands behind is never served
+			want := fmt.Sprintf(" %d ", test.status)
+			if len(got) < 8 || !strings.HasPrefix(got[8:], want) || strings.Count(got, "HTTP/1.") != 1 {
+				t.Errorf("answered %.200q, want%salone", got, want)
+			}
+		})
+	}
+	if n := b.count(); n != 0 {
+		t.Errorf("%d arrivals at the backend", n)
+	}
+	if f := a.figures(); f.taken != 0 {
+		t.Errorf("the module was asked %d times", f.taken)
+	}
+}
+
+// Heads and bodies without end, and connections that say nothing, are closed within
+// the 3 s that a client is owed an answer in.
+func TestHalfRequestsAreClosedInTime(t *testing.T) {
+	a, b := one(t, serving)
+	whole := rawOrder("/api/a1", "1", "Content-Length: 9\r\n", "half")
+	took := make(chan time.Duration)
+	texts := []string{"", "POST /api", whole[:len(whole)-6], whole}
+	for _, text := range texts {
+		go func() {
+			from := time.Now()
+			a.say(text)
+			took <- time.Since(from)
+		}()
+	}
+	for range texts {
+		// The bound is tight on purpose: the time is what the test is about.
+		if d := <-took; d > 3*time.Second {
+			t.Errorf("closed only after %v", d)
+		}
+	}
+	if n := b.count(); n != 0 {
+		t.Errorf("%d arrivals at the backend", n)
+	}
+}
+
+// A request may take longer than its reading may: the time for that is over once
+// it is whole, and does not end the wait for its answer.
+func TestReadTimeDoesNotEndALongRequest(t *testing.T) {
+	a, _ := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		time.Sleep(readTime + 200*time.Millisecond)
+		return serving(c, req, n)
+	})
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+}
+
+// The id of an open request is not to be used again, by whomever; afterwards it is.
+func TestOpenIDIsTaken(t *testing.T) {
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		if n == 0 {
+			arrived <- struct{}{}
+			<-release
+		}
+		return serving(c, req, n)
+	})
+	c := a.dial()
+	fmt.Fprint(c, rawOrder("/api/a1", "same", "Content-Length: 0\r\n", ""))
+	<-arrived
+	if got := a.say(rawOrder("/api/b2", "same", "Content-Length: 0\r\n", "")); !strings.HasPrefix(got, "HTTP/1.1 409 ") {
+		t.Errorf("answered %.100q, want 409", got)
+	}
+	close(release)
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("the first one: %v, %v", resp, err)
+	}
+	if b.count() != 1 {
+		t.Errorf("%d arrivals, want 1", b.count())
+	}
+	if f := a.figures(); f.failed != 1 || f.served != 1 {
+		t.Errorf("figures %+v", f)
+	}
+}
+
+// The target goes on byte for byte: another form of it is another request.
+func TestTargetIsPassedOnAsItCame(t *testing.T) {
+	a, _ := one(t, serving)
+	for _, target := range []string{"/api/a%2Fb%7e", "//api//x", "/api/a;b?q=%zz&&=+", "/api/../x?", "/api/%41?a=b|c\"<>"} {
+		got := a.say(rawOrder(target, fmt.Sprint(lastID.Add(1)), "Content-Length: 0\r\nConnection: close\r\n", ""))
+		if !strings.Contains(got, "POST "+target+" ") {
+			t.Errorf("%q: %.300q", target, got)
+		}
+	}
+}
+
+// A body of the largest size passes; with no memory left it is refused at once, with
+// word when to come back, and small ones still pass.
+func TestBodiesShareABudget(t *testing.T) {
+	a, b := one(t, func(c net.Conn, req *http.Request, _ int) bool {
+		body, _ := io.ReadAll(req.Body)
+		return send(c, 200, "", fmt.Sprint(len(body)))
+	})
+	large := strings.Repeat("x", maxBody)
+	status, _, got := a.ask(newRequest(a.addr, "order", large))
+	if status != 200 || got != fmt.Sprint(maxBody) {
+		t.Errorf("the largest body: answered %d, arrived %s", status, got)
+	}
+	budget := a.loop.cfg.budget()
+	if err := a.loop.budget.Acquire(t.Context(), budget); err != nil { // all of it: none has leaked
+		t.Fatal(err)
+	}
+	status, header, _ := a.ask(newRequest(a.addr, "order", large))
+	if status != 503 || header.Get("Retry-After") == "" {
+		t.Errorf("without memory: answered %d, Retry-After %q", status, header.Get("Retry-After"))
+	}
+	status, _, _ = a.ask(newRequest(a.addr, "order", "small"))
+	wantStatus(t, status, 200)
+	a.loop.budget.Release(budget)
+	if b.count() != 2 {
+		t.Errorf("%d arrivals, want 2", b.count())
+	}
+}
+
+// Hundreds that connect and say nothing do not lock out the clients that are served:
+// a kept connection stays usable and a new one is answered.
+func TestSilentClientsLockNobodyOut(t *testing.T) {
+	a, _ := one(t, serving)
+	b := a.loop.cfg.clientConns()
+	kept := a.dial()
+	ask := func(c net.Conn) error {
+		fmt.Fprint(c, rawOrder("/api/a1", fmt.Sprint(lastID.Add(1)), "Content-Length: 0\r\n", ""))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil && resp.StatusCode != 200 {
+			err = fmt.Errorf("answered %d", resp.StatusCode)
+		}
+		return err
+	}
+	if err := ask(kept); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 * b {
+		a.dial()
+	}
+	if err := ask(a.dial()); err != nil {
+		t.Errorf("a new connection: %v", err)
+	}
+	if err := ask(kept); err != nil {
+		t.Errorf("the kept connection: %v", err)
+	}
+}
+
+// Connections that were silent for long give way first, then idle ones, then those that
+// have just come or whose request still comes, never one with a request open; none is
+// chosen twice while its close is under way.
+func TestWhoGivesWay(t *testing.T) {
+	const most = 16
+	c := newClientConns(most)
+	names := map[net.Conn]string{}
+	add := func(name string, states ...http.ConnState) net.Conn {
+		x, y := net.Pipe()
+		t.Cleanup(func() { y.Close() })
+		names[x] = name
+		for _, s := range append([]http.ConnState{http.StateNew}, states...) {
+			c.track(x, s)
+		}
+		return x
+	}
+	closed := func() (got []string) {
+		for x, name := range names {
+			if x.SetDeadline(time.Now().Add(time.Hour)) != nil {
+				got = append(got, name)
+				delete(names, x)
+			}
+		}
+		return got
+	}
+	quiet := add("silent")
+	c.conns[quiet].since = time.Now().Add(-2 * newcomer)
+	add("coming", http.StateActive)
+	add("idle", http.StateActive, http.StateIdle)
+	busy := func() {
+		x := add("busy", http.StateActive)
+		c.taken(c.context(t.Context(), x))
+	}
+	for range most*7/8 - 4 {
+		busy()
+	}
+	add("new")
+	if got := closed(); len(got) != 0 {
+		t.Fatalf("closed %v below the limit", got)
+	}
+	for _, want := range []string{"silent", "idle", "coming", "new"} {
+		busy()
+		if got := closed(); len(got) != 1 || got[0] != want {
+			t.Errorf("closed %v, want %s", got, want)
+		}
+	}
+	// With a request open everywhere else, it is the newcomer that has none.
+	add("last")
+	if got := closed(); len(got) != 1 || got[0] != "last" {
+		t.Errorf("closed %v, want the last", got)
+	}
+}
+
+// The check never passes what is not for a backend, whatever the bytes.
+func FuzzRequest(f *testing.F) {
+	cfg, err := testConfig("127.0.0.1:1", "127.0.0.1:1", List{})
+	if err != nil {
+		f.Fatal(err)
+	}
+	front := newFront(cfg)
+	f.Add(rawOrder("/api/a1", "1", "Content-Length: 1\r\n", "x"))
+	f.Add(rawOrder("/api/a1", "1", "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"))
+	f.Add("GET / HTTP/1.0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			return
+		}
+		c, err := front.check(req, time.Now())
+		if err != nil {
+			var b *bad
+			if !errors.As(err, &b) || b.status < 400 || b.status == 429 || b.status == 503 {
+				t.Errorf("rejected with %v", err)
+			}
+			return
+		}
+		c.body = make([]byte, req.ContentLength)
+		// What goes on is one request, the same, and nothing behind it.
+		br := bufio.NewReader(strings.NewReader(string(c.head(time.Second)) + string(c.body)))
+		out, err := http.ReadRequest(br)
+		if err != nil {
+			t.Fatalf("passed on as %q: %v", c.head(time.Second), err)
+		}
+		body, err := io.ReadAll(out.Body)
+		if err != nil || len(body) != len(c.body) || out.RequestURI != c.target || out.Header.Get("Request-Id") != c.id || br.Buffered() > 0 {
+			t.Errorf("%q became %+v", text, out)
+		}
+	})
+}
