A stray failure puts no server out; a request of which nothing was sent is given up before half its time

Lines to blame: demote() and holdFor() in policy.go put a server out for an aim at least, doubled up to 16 times as strikes added up, since 16 good answers a strike never came in a row. With every server out for most of the time a quarter of the requests found no room.

Ruled out: CPU (1.2 s in 22 s), descriptors (115 of 384), the network's delay (medians unchanged), full queues (68 to 106 in 5 s, only after the others were out), discovery.

What remains of it: 466 kept connections, closed by their server without a word the agent gets, were written to; a third of those idle for over 100 ms were, against 3 of 100 of the fresh ones. That is next.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,13 @@
 	ownLeast, ownMost, ownStep = 1.5, 8.0, 0.1
 	// maxStrikes bounds the doubling of a bad server's hold.
 	maxStrikes = 5
+	// strayMost is the part of its attempts that a server may fail, beyond strayFactor times
+	// what the others do, before a failure puts it out: connections break, and answers come
+	// spoilt, from any server alike.
+	strayMost, strayFactor, straySmooth = 0.2, 1.5, 0.15
+	// unsent is the part of its time after which a request of which nothing was sent is
+	// given up: from half of it on the client counts the wait as worse than a refusal.
+	unsent = 0.46
 	// againShare is the further attempts that a served request earns, againMost what may be
 	// saved up, and what an agent starts with.
 	againShare, againMost = 0.25, 4.0
@@ -289,7 +296,8 @@
 		if b.set.Classes[r.class].LateShare > 0 {
 			last = r.deadline
 		}
-		if b.now+b.expected(r) > last || b.now >= r.deadline {
+		waited := !r.wrote && b.now-r.arrived > unsent*(r.deadline-r.arrived)
+		if waited || b.now+b.expected(r) > last || b.now >= r.deadline {
 			b.end(r)
 			continue
 		}
@@ -306,7 +314,7 @@
 		return 2
 	case UnhealthyPending:
 		// What must not run twice does not check a server while others are healthy.
-		once := b.set.Classes[r.class].Effect == SingleShot
+		once := b.set.Classes[r.class].Effect == SingleShot && !b.stray(s)
 		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
 			return 1
 		}
@@ -395,7 +403,7 @@
 // hasRoom bounds what a server holds of this agent: its window, one at a time
 // until it is validated, and a cold server's credit.
 func (b *Balancer) hasRoom(s *server, r *request) bool {
-	if s.state >= UnhealthyPending {
+	if s.state >= UnhealthyPending && (len(s.out) == 0 || !b.stray(s)) {
 		return len(s.out) == 0
 	}
 	// A window under one is kept by pausing: with many agents even one attempt of
@@ -549,6 +557,7 @@
 	if ev.Status.NeverRan() {
 		r.risky--
 	}
+	r.wrote = r.wrote || ev.Status != ConnectFailed && ev.Status != Moot
 	b.judge(a, ev)
 	b.hangUp(s)
 	if r.closed || r.started || ev.Final || ev.Status == OK {
@@ -598,12 +607,16 @@
 	s := a.s
 	switch ev.Status {
 	case OK:
+		b.fails(s, 0)
 		b.served(a, ev)
 	case Error, Reset:
+		b.fails(s, 1)
 		s.heard = b.now
 		b.demote(s, false)
 	case ConnectFailed:
-		b.demote(s, true)
+		// One that says no is there; one that lets the connect run out is not.
+		b.fails(s, 1)
+		b.demote(s, ev.LatencyMs >= b.set.Limits.ConnectTimeoutMs)
 		if s.lostAt == 0 {
 			s.lostAt = b.now
 		}
@@ -726,17 +739,6 @@
 	return min(crowdShare, max(crowdFactor*b.calmLat, least)) / b.ramp(s)
 }
 
-// calmRise is how fast calm follows longer answer times: hardly, or a crowd would
-// become the measure. An attempt that was alone of its agent tells more the fewer
-// agents there are, as those see most of the load: a lone agent that took quick first
-// answers for calm would leave its servers idle for good.
-func (b *Balancer) calmRise(a *attempt) float64 {
-	if a.alone {
-		return slowSmooth / min(2*math.Pow(float64(max(b.set.Replicas, 1)), 3), 250)
-	}
-	return slowSmooth / 250
-}
-
 // heardFrom notes an answer. A server that no connect reached for long may be a new
 // process, cold and not yet listed as such: it is ramped as if it had started now.
 // Time-outs alone don't tell: crowded servers would be left to idle (i228a10).
@@ -751,11 +753,12 @@
 // demote makes a server Unhealthy. Failures of one moment count as one strike.
 func (b *Balancer) demote(s *server, silent bool) {
 	if s.state != Unhealthy {
-		s.strikes = min(s.strikes+1, maxStrikes)
 		b.enter(s, Unhealthy)
-		s.silent = silent
-		s.good, s.lat, s.samples = 0, 0, 0
-		s.window = max(s.window/2, 1)
+		if s.silent = silent; silent || !b.stray(s) {
+			s.strikes = min(s.strikes+1, maxStrikes)
+			s.good, s.lat, s.samples = 0, 0, 0
+			s.window = max(s.window/2, 1)
+		}
 	}
 	b.refetch()
 }
@@ -765,7 +768,7 @@
 // no room there is none: a server that fails some requests is better than refusing
 // them all. One that answers nothing is not.
 func (b *Balancer) holdFor(s *server) float64 {
-	if b.scarce && !s.silent {
+	if (b.scarce || b.stray(s)) && !s.silent {
 		return 0
 	}
 	return b.aimMin * float64(int(1)<<max(s.strikes-1, 0))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -111,6 +111,7 @@
 	if s2 != s {
 		t.Fatalf("key moved from %v to %v without a cause", s, s2)
 	}
+	srv.failing = 0.5 // more than happens to any
 	actions := r.outcome(id, 0, s, Error, 5)
 	if srv.state != Unhealthy {
 		t.Fatalf("error: state %d, want Unhealthy", srv.state)
@@ -406,6 +407,7 @@
 	for _, full := range []bool{false, true} {
 		r := newRig(t, testSettings(), 4)
 		bad := r.b.byAddr[addr(0)]
+		bad.failing = 1
 		for range 3 {
 			r.b.enter(bad, Connected)
 			r.b.demote(bad, false)
@@ -429,6 +431,7 @@
 	r := newRig(t, testSettings(), 4)
 	bad := r.b.byAddr[addr(0)]
 	r.b.enter(bad, UnhealthyPending)
+	bad.failing = 1
 	free, once := 0, 0
 	for range 200 {
 		r.now += 10
@@ -439,6 +442,7 @@
 			}
 			r.outcome(id, 0, s, OK, 5)
 			r.b.enter(bad, UnhealthyPending)
+			bad.failing = 1
 		}
 	}
 	if free == 0 || once > 0 {
@@ -973,3 +977,75 @@
 		}
 	}
 }
+
+// A trace of a day on which connections broke and answers came spoilt, one of twelve from
+// any server alike: each put its server out for an aim and more, and a quarter of the
+// requests was refused for want of servers. Such a failure costs no capacity; more of
+// them than happen to others does.
+func TestStrayFailuresPutNoServerOut(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	refused, n := 0, 0
+	for range 600 {
+		r.now += 10
+		id, s := r.sent(0, uint64(r.b.rng.Int64()))
+		status := OK
+		if n++; n%12 == 0 {
+			status = Reset
+		}
+		for _, a := range r.outcome(id, 0, s, status, 5) {
+			if a.Kind == ActRefuse || a.Kind == ActFail {
+				refused++
+			}
+		}
+	}
+	for _, s := range r.b.servers {
+		if s.strikes > 0 || !r.b.stray(s) {
+			t.Errorf("a server that fails as all do has %d strikes", s.strikes)
+		}
+	}
+	bad := r.b.servers[0]
+	r.b.scarce = false
+	for range 4 {
+		r.b.fails(bad, 1)
+		r.b.enter(bad, Connected)
+		r.b.demote(bad, false)
+	}
+	if r.b.holdFor(bad) < r.b.aimMin {
+		t.Error("a server that fails each time is not put out")
+	}
+}
+
+// A request of which nothing was sent is refused before half of its time is gone: from
+// then on the client counts the wait as worse. One that reached a server may go on.
+func TestNothingSentEndsBeforeHalfTheTime(t *testing.T) {
+	for _, reached := range []bool{false, true} {
+		set := testSettings()
+		set.Classes[0].LateShare = 0.5
+		r := newRig(t, set, 1)
+		srv := r.b.byAddr[addr(0)]
+		srv.window = 1
+		if reached {
+			id, s := r.sent(0, 7)
+			r.outcome(id, 0, s, Full, 1)
+		}
+		srv.usable = false // no room for anyone
+		id, actions := r.ask(0, 7)
+		if find(actions, ActSend) != nil {
+			t.Fatal("sent to a server that is not usable")
+		}
+		q := r.b.requests[id]
+		q.wrote = reached
+		half := (q.deadline - q.arrived) / 2
+		ended := math.Inf(1)
+		for from := r.now; r.now < q.deadline && math.IsInf(ended, 1); {
+			for _, a := range r.tick(5) {
+				if a.Request == id && (a.Kind == ActRefuse || a.Kind == ActFail) {
+					ended = r.now - from
+				}
+			}
+		}
+		if (ended < half) == reached {
+			t.Errorf("reached a server: %v; ended after %v ms of %v", reached, ended, 2*half)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -36,6 +36,7 @@
 	gap       float64 // mean time between attempts
 	restUntil float64 // passed over in its tier
 	rtt       float64 // mean answer time
+	failing   float64 // part of its attempts that fail
 	credit    float64 // work a cold server may still be sent
 	score     float64 // place in a request's order; lower is nearer
 }
@@ -72,6 +73,7 @@
 	epoch      uint64
 	tierWeight float64 // of the tier at its last pick
 	value      float64
+	wrote      bool // an attempt reached a server
 	closed     bool
 	started    bool // a streamed answer belongs to the client now
 }
@@ -103,6 +105,7 @@
 	epoch     uint64  // counts changes of tiers and list
 	own       float64 // how much more a server of the own zone weighs
 	inflight  int
+	failing   float64 // part of all attempts that fail
 	load      float64 // mean reported requests for weight one
 	sentAt    float64 // last attempt
 	gap       float64 // mean time between attempts
@@ -288,6 +291,28 @@
 	s.state, s.since = to, b.now
 }
 
+// calmRise is how fast calm follows longer answer times: hardly, or a crowd would
+// become the measure. An attempt that was alone of its agent tells more the fewer
+// agents there are, as those see most of the load: a lone agent that took quick first
+// answers for calm would leave its servers idle for good.
+func (b *Balancer) calmRise(a *attempt) float64 {
+	if a.alone {
+		return slowSmooth / min(2*math.Pow(float64(max(b.set.Replicas, 1)), 3), 250)
+	}
+	return slowSmooth / 250
+}
+
+// fails counts an attempt's end as a failure, or not, of the server and of them all.
+func (b *Balancer) fails(s *server, x float64) {
+	s.failing += straySmooth * (x - s.failing)
+	b.failing += slowSmooth * (x - b.failing)
+}
+
+// stray tells whether the server fails no more than may happen to any.
+func (b *Balancer) stray(s *server) bool {
+	return s.failing < strayMost+strayFactor*b.failing
+}
+
 // learn keeps a server's mean answer time, cut makes its window smaller.
 func (b *Balancer) learn(s *server, x float64) {
 	s.samples++
