Idle clients give way from a quarter of the descriptors on

Callers that ask once and keep their connection used it up, and it could bring nothing. conns.go made room only from 7/8 of 7/16 of the descriptors on, which is above that third, so nearly never from those.

Also from its log: "shutdown err=context deadline exceeded": hurry() ran once, before the listener closed, and a silent connection accepted after it held up the end after SIGTERM. It now repeats, with one time for all, until the end.

Ruled out: refusals of the agent (0 in its figures), the budget of memory, resets (only while an agent restarts), restarts (the losses begin 3 s before the first).

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -535,7 +535,7 @@
 		return serving(c, req, n)
 	})
 	a := startAgent(t, newDiscoveryServer(t, target("s-1", b.addr)), func(c *Config) { c.Sockets = minSockets })
-	most := a.loop.cfg.clientConns()
+	most := a.loop.cfg.clientRoom()
 	for range 2 * most { // clients that stay connected and idle
 		c, err := net.Dial("tcp", a.addr)
 		if err != nil {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -122,11 +122,12 @@
 // minSockets leaves a few connections to each side beside the reserve.
 const minSockets = 64
 
-// clientConns and backendConns divide the descriptors: neither side can take
-// the other's, and the rest is for the listener, discovery, the log and the
-// runtime's own.
-func (c *Config) clientConns() int  { return c.Sockets * 7 / 16 }
+// backendConns is the most connections to backends, clientRoom how many clients may be
+// connected before idle ones give way: less than the third of the descriptors that
+// the clients hold for requests at most. The rest is for the listener, discovery, the
+// log, the runtime's own, and what is just being closed.
 func (c *Config) backendConns() int { return c.Sockets * 7 / 16 }
+func (c *Config) clientRoom() int   { return c.Sockets / 4 }
 
 // budget is the memory for bodies of requests and answers together, beside the small
 // ones: what is left of the limit is for connections, the module and the runtime.
--- a/internal/agent/conns.go
+++ b/internal/agent/conns.go
@@ -19,8 +19,12 @@
 //
 // It looks whenever a connection changes its state. One that is being closed no
 // longer counts and is not chosen again: the server notices the close only later.
+//
+// It makes room long before the descriptors run out: the application has a limit of
+// its own, and where all it may hold are connections of callers that asked once and
+// stay, it can't bring another request. Which of them idle for good only it knows.
 type clientConns struct {
-	max     int
+	max     int // from here on room is made
 	mu      sync.Mutex
 	conns   map[net.Conn]*clientConn
 	closing int
@@ -76,7 +80,7 @@
 		}
 		delete(c.conns, nc)
 	}
-	for len(c.conns)-c.closing > c.max*7/8 {
+	for len(c.conns)-c.closing > c.max {
 		old := c.first()
 		if old == nil {
 			break
@@ -120,13 +124,13 @@
 	}
 }
 
-// hurry gives those that still have to bring a request a short time for it.
-func (c *clientConns) hurry(within time.Duration) {
+// hurry gives those that still have to bring a request until a time for it.
+func (c *clientConns) hurry(by time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, kind := range []int{silent, coming} {
 		for e := c.waiting[kind].Front(); e != nil; e = e.Next() {
-			e.Value.(net.Conn).SetReadDeadline(time.Now().Add(within))
+			e.Value.(net.Conn).SetReadDeadline(by)
 		}
 	}
 }
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -44,7 +44,7 @@
 	for i, t := range cfg.Settings.Tenants {
 		f.tenants[t.Name] = i
 	}
-	f.conns = newClientConns(cfg.clientConns())
+	f.conns = newClientConns(cfg.clientRoom())
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headTime,
@@ -79,8 +79,19 @@
 	time.Sleep(linger)
 	ctx, cancel := context.WithTimeout(context.Background(), held)
 	defer cancel()
-	f.conns.hurry(held / 4)
-	return f.server.Shutdown(ctx)
+	by := time.Now().Add(held / 4)
+	done := make(chan error, 1)
+	go func() { done <- f.server.Shutdown(ctx) }()
+	// More than once: what came last is known, and has its time, only after a moment.
+	for every := time.NewTicker(20 * time.Millisecond); ; {
+		select {
+		case err := <-done:
+			every.Stop()
+			return err
+		case <-every.C:
+			f.conns.hurry(by)
+		}
+	}
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
--- a/internal/agent/request_test.go
+++ b/internal/agent/request_test.go
@@ -216,7 +216,7 @@
 // a kept connection stays usable and a new one is answered.
 func TestSilentClientsLockNobodyOut(t *testing.T) {
 	a, _ := one(t, serving)
-	b := a.loop.cfg.clientConns()
+	b := 2 * a.loop.cfg.clientRoom()
 	kept := a.dial()
 	ask := func(c net.Conn) error {
 		fmt.Fprint(c, rawOrder("/api/a1", fmt.Sprint(lastID.Add(1)), "Content-Length: 0\r\n", ""))
@@ -273,7 +273,7 @@
 		x := add("busy", http.StateActive)
 		c.taken(c.context(t.Context(), x))
 	}
-	for range most*7/8 - 4 {
+	for range most - 4 {
 		busy()
 	}
 	add("new")
