--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -123,9 +123,6 @@
 		return
 	}
 	f.conns.taken(req.Context())
-	// The request is whole. The server's time for reading it would now only end the
-	// watch for the client's going away, and look like it.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	took := make(chan *request, 1)
 	f.loop.post(func() { took <- f.loop.take(c) })
 	select {
--- a/internal/agent/request_test.go
+++ b/internal/agent/request_test.go
@@ -134,17 +134,6 @@
 	}
 }
 
-// A request may take longer than its reading may: the time for that is over once
-// it is whole, and does not end the wait for its answer.
-func TestReadTimeDoesNotEndALongRequest(t *testing.T) {
-	a, _ := one(t, func(c net.Conn, req *http.Request, n int) bool {
-		time.Sleep(readTime + 200*time.Millisecond)
-		return serving(c, req, n)
-	})
-	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
-	wantStatus(t, status, 200)
-}
-
 // The id of an open request is not to be used again, by whomever; afterwards it is.
 func TestOpenIDIsTaken(t *testing.T) {
 	arrived, release := make(chan struct{}, 1), make(chan struct{})
@@ -240,6 +229,30 @@
 	}
 }
 
+// Callers that asked once and keep their connection do not use up what the application
+// may hold, a third of the descriptors: the agent closes the oldest of them in time.
+func TestIdleCallersLeaveRoom(t *testing.T) {
+	a, _ := one(t, serving)
+	most := a.loop.cfg.Sockets / 3
+	var conns []net.Conn
+	for range most {
+		c := a.dial()
+		conns = append(conns, c)
+		fmt.Fprint(c, rawOrder("/api/a1", fmt.Sprint(lastID.Add(1)), "Content-Length: 0\r\n", ""))
+		br := bufio.NewReader(c)
+		if resp, err := http.ReadResponse(br, nil); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+	// The oldest are closed well before idleTime would close them all.
+	for _, c := range conns[:most/8] {
+		c.SetDeadline(time.Now().Add(idleTime / 2))
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Fatalf("an old connection stays: %v", err)
+		}
+	}
+}
+
 // Connections that were silent for long give way first, then idle ones, then those that
 // have just come or whose request still comes, never one with a request open; none is
 // chosen twice while its close is under way.
