Take no bare LF for the end of a chunked answer; bound its trailers

Change: trailers have a reader of their own: every line ends in CR LF, fields must parse, 4 KiB at most; all else is a spoilt answer.

--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -17,6 +17,9 @@
 const (
 	// maxBody is the largest body of a request, maxHead the largest head.
 	maxBody, maxHead = 64 << 10, 16 << 10
+	// maxTrailers is what may stand behind a chunked body, its empty line with it: what
+	// net/http's reader takes at the most.
+	maxTrailers = 4 << 10
 	// maxAnswer is the largest body of an answer. Some are larger than requests may be;
 	// what they take of the memory is bounded by the budget.
 	maxAnswer = 1 << 20
@@ -120,17 +123,10 @@
 		if err != nil {
 			return nil, err
 		}
-		// What ends a chunked body: trailers, which nobody here wants, and an empty line.
-		for size := 0; size <= maxHead; {
-			line, err := br.ReadSlice('\n')
-			if err != nil {
-				return nil, err
-			}
-			if size += len(line); len(bytes.TrimRight(line, "\r\n")) == 0 {
-				return body, nil
-			}
+		if err := readTrailers(br); err != nil {
+			return nil, err
 		}
-		return nil, spoilt("trailers too large")
+		return body, nil
 	case n < 0:
 		// It would end where the connection does, and nothing could tell a whole
 		// answer from one that was cut off.
@@ -146,6 +142,34 @@
 	return body, err
 }
 
+// readTrailers reads what ends a chunked body: trailer fields, which nobody here wants,
+// and an empty line that is CR LF and nothing else (RFC 9112, section 7.1.2). What this
+// reader and net/http's do not both take for the end is none: two readers that disagree
+// on where an answer ends are how answers get mixed up on a kept connection.
+func readTrailers(br *bufio.Reader) error {
+	var fields []byte
+	for {
+		line, err := br.ReadSlice('\n')
+		fields = append(fields, line...)
+		switch {
+		case err == bufio.ErrBufferFull || len(fields) > maxTrailers:
+			return spoilt("trailers too large")
+		case err != nil:
+			return err
+		case !bytes.HasSuffix(line, []byte("\r\n")):
+			return spoilt("a trailer line that ends in no CR LF")
+		case len(line) > 2:
+			continue
+		case len(fields) == 2:
+			return nil // none, as nearly always
+		}
+		if _, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader(); err != nil {
+			return spoilt("trailers: %v", err)
+		}
+		return nil
+	}
+}
+
 // readChunks reads a body of unknown length, and asks for its memory as it grows.
 func readChunks(r io.Reader, want reserve) ([]byte, error) {
 	var body []byte
