Name the module path after the project

Need: the path still bore the inherited name; new packages import it everywhere. Change: clayproxy.example/clayproxy becomes ringtrack.example/ringtrack, nothing else.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"clayproxy.example/clayproxy/internal/wire"
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/internal/wire"
+	"ringtrack.example/ringtrack/policy"
 )
 
 func main() {
--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -14,7 +14,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"clayproxy.example/clayproxy/internal/agent"
+	"ringtrack.example/ringtrack/internal/agent"
 )
 
 func main() {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -17,7 +17,7 @@
 
 	"golang.org/x/time/rate"
 
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/policy"
 )
 
 // one starts an agent in front of one backend with the given script.
--- a/internal/agent/answer_test.go
+++ b/internal/agent/answer_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/policy"
 )
 
 // Spoilt answers: the request may have run, so an unsafe one fails and goes nowhere
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -14,7 +14,7 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/policy"
 )
 
 // backend is one listed server. Its fields belong to the loop, but for closed.
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -8,8 +8,8 @@
 	"os"
 	"strconv"
 
-	"clayproxy.example/clayproxy/internal/wire"
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/internal/wire"
+	"ringtrack.example/ringtrack/policy"
 )
 
 // Config is what the platform tells one agent, validated.
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/time/rate"
 
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/policy"
 )
 
 // List is discovery's answer: the whole list or what changed.
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/policy"
 )
 
 const (
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/policy"
 )
 
 const (
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"io"
 	"math"
 
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/policy"
 )
 
 // Record sizes of the wire.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"clayproxy.example/clayproxy/policy"
+	"ringtrack.example/ringtrack/policy"
 )
 
 // frame builds a batch from hex text; blanks and newlines are for the reader.
