Move the roster client behind a membership seam, agent unchanged

Need: the control service is to learn the fleet from the same roster by the same code. Change: internal/membership holds the entry's form and the module's names; its roster package is what discovery.go was, plus Source, which follows by itself for a process without a module. The agent's table stays with the agent.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 
+	"ringtrack.example/ringtrack/internal/membership"
 	"ringtrack.example/ringtrack/internal/wire"
 	"ringtrack.example/ringtrack/policy"
 )
@@ -21,7 +22,7 @@
 	Cores     float64
 	MemoryMB  int
 	Sockets   int
-	Known     List
+	Known     membership.List
 	Settings  policy.Settings
 	Zones     []string // names of zones and of machine kinds, by the number the module knows
 	Kinds     []string
@@ -38,7 +39,7 @@
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Known    List            `json:"known"`
+	Known    membership.List `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
 
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"log/slog"
 	"net/http"
 	"time"
@@ -13,6 +12,8 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
+	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/membership/roster"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -37,7 +38,7 @@
 	table    *table
 	sender   *sender
 	budget   *semaphore.Weighted // memory for bodies
-	disc     *discovery
+	disc     *roster.Client
 	limit    *rate.Limiter // the log is bounded work on one core
 	lines    chan func()   // log lines on their way to whoever reads the log
 
@@ -116,8 +117,8 @@
 // discover makes an address the one that is asked. What another still has to say is
 // dropped: it comes late, and its versions are not those of this one.
 func (l *loop) discover(addr string) {
-	d := newDiscovery(l.ctx, addr)
-	d.told = func(list *List, watch bool, err error) {
+	d := roster.NewClient(l.ctx, addr)
+	d.Told = func(list *membership.List, watch bool, err error) {
 		l.post(func() {
 			if l.disc == d {
 				l.onList(list, watch, err)
@@ -130,13 +131,13 @@
 // rediscover leaves the discovery for another and asks that for its whole list. Until
 // it comes the table stays as it is.
 func (l *loop) rediscover(addr string) {
-	if addr == l.disc.addr {
+	if addr == l.disc.Addr {
 		return
 	}
-	l.disc.close()
+	l.disc.Close()
 	l.discover(addr)
 	l.version, l.unknown, l.fetching, l.watching = 0, true, false, true
-	go l.disc.watch(0, true)
+	go l.disc.Watch(0, true)
 }
 
 // post hands the loop something to do; it may wait, so the loop itself never calls it.
@@ -221,12 +222,12 @@
 		case policy.ActFollow:
 			if !l.watching { // one watch is enough; it tells what another would
 				l.watching = true
-				go l.disc.watch(l.version, l.unknown)
+				go l.disc.Watch(l.version, l.unknown)
 			}
 		case policy.ActFetch:
 			if !l.fetching {
 				l.fetching = true
-				go l.disc.fetch()
+				go l.disc.Fetch()
 			}
 		case policy.ActClose:
 			if b := l.table.byAddr[a.Server]; b != nil {
@@ -451,7 +452,7 @@
 // onList takes an answer of discovery. A watch and a fetch may cross: what is
 // older than the list at hand is dropped, but for a whole list on the watch,
 // which is how a discovery that started again from nothing says so.
-func (l *loop) onList(list *List, watch bool, err error) {
+func (l *loop) onList(list *membership.List, watch bool, err error) {
 	if watch && err != nil {
 		l.watching = false
 	} else if !watch {
@@ -462,7 +463,7 @@
 		l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 		return
 	}
-	if list.Version < l.version && !(watch && list.Full) {
+	if list.Revision < l.version && !(watch && list.Full) {
 		return
 	}
 	kind := policy.ListDelta
@@ -475,8 +476,8 @@
 	}
 }
 
-func (l *loop) list(list *List, kind policy.ListKind, full bool) {
-	l.version, l.unknown = list.Version, l.unknown && !full
+func (l *loop) list(list *membership.List, kind policy.ListKind, full bool) {
+	l.version, l.unknown = list.Revision, l.unknown && !full
 	entries, stale, gone := l.table.apply(list, full)
 	for _, b := range stale {
 		l.sender.pool.hangUp(b)
@@ -516,13 +517,3 @@
 		}
 	}
 }
-
-// hashString is FNV-1a, never 0: the same at every agent, which maphash is not.
-func hashString(s string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(s))
-	if v := h.Sum64(); v != 0 {
-		return v
-	}
-	return 1
-}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"ringtrack.example/ringtrack/internal/membership"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -126,7 +127,7 @@
 	}
 	c.retry = f.cfg.Settings.Clients.MarksRetry && h.Get("Client-Retry") == "1"
 	if dir, last := path.Split(req.URL.EscapedPath()); len(dir) > 1 && last != "" {
-		c.key = hashString(last)
+		c.key = membership.Hash(last)
 	}
 	return c, nil
 }
--- /dev/null
+++ b/internal/membership/roster/source.go
@@ -0,0 +1,46 @@
+package roster
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/membership"
+)
+
+// Source follows a roster by itself, for a process that has no decision module to say when to call
+// again: the whole list, then a watch; after a failure the same again, later each time.
+type Source struct {
+	Addr string // host:port of the roster
+	// Least and Most bound the pause after a failed call, doubled each time and drawn evenly from
+	// its upper half. 0: 250 ms and 5 s.
+	Least, Most time.Duration
+}
+
+// Run follows until ctx ends. told is called from one goroutine at a time: with a list, with an error
+// where a call failed, or with neither where the roster only showed that it lives.
+func (s *Source) Run(ctx context.Context, told func(l *membership.List, err error)) {
+	least, most := s.Least, s.Most
+	if least <= 0 {
+		least = 250 * time.Millisecond
+	}
+	if most <= 0 {
+		most = 5 * time.Second
+	}
+	for pause := least; ctx.Err() == nil; pause = min(2*pause, most) {
+		c := NewClient(ctx, s.Addr)
+		c.Told = func(l *membership.List, _ bool, err error) {
+			if err == nil {
+				pause = least / 2 // doubled before its next use
+			}
+			told(l, err)
+		}
+		c.Alive = func() { told(nil, nil) }
+		c.Watch(0, true)
+		c.Close()
+		select {
+		case <-time.After(pause/2 + rand.N(pause/2+1)):
+		case <-ctx.Done():
+		}
+	}
+}
