Let the module's state machine run on what others saw, without requests

Need: the control service has load reports of proxies, no requests; a second state machine would drift from the first. Change: Balancer.Observe takes evidence and runs demotion, validation and lapse on the same functions; View and Shed tell what came of it. A lapse of zero keeps agents as they were.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// capFactor is c: how far above its even share of the agent's attempts a
+	// CapFactor is c: how far above its even share of the agent's attempts a
 	// server may go before a key's request moves on to the next in hash order.
-	capFactor = 3.0
+	CapFactor = 3.0
 	// crowdShare is the part of the aim that a server's mean answer time may
 	// take before the agent gives it less: the rest is for the spread.
 	crowdShare = 0.5
@@ -39,9 +39,9 @@
 	// sum over parts is what makes servers unequal. keyMemory is the number of requests,
 	// for each part there may be, by which a key's share is known.
 	keyPart, keyMemory = 0.25, 2.0
-	// ownLeast and ownMost bound how much more a server of the agent's own zone weighs in a
+	// OwnLeast and OwnMost bound how much more a server of the agent's own zone weighs in a
 	// key's order: crossing takes time and may have a price. ownStep is how fast it moves.
-	ownLeast, ownMost, ownStep = 1.5, 8.0, 0.1
+	OwnLeast, OwnMost, ownStep = 1.5, 8.0, 0.1
 	// maxStrikes bounds the doubling of a bad server's hold.
 	maxStrikes = 5
 	// strayMost is the part of its attempts that a server may fail, beyond strayFactor times
@@ -51,9 +51,9 @@
 	// unsent is the part of its time after which a request of which nothing was sent is
 	// given up: from half of it on the client counts the wait as worse than a refusal.
 	unsent = 0.46
-	// againShare is the further attempts that a served request earns, againMost what may be
+	// AgainShare is the further attempts that a served request earns, againMost what may be
 	// saved up, and what an agent starts with.
-	againShare, againMost = 0.25, 4.0
+	AgainShare, againMost = 0.25, 4.0
 	// shedMemory is the number of tries by which an agent knows what part of them is served
 	// in time; under 1/shedFactor of them it refuses some, never more than shedMost.
 	shedMemory, shedFactor, shedMost = 20.0, 1.5, 0.8
@@ -85,7 +85,7 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, keys: map[uint64]float64{}, mayProbe: probeCap,
-		own: ownLeast, again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
+		own: OwnLeast, again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
 		usage:  make([]float64, len(set.Tenants)),
 		aimMin: math.Inf(1), lookedAt: math.Inf(-1)}
 	for _, c := range set.Classes {
@@ -397,7 +397,7 @@
 // last pick and has room.
 func (b *Balancer) takes(s *server, r *request) bool {
 	share := s.weight * b.ramp(s) / r.tierWeight
-	return float64(len(s.out)) < math.Ceil(capFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
+	return float64(len(s.out)) < math.Ceil(CapFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
 }
 
 // hasRoom bounds what a server holds of this agent: its window, one at a time
@@ -644,11 +644,17 @@
 	if s.zone != b.set.Zone {
 		return
 	}
-	x := b.set.Prices.CrossZone
+	part := 0.0
 	if missed {
-		x--
+		part = 1
 	}
-	b.own = min(max(b.own*(1+ownStep*x), ownLeast), ownMost)
+	b.own = OwnWeight(b.own, b.set.Prices.CrossZone, part)
+}
+
+// OwnWeight is the next weight of the own zone after attempts there of which a part was
+// not served in time, at this price of crossing.
+func OwnWeight(own, price, missed float64) float64 {
+	return min(max(own*(1+ownStep*(price-missed)), OwnLeast), OwnMost)
 }
 
 // crowded tells whether a server reports well more requests than the mean of the others:
@@ -674,7 +680,7 @@
 func (b *Balancer) served(a *attempt, ev *Event) {
 	s, r, rtt := a.s, a.r, ev.LatencyMs
 	b.earn(s, a.cost)
-	b.again = min(b.again+againShare, againMost)
+	b.again = min(b.again+AgainShare, againMost)
 	b.learnHint(r, rtt)
 	b.heardFrom(s)
 	s.rtt = mean(s.rtt, rtt, smooth)
@@ -712,12 +718,7 @@
 	if s.state != Connected {
 		b.enter(s, Connected)
 	}
-	if s.silent {
-		s.silent, s.strikes = false, max(s.strikes-1, 0)
-	}
-	if s.good++; s.good >= 16*s.strikes {
-		s.good, s.strikes = 0, max(s.strikes-1, 0)
-	}
+	s.forgive(1)
 	switch {
 	case s.lat > limit && b.now-s.cutAt > rtt:
 		least := 1.0
@@ -730,6 +731,16 @@
 	}
 }
 
+// forgive takes back strikes for n served attempts, and one for silence that has ended.
+func (s *server) forgive(n int) {
+	if s.silent {
+		s.silent, s.strikes = false, max(s.strikes-1, 0)
+	}
+	if s.good += n; s.good >= 16*s.strikes {
+		s.good, s.strikes = 0, max(s.strikes-1, 0)
+	}
+}
+
 // limit is the mean answer time, as a part of the aim, from which a server counts as
 // crowded. A few agents see most of the load, and need not fear to crowd a server that
 // answers well within the aim; a calm taken too low would leave it idle. A cold server
@@ -769,9 +780,9 @@
 // them all. One that answers nothing is not.
 func (b *Balancer) holdFor(s *server) float64 {
 	if (b.scarce || b.stray(s)) && !s.silent {
-		return 0
+		return b.lapse
 	}
-	return b.aimMin * float64(int(1)<<max(s.strikes-1, 0))
+	return max(b.aimMin, b.lapse) * float64(int(1)<<max(s.strikes-1, 0))
 }
 
 // watchSilence demotes servers that took attempts and have answered nothing for
@@ -825,6 +836,68 @@
 	}
 }
 
+// ---- the state machine on what others saw, without requests ----
+
+// Observe takes what others saw of servers, each named once, and lets the states go on:
+// demotion on failure, return through validation by what was served, or by lapse: an
+// Unhealthy server is pending after lapseMs, doubled with each further strike, and a
+// pending one of which nothing is heard ranks as Unknown after as long again.
+func (b *Balancer) Observe(now, lapseMs float64, seen []Evidence) {
+	b.now, b.lapse, b.out = now, lapseMs, b.out[:0]
+	var all Evidence // first the whole, against which each is judged
+	for i := range seen {
+		all.Served += finite(seen[i].Served)
+		all.Failed += finite(seen[i].Failed)
+		all.TurnedAway += finite(seen[i].TurnedAway)
+	}
+	b.gainMany(all.Served+all.TurnedAway, all.Served)
+	b.failing = partOf(b.failing, all.Failed, all.Served, slowSmooth)
+	for i := range seen {
+		e, s := &seen[i], b.byAddr[seen[i].Server]
+		served, failed, turned := finite(e.Served), finite(e.Failed), finite(e.TurnedAway)
+		if s == nil || served+failed+turned == 0 {
+			continue
+		}
+		if served+turned > 0 {
+			b.heardFrom(s)
+		}
+		s.failing = partOf(s.failing, failed, served, straySmooth)
+		silent := e.Silent && served+turned == 0
+		switch {
+		case failed > 0 && (served == 0 || !b.stray(s)):
+			if silent && s.lostAt == 0 {
+				s.lostAt = now
+			}
+			b.demote(s, silent)
+		case served > 0:
+			if s.state != Connected {
+				b.enter(s, Connected)
+			}
+			s.forgive(int(min(served, 1e6)))
+		}
+	}
+	b.revalidate()
+	for _, s := range b.servers {
+		if s.state == UnhealthyPending && now-s.since >= b.holdFor(s) {
+			b.enter(s, Unknown)
+		}
+	}
+}
+
+// View appends what the module holds of each listed server, in the order of addresses.
+func (b *Balancer) View(now float64, out []View) []View {
+	b.now = now
+	for _, s := range b.servers {
+		out = append(out, View{Server: s.id, State: s.state, SinceMs: s.since, StartedMs: s.startedAt,
+			Usable: s.usable, Zone: s.zone, Cell: s.cell, Weight: s.weight, Ramp: b.ramp(s),
+			Share: b.coldShare(s), Strikes: s.strikes})
+	}
+	return out
+}
+
+// Shed is the part of what comes that is to be refused at once.
+func (b *Balancer) Shed() float64 { return b.shed() }
+
 // ---- the list ----
 
 // refetch asks for the whole list, seldom: the stream of changes is as fresh,
--- a/policy/state.go
+++ b/policy/state.go
@@ -135,7 +135,8 @@
 	flow      float64 // work sent to a warm server of weight one, fading over the cold time
 	flowAt    float64
 	ticking   bool
-	scarce    bool // requests that would take any server find no room
+	scarce    bool    // requests that would take any server find no room
+	lapse     float64 // the least hold, where states go on by what others saw; else 0
 }
 
 // tally keeps the classes' shares of requests and of those served in time.
@@ -229,6 +230,23 @@
 	b.gained += part - b.gained/shedMemory
 }
 
+// gainMany counts n ended tries at once, and how many of them earned their worth.
+func (b *Balancer) gainMany(n, earned float64) {
+	if n > 0 {
+		k := 1 - math.Pow(1-1/shedMemory, n)
+		b.tried += k * (shedMemory - b.tried)
+		b.gained += k * (earned/n*shedMemory - b.gained)
+	}
+}
+
+// partOf moves a running part towards that of so many failed and served attempts.
+func partOf(old, failed, served, weight float64) float64 {
+	if n := failed + served; n > 0 {
+		old += (1 - math.Pow(1-weight, n)) * (failed/n - old)
+	}
+	return old
+}
+
 // ramp is the part of its capacity that a started server has by the contract.
 func (b *Balancer) ramp(s *server) float64 {
 	c := &b.set.Contract
--- a/policy/types.go
+++ b/policy/types.go
@@ -253,3 +253,28 @@
 	Token   uint32
 	Text    string
 }
+
+// Evidence is what others saw of a server since it was last told, in numbers of attempts.
+// What is negative or no number counts as none.
+type Evidence struct {
+	Server     Addr
+	Served     float64
+	Failed     float64 // errors, resets, time-outs, failed connects
+	TurnedAway float64 // refused unseen: the server runs and is crowded
+	Silent     bool    // the failures are no answers but silence or failed connects
+}
+
+// View is what the module holds of a listed server.
+type View struct {
+	Server    Addr
+	State     State
+	SinceMs   float64 // when it entered the state
+	StartedMs float64 // start of its process, by the list or assumed; 0: long past
+	Usable    bool    // listed as ready
+	Zone      int
+	Cell      int
+	Weight    float64
+	Ramp      float64 // the part of its capacity that it has by the contract, 1 when warm
+	Share     float64 // the part of an even share that it may be sent, 1 when warm
+	Strikes   int     // failures of late
+}
