--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
+	"ringtrack.example/ringtrack/internal/clock"
 	"ringtrack.example/ringtrack/internal/membership"
 	"ringtrack.example/ringtrack/internal/membership/roster"
 	"ringtrack.example/ringtrack/policy"
@@ -43,8 +44,7 @@
 	lines    chan func()   // log lines on their way to whoever reads the log
 
 	inbox    chan func()
-	started  time.Time // the clock's base: wall time, then monotonic
-	baseMs   float64
+	clock    clock.Clock
 	nextID   policy.RequestID
 	requests map[policy.RequestID]*request
 	ids      map[string]*request // the same by the clients' ids
@@ -104,10 +104,9 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
 	l := &loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
 		budget: semaphore.NewWeighted(cfg.budget()), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
-		started: now, baseMs: float64(now.UnixMicro()) / 1000,
+		clock:    clock.New(),
 		requests: map[policy.RequestID]*request{}, ids: map[string]*request{}, ready: ready}
 	l.sender = newSender(cfg, l.budget)
 	l.discover(cfg.Discovery)
@@ -174,9 +173,7 @@
 }
 
 // now is the clock in ms: Unix time, as started_ms of the list, that only advances.
-func (l *loop) now() float64 {
-	return l.baseMs + float64(time.Since(l.started).Microseconds())/1000
-}
+func (l *loop) now() float64 { return l.clock.Ms() }
 
 // handle gives the module one event and carries out what it answers.
 func (l *loop) handle(ev *policy.Event) {
--- /dev/null
+++ b/internal/control/resource/endpoints.go
@@ -0,0 +1,265 @@
+package resource
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/structpb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"ringtrack.example/ringtrack/internal/control/assign"
+)
+
+const (
+	// overprovision makes a priority take all requests as long as 1 in 100 of its servers is healthy:
+	// with the usual 140 a fourth of them draining would send requests to the next tier. In percent.
+	overprovision = 10_000
+	// authority is that of the names of collections.
+	authority = "ringtrack"
+)
+
+// Renderer makes the servers' resources of a service. It remembers each server's bytes, so that a
+// change of one costs that one and a copy. It belongs to one goroutine.
+type Renderer struct {
+	Service string // the name that clusters know the servers by
+	cache   map[string]cached
+	round   uint64
+}
+
+type cached struct {
+	e     assign.Endpoint
+	value []byte // a marshalled LbEndpoint
+	res   map[string]*Resource
+	round uint64
+}
+
+// NewRenderer returns a renderer for a service of this name.
+func NewRenderer(service string) *Renderer {
+	return &Renderer{Service: service, cache: map[string]cached{}}
+}
+
+// Servers is an assignment as resources: whole, for proxies that take servers in one piece, and split
+// in collections, one a zone and priority, for those that take them one by one (LEDS).
+type Servers struct {
+	Whole       *Resource       // a ClusterLoadAssignment with all servers in it
+	Split       *Resource       // one that names collections instead
+	Collections map[string]*Set // of LbEndpoint, by the collection's glob name
+}
+
+type place struct {
+	priority uint32
+	zone     string
+}
+
+// Render makes the resources of an assignment. Collections that are as in before are those of before,
+// and so cost nothing to compare. before may be nil.
+func (r *Renderer) Render(a *assign.Assignment, before *Servers) (*Servers, error) {
+	r.round++
+	priorityOf := priorities(a)
+	members := map[place][]*assign.Endpoint{}
+	for i := range a.Endpoints {
+		e := &a.Endpoints[i]
+		p := uint32(0)
+		if !e.Draining {
+			p = priorityOf[e.Tier]
+		}
+		at := place{p, e.Zone}
+		members[at] = append(members[at], e)
+	}
+	places := make([]place, 0, len(members))
+	for at := range members {
+		places = append(places, at)
+	}
+	slices.SortFunc(places, func(x, y place) int {
+		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.zone, y.zone))
+	})
+	out := &Servers{Collections: make(map[string]*Set, len(places))}
+	var whole, split []byte
+	whole = protowire.AppendTag(whole, 1, protowire.BytesType)
+	whole = protowire.AppendString(whole, r.Service)
+	split = append(split, whole...)
+	for _, at := range places {
+		collection := r.collection(at)
+		head, err := locality(a, at, members[at])
+		if err != nil {
+			return nil, err
+		}
+		size := len(head)
+		set := make([]*Resource, 0, len(members[at]))
+		for _, e := range members[at] {
+			c, err := r.endpoint(e, collection)
+			if err != nil {
+				return nil, err
+			}
+			size += fieldSize(2, len(c.value))
+			set = append(set, c.res[collection])
+		}
+		whole = protowire.AppendTag(whole, 2, protowire.BytesType)
+		whole = protowire.AppendVarint(whole, uint64(size))
+		whole = append(whole, head...)
+		for _, e := range members[at] {
+			whole = protowire.AppendTag(whole, 2, protowire.BytesType)
+			whole = protowire.AppendBytes(whole, r.cache[e.ID].value)
+		}
+		leds, err := proto.MarshalOptions{Deterministic: true}.Marshal(&endpointv3.LocalityLbEndpoints{
+			LbConfig: &endpointv3.LocalityLbEndpoints_LedsClusterLocalityConfig{
+				LedsClusterLocalityConfig: &endpointv3.LedsClusterLocalityConfig{
+					LedsConfig: ads(), LedsCollectionName: collection}}})
+		if err != nil {
+			return nil, fmt.Errorf("collection %s: %w", collection, err)
+		}
+		split = protowire.AppendTag(split, 2, protowire.BytesType)
+		split = protowire.AppendBytes(split, append(head, leds...))
+		next := NewSet(set...)
+		if before != nil && before.Collections[collection] != nil && before.Collections[collection].Version == next.Version {
+			next = before.Collections[collection]
+		}
+		out.Collections[collection] = next
+	}
+	policy, err := proto.MarshalOptions{Deterministic: true}.Marshal(&endpointv3.ClusterLoadAssignment{Policy: dropPolicy(a.Shed)})
+	if err != nil {
+		return nil, fmt.Errorf("drop policy: %w", err)
+	}
+	whole, split = append(whole, policy...), append(split, policy...)
+	out.Whole = fromValue(Endpoints, r.Service, whole, version(whole))
+	out.Split = fromValue(Endpoints, r.Service, split, version(split))
+	return out, nil
+}
+
+// Sweep forgets the bytes of servers that no assignment had since the last sweep.
+func (r *Renderer) Sweep() {
+	for id, c := range r.cache {
+		if c.round == 0 {
+			delete(r.cache, id)
+			continue
+		}
+		c.round = 0
+		r.cache[id] = c
+	}
+}
+
+// priorities numbers the tiers that have a usable server, without gaps: proxies reject a set with one.
+// Where no server is usable all stand in the first.
+func priorities(a *assign.Assignment) [3]uint32 {
+	var used [3]bool
+	for i := range a.Endpoints {
+		if e := &a.Endpoints[i]; !e.Draining {
+			used[e.Tier] = true
+		}
+	}
+	var out [3]uint32
+	n := uint32(0)
+	for t := range out {
+		out[t] = n
+		if used[t] {
+			n++
+		}
+	}
+	return out
+}
+
+// locality is the part of a LocalityLbEndpoints beside its servers. Its weight is that of its usable
+// servers, times the group's preference for its own zone: proxies divide a zone's weight by its
+// servers'. It is rounded to two or three per cent, so that among many servers one drain does not
+// change it.
+func locality(a *assign.Assignment, at place, es []*assign.Endpoint) ([]byte, error) {
+	sum := 0.0
+	for _, e := range es {
+		if !e.Draining {
+			sum += float64(e.Weight)
+		}
+	}
+	if at.zone == a.Zone {
+		sum *= float64(a.Own) / 100
+	}
+	sum = max(sum, 1)
+	step := math.Exp2(max(math.Floor(math.Log2(sum))-5, 0))
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&endpointv3.LocalityLbEndpoints{
+		Locality:            &corev3.Locality{Zone: at.zone},
+		LoadBalancingWeight: wrapperspb.UInt32(uint32(min(math.Round(sum/step)*step, 1<<30))),
+		Priority:            at.priority,
+	})
+}
+
+func (r *Renderer) collection(at place) string {
+	return "xdstp://" + authority + "/envoy.config.endpoint.v3.LbEndpoint/" + escape(r.Service) + "/" +
+		escape(at.zone) + "/" + strconv.Itoa(int(at.priority)) + "/*"
+}
+
+// escape keeps a name from being taken for more than one part of a path.
+func escape(s string) string {
+	return strings.NewReplacer("%", "%25", "/", "%2F", "*", "%2A", "#", "%23", "?", "%3F").Replace(s)
+}
+
+// endpoint returns a server's bytes, made anew only where it changed.
+func (r *Renderer) endpoint(e *assign.Endpoint, collection string) (cached, error) {
+	c, ok := r.cache[e.ID]
+	if !ok || c.e != *e {
+		addr, err := address(e.Addr)
+		if err != nil {
+			return c, fmt.Errorf("%s: %w", e.ID, err)
+		}
+		health := corev3.HealthStatus_HEALTHY
+		if e.Draining {
+			health = corev3.HealthStatus_DRAINING
+		}
+		// The id is the key on the ring: a server that moves to another address keeps its keys.
+		key, err := structpb.NewStruct(map[string]any{"hash_key": strings.ToValidUTF8(e.ID, "?")})
+		if err != nil {
+			return c, fmt.Errorf("%s: %w", e.ID, err)
+		}
+		value, err := proto.MarshalOptions{Deterministic: true}.Marshal(&endpointv3.LbEndpoint{
+			HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: &endpointv3.Endpoint{
+				Address: addr}},
+			HealthStatus:        health,
+			Metadata:            &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{"envoy.lb": key}},
+			LoadBalancingWeight: wrapperspb.UInt32(max(e.Weight, 1)),
+		})
+		if err != nil {
+			return c, fmt.Errorf("%s: %w", e.ID, err)
+		}
+		c = cached{e: *e, value: value, res: map[string]*Resource{}}
+	}
+	if c.res[collection] == nil {
+		name := strings.TrimSuffix(collection, "*") + escape(strings.ToValidUTF8(e.ID, "?"))
+		c.res[collection] = fromValue(LbEndpoint, name, c.value, version(c.value))
+	}
+	c.round = r.round
+	r.cache[e.ID] = c
+	return c, nil
+}
+
+func dropPolicy(shed int) *endpointv3.ClusterLoadAssignment_Policy {
+	p := &endpointv3.ClusterLoadAssignment_Policy{OverprovisioningFactor: wrapperspb.UInt32(overprovision)}
+	if shed > 0 {
+		p.DropOverloads = []*endpointv3.ClusterLoadAssignment_Policy_DropOverload{{Category: "shed",
+			DropPercentage: &typev3.FractionalPercent{Numerator: uint32(min(shed, 100)), Denominator: typev3.FractionalPercent_HUNDRED}}}
+	}
+	return p
+}
+
+func ads() *corev3.ConfigSource {
+	return &corev3.ConfigSource{ResourceApiVersion: corev3.ApiVersion_V3,
+		ConfigSourceSpecifier: &corev3.ConfigSource_Ads{Ads: &corev3.AggregatedConfigSource{}}}
+}
+
+// address is a host:port as proxies are told it.
+func address(s string) (*corev3.Address, error) {
+	host, port, err := net.SplitHostPort(s)
+	n, perr := strconv.ParseUint(port, 10, 16)
+	if err != nil || perr != nil {
+		return nil, fmt.Errorf("%q is no host:port", s)
+	}
+	return &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
+		Address: host, PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: uint32(n)}}}}, nil
+}
