Lab: demo and the proofs drains, crowd, stall and cold

Need: the control service's claims are to be counted at stand-ins, beside the peer, and a newcomer is to see what the agent does. The control service's roster client may call 50 times a second in place of 10.

--- /dev/null
+++ b/internal/lab/prove/drains.go
@@ -0,0 +1,199 @@
+package prove
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/lab"
+	"ringtrack.example/ringtrack/internal/lab/service"
+	"ringtrack.example/ringtrack/internal/lab/xdsproxy"
+	"ringtrack.example/ringtrack/internal/membership"
+)
+
+const (
+	drainEvery = 30 * time.Millisecond
+	// drainFor is how long a server stays away: long enough to see what comes late.
+	drainFor = 500 * time.Millisecond
+)
+
+// Drains drains servers one after the other while a proxy of each variant passes requests on, with
+// other changes pushed meanwhile. Counted at the servers: requests that began later than 250 ms after
+// the roster was told. The seeded defect is a proxy that uses what it is told 400 ms late.
+func Drains(ctx context.Context, o *Options) (*Report, error) {
+	r := &Report{Proof: "drains", Seed: o.Seed, Scale: o.Scale}
+	rng := o.rng()
+	ledger := lab.NewLedger(lab.DefaultRules())
+	var servers []*lab.OrderServer
+	var entries []membership.Entry
+	defer func() {
+		for _, s := range servers {
+			s.Close()
+		}
+	}()
+	for i := range 30 {
+		s, err := lab.NewOrderServer(fmt.Sprintf("s-%02d", i), zones[i%3], time.Millisecond, ledger)
+		if err != nil {
+			return nil, err
+		}
+		servers, entries = append(servers, s), append(entries, s.Entry)
+	}
+	roster, err := lab.NewRoster(entries...)
+	if err != nil {
+		return nil, err
+	}
+	defer roster.Close()
+	svc, err := service.StartWith(roster, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer svc.Close()
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var proxies []*xdsproxy.Proxy
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	for i, v := range []xdsproxy.Options{{Node: "sotw"}, {Node: "delta", Delta: true}, {Node: "leds", Delta: true, LEDS: true}} {
+		v.Target, v.Zone = svc.Addr, zones[i]
+		if o.Defect {
+			v.ApplyAfter = 400 * time.Millisecond
+		}
+		p, err := xdsproxy.Dial(v)
+		if err != nil {
+			return nil, err
+		}
+		defer p.Close()
+		proxies = append(proxies, p)
+		select {
+		case <-p.Ready():
+		case <-time.After(10 * time.Second):
+			return nil, fmt.Errorf("%s got no configuration: %s", v.Node, p.LastError())
+		}
+		running.Go(func() { p.Report(ctx) })
+		for w := range 4 {
+			running.Go(func() { steady(ctx, p, ledger, fmt.Sprintf("%s-%d", v.Node, w)) })
+		}
+	}
+
+	drains := o.scaled(1000, 20)
+	var mu sync.Mutex
+	var lag []time.Duration
+	var away sync.WaitGroup
+	busy := map[int]bool{}
+	free := make(chan int, len(servers))
+	tick := time.NewTicker(drainEvery)
+	defer tick.Stop()
+	for n := range drains {
+		for len(free) > 0 {
+			delete(busy, <-free)
+		}
+		i := rng.IntN(len(servers))
+		for busy[i] {
+			i = rng.IntN(len(servers))
+		}
+		busy[i] = true
+		s := servers[i]
+		if n%2 == 0 { // a push that is under way when the drain comes
+			other := servers[(i+1)%len(servers)]
+			if !busy[(i+1)%len(servers)] {
+				e := other.Entry
+				e.Weight = 1 + rng.Float64()
+				other.Entry = e
+				roster.Set(e)
+			}
+		}
+		told := time.Now()
+		ledger.Told(s.ID, told)
+		e := s.Entry
+		e.State = membership.Draining
+		roster.Set(e)
+		away.Go(func() {
+			var each sync.WaitGroup
+			for _, p := range proxies {
+				each.Go(func() {
+					ok := p.Await(drainFor, func(t *xdsproxy.Table) bool { return !t.Usable(s.ID) })
+					mu.Lock()
+					defer mu.Unlock()
+					if !ok {
+						lag = append(lag, time.Hour)
+						return
+					}
+					lag = append(lag, time.Since(told))
+				})
+			}
+			each.Wait()
+			time.Sleep(time.Until(told.Add(drainFor)))
+			ledger.Up(s.ID)
+			roster.Set(s.Entry)
+			free <- i
+		})
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			away.Wait()
+			return nil, ctx.Err()
+		}
+		if n%100 == 99 {
+			o.logf("%d drains", n+1)
+		}
+	}
+	away.Wait()
+	cancel()
+	running.Wait()
+	broken, words := ledger.Breaches(time.Now())
+	slices.Sort(lag)
+	t := ledger.Totals
+	r.add("drains", float64(drains), "")
+	r.add("requests", float64(t.Begun), "")
+	r.add("begun_later_than_250ms", float64(broken[3]), "")
+	r.add("latest_after_told", millis(t.LatestAfterDrain), "ms")
+	r.add("told_to_applied_p50", millis(percentile(lag, 0.5)), "ms")
+	r.add("p99", millis(percentile(lag, 0.99)), "ms")
+	r.add("max", millis(lag[len(lag)-1]), "ms")
+	if broken[3] > 0 {
+		r.short("%d requests began later than 250 ms after the drain was told: %v", broken[3], words[0])
+	}
+	if broken[2] > 0 {
+		r.short("rule 2 broken %d times: %v", broken[2], words[0])
+	}
+	if t.Begun < drains {
+		r.short("only %d requests began: the proof says nothing", t.Begun)
+	}
+	if m := lag[len(lag)-1]; m > 250*time.Millisecond {
+		r.short("a proxy applied a drain %v after it was told", m)
+	}
+	return r, nil
+}
+
+// steady passes requests through a proxy, one after the other, about 100 a second.
+func steady(ctx context.Context, p *xdsproxy.Proxy, ledger *lab.Ledger, name string) {
+	t := time.NewTicker(10 * time.Millisecond)
+	defer t.Stop()
+	classes := []struct {
+		name   string
+		effect lab.Effect
+	}{{"read", lab.Safe}, {"send", lab.Keyed}, {"order", lab.Unsafe}}
+	for n := 0; ; n++ {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		id := fmt.Sprintf("%s-%d", name, n)
+		c := classes[n%3]
+		ledger.Asked(id, c.effect, id, time.Now().Add(2*time.Second))
+		res := p.Call(context.WithoutCancel(ctx), c.name, fmt.Sprint(n%97), id+" ")
+		v := lab.Failed
+		switch {
+		case res.Status == 200:
+			v = lab.Served
+		case !res.Sent && (res.Status == 429 || res.Status == 503):
+			v = lab.Refused
+		}
+		ledger.Answered(id, v, time.Now())
+	}
+}
--- /dev/null
+++ b/internal/lab/prove/prove.go
@@ -0,0 +1,138 @@
+// Package prove holds the long proofs: each runs the product on loopback beside stand-ins, counts at
+// the stand-ins, and says by how much it holds. `ringtrack-lab prove NAME` runs them.
+package prove
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/membership"
+)
+
+// Options say how a proof is run.
+type Options struct {
+	Seed  uint64
+	Scale float64 // of sizes and counts; 1 is the whole proof
+	// Defect seeds the one defect of the lab that the proof is to find.
+	Defect bool
+	Log    io.Writer // progress; nil: none
+}
+
+// scaled is n at the scale, and least at the least.
+func (o *Options) scaled(n, least int) int { return max(int(float64(n)*o.Scale), least) }
+
+func (o *Options) rng() *rand.Rand { return rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)) }
+
+func (o *Options) logf(format string, args ...any) {
+	if o.Log != nil {
+		fmt.Fprintf(o.Log, format+"\n", args...)
+	}
+}
+
+// Report is what a proof found.
+type Report struct {
+	Proof   string   `json:"proof"`
+	Seed    uint64   `json:"seed"`
+	Scale   float64  `json:"scale"`
+	Figures []Figure `json:"figures"`
+	Short   []string `json:"short,omitempty"` // what fell short of its bound
+}
+
+// Figure is one thing measured.
+type Figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit,omitempty"`
+}
+
+func (r *Report) add(name string, value float64, unit string) {
+	r.Figures = append(r.Figures, Figure{name, value, unit})
+}
+
+// Value returns a figure by name, 0 where there is none.
+func (r *Report) Value(name string) float64 {
+	for _, f := range r.Figures {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return 0
+}
+
+func (r *Report) short(format string, args ...any) {
+	r.Short = append(r.Short, fmt.Sprintf(format, args...))
+}
+
+// Line is the report on one line.
+func (r *Report) Line() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: seed %d scale %g:", r.Proof, r.Seed, r.Scale)
+	for _, f := range r.Figures {
+		fmt.Fprintf(&b, " %s %.4g%s;", f.Name, f.Value, f.Unit)
+	}
+	if len(r.Short) == 0 {
+		b.WriteString(" holds")
+	} else {
+		b.WriteString(" FALLS SHORT: " + strings.Join(r.Short, "; "))
+	}
+	return b.String()
+}
+
+// JSON is the report as text.
+func (r *Report) JSON() string {
+	b, _ := json.MarshalIndent(r, "", " ")
+	return string(b)
+}
+
+// Proof is one proof.
+type Proof struct {
+	Name  string
+	About string
+	Quick float64 // the scale of --quick
+	Run   func(context.Context, *Options) (*Report, error)
+}
+
+// All are the proofs, by name.
+var All = []Proof{
+	{"cold", "100 proxies, one cold server: what all send it stays under its fall budget", 1, Cold},
+	{"crowd", "1,000 proxies, 1,000 servers, one drain: time, bytes and CPU, beside go-control-plane's snapshot cache", 0.2, Crowd},
+	{"drains", "1,000 drains under steady requests and with pushes in flight: nothing new later than 250 ms", 0.4, Drains},
+	{"stall", "1,000 proxies of which one reads nothing: the others notice nothing", 0.3, Stall},
+}
+
+// Find returns a proof by name.
+func Find(name string) (Proof, bool) {
+	i := slices.IndexFunc(All, func(p Proof) bool { return p.Name == name })
+	if i < 0 {
+		return Proof{}, false
+	}
+	return All[i], true
+}
+
+var zones = []string{"east", "west", "south"}
+
+// paper are entries of servers that nobody reaches.
+func paper(n int) []membership.Entry {
+	out := make([]membership.Entry, n)
+	for i := range out {
+		out[i] = membership.Entry{ID: fmt.Sprintf("s-%05d", i), Addr: fmt.Sprintf("127.%d.%d.%d:8000", 1+i/62500, 1+i/250%250, 1+i%250),
+			Zone: zones[i%len(zones)], Kind: "fast", State: membership.Up, Weight: 1}
+	}
+	return out
+}
+
+// percentile of a sorted list.
+func percentile(sorted []time.Duration, p float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(p*float64(len(sorted))), len(sorted)-1)]
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -116,7 +116,7 @@
 		}
 		id, _, _ := strings.Cut(string(body), " ")
 		if id == "" {
-			id = req.Header.Get("Operation")
+			id = req.URL.Query().Get("op") // of a request without a body
 		}
 		switch Mode(s.mode.Load()) {
 		case Silent:
--- a/internal/lab/xdsproxy/call.go
+++ b/internal/lab/xdsproxy/call.go
@@ -159,3 +159,17 @@
 	}
 	return Answer5xx, resp.StatusCode
 }
+
+// Note counts a request at a server as sent and served, without sending any: for proofs that only
+// look at where requests would go.
+func (p *Proxy) Note(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stats[addr]
+	if s == nil {
+		s = &stat{}
+		p.stats[addr] = s
+	}
+	s.issued++
+	s.ok++
+}
--- a/internal/membership/roster/roster.go
+++ b/internal/membership/roster/roster.go
@@ -32,6 +32,9 @@
 	// callsPerS and callBurst bound the calls: a discovery that answers watches at
 	// once must not be asked in a tight loop. A watch outlives the gap.
 	callsPerS, callBurst = 10, 10
+	// sourceCallsPerS is the same for a Source: of these there are few, one a control service, and a
+	// drain that waited for its turn would come late to all their proxies.
+	sourceCallsPerS = 50
 	// MaxList bounds an answer of the roster, in bytes.
 	MaxList = 8 << 20
 )
--- a/internal/membership/roster/source.go
+++ b/internal/membership/roster/source.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"ringtrack.example/ringtrack/internal/membership"
 )
 
@@ -29,6 +31,7 @@
 	}
 	for pause := least; ctx.Err() == nil; pause = min(2*pause, most) {
 		c := NewClient(ctx, s.Addr)
+		c.limit = rate.NewLimiter(sourceCallsPerS, sourceCallsPerS)
 		c.Told = func(l *membership.List, _ bool, err error) {
 			if err == nil {
 				pause = least / 2 // doubled before its next use
