Tests of the control service's hard cases; a collection that is not known yet is not empty

Cause: a proxy that takes servers one by one and came back to a service that had no list yet was told that all its servers were gone (found by the test that restarts the service while the roster is down). An empty list was believed by a process that knew nothing. Change: nothing is said of collections before there is a list. Each zone and priority is rendered once for all groups.

--- /dev/null
+++ b/internal/control/assign/routes_test.go
@@ -0,0 +1,73 @@
+package assign
+
+import (
+	"testing"
+
+	"ringtrack.example/ringtrack/policy"
+)
+
+// ending is how an attempt may end at a proxy, and whether it may have run, by the protocol page.
+type ending struct {
+	name   string
+	mayRun bool
+}
+
+var endings = []ending{
+	{"error answer", true}, {"turned away", false}, {"could not connect", false}, {"reset", true}, {"timed out", true},
+}
+
+// modelAllows is rule 2, written from the brief and not from the code: whether a class may be tried
+// again by a proxy that knows no window and no group, at any time within giveUp.
+func modelAllows(c policy.Class, e ending) bool {
+	if !e.mayRun {
+		return true
+	}
+	switch c.Effect {
+	case policy.Free:
+		return true
+	case policy.Guarded:
+		return c.Group == policy.GroupAll && c.KeyTTLMs > c.GiveUpMs
+	}
+	return false
+}
+
+func TestRoutesKeepRuleTwo(t *testing.T) {
+	var classes []policy.Class
+	for _, effect := range []policy.Effect{policy.Free, policy.Guarded, policy.SingleShot} {
+		for _, group := range []policy.Group{policy.GroupAll, policy.GroupZone, policy.GroupCell} {
+			for _, ttl := range []float64{0, 300, 599, 600, 640, 660, 5000} {
+				classes = append(classes, policy.Class{Name: string(effect) + string(group), AimMs: 100, GiveUpMs: 600, Effect: effect, Group: group, KeyTTLMs: ttl})
+			}
+		}
+	}
+	for attempts, want := range map[int]int{1: 0, 2: 1, 3: 2, 7: 2} {
+		s := testSettings()
+		s.Classes, s.Limits.MaxAttempts = classes, attempts
+		routes := Routes(&s)
+		if len(routes) != len(classes)+1 {
+			t.Fatalf("%d routes", len(routes))
+		}
+		for i, r := range routes {
+			c := policy.Class{Effect: policy.SingleShot, GiveUpMs: 600}
+			if i < len(classes) {
+				c = classes[i]
+			}
+			if r.Retries != want {
+				t.Errorf("%d attempts allowed: %d retries, want %d", attempts, r.Retries, want)
+			}
+			if !(r.TimeoutMs > 0 && r.TimeoutMs < c.GiveUpMs) {
+				t.Errorf("%+v: time-out %v of %v", c, r.TimeoutMs, c.GiveUpMs)
+			}
+			for _, e := range endings {
+				again := !e.mayRun || r.On == AnyFailure
+				if again && !modelAllows(c, e) {
+					t.Errorf("%+v is tried again after %q", c, e.name)
+				}
+			}
+			// And what is plainly allowed is used.
+			if c.Effect == policy.Free && r.On != AnyFailure || c.Effect == policy.Guarded && c.Group == policy.GroupAll && c.KeyTTLMs == 5000 && r.On != AnyFailure {
+				t.Errorf("%+v is not tried again", c)
+			}
+		}
+	}
+}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -76,7 +76,7 @@
 	w.t.Helper()
 	if !p.Await(patience, want) {
 		t, _ := p.Table()
-		w.t.Fatalf("never saw %s; holds %+v; last error %q", what, t.Endpoints, p.LastError())
+		w.t.Fatalf("never saw %s; holds %.600s; last error %q", what, fmt.Sprintf("%+v", t.Endpoints), p.LastError())
 	}
 }
 
@@ -93,7 +93,7 @@
 			return r
 		}
 	}
-	w.t.Fatalf("never saw %s; the admin page tells %+v", what, r)
+	w.t.Fatalf("never saw %s; the admin page tells %.1500s", what, fmt.Sprintf("%+v", r))
 	return nil
 }
 
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -219,15 +219,11 @@
 	a := h.assigner.Assignment(now, zone)
 	old := g.now.Load()
 	next := &snapshot{seq: h.seq, urgent: h.drain.seq, assignment: a, nonces: h.nonces, frames: map[frameKey]frame{}}
-	var before *resource.Servers
-	if old != nil {
-		before = old.servers
-	}
 	if a != nil {
 		if old != nil && old.assignment == a {
 			next.servers = old.servers
 		} else {
-			servers, err := h.renderer.Render(a, before)
+			servers, err := h.renderer.Render(a)
 			if err != nil {
 				h.log.Error("assignment not rendered, the last one stays", "zone", zone, "err", err)
 				return
--- a/internal/control/resource/endpoints.go
+++ b/internal/control/resource/endpoints.go
@@ -33,19 +33,29 @@
 type Renderer struct {
 	Service string // the name that clusters know the servers by
 	cache   map[string]cached
+	places  map[place]*part
+	round   uint64
+}
+
+// part is one zone and priority as it was rendered last. It is the same for all groups, and after a
+// drain for all zones but one.
+type part struct {
+	members []assign.Endpoint
+	body    []byte // the servers as they stand in a LocalityLbEndpoints
+	digest  []byte // of body, so that it is hashed once for all groups
+	set     *Set
 	round   uint64
 }
 
 type cached struct {
 	e     assign.Endpoint
-	value []byte // a marshalled LbEndpoint
-	res   map[string]*Resource
-	round uint64
+	value []byte               // a marshalled LbEndpoint
+	res   map[string]*Resource // by collection: the name is its path
 }
 
 // NewRenderer returns a renderer for a service of this name.
 func NewRenderer(service string) *Renderer {
-	return &Renderer{Service: service, cache: map[string]cached{}}
+	return &Renderer{Service: service, cache: map[string]cached{}, places: map[place]*part{}}
 }
 
 // Servers is an assignment as resources: whole, for proxies that take servers in one piece, and split
@@ -61,9 +71,9 @@
 	zone     string
 }
 
-// Render makes the resources of an assignment. Collections that are as in before are those of before,
-// and so cost nothing to compare. before may be nil.
-func (r *Renderer) Render(a *assign.Assignment, before *Servers) (*Servers, error) {
+// Render makes the resources of an assignment. Collections that are as they were last are the same
+// sets, and so cost nothing to compare.
+func (r *Renderer) Render(a *assign.Assignment) (*Servers, error) {
 	r.round++
 	priorityOf := priorities(a)
 	members := map[place][]*assign.Endpoint{}
@@ -85,6 +95,7 @@
 	})
 	out := &Servers{Collections: make(map[string]*Set, len(places))}
 	var whole, split []byte
+	var stamp [][]byte
 	whole = protowire.AppendTag(whole, 1, protowire.BytesType)
 	whole = protowire.AppendString(whole, r.Service)
 	split = append(split, whole...)
@@ -94,23 +105,15 @@
 		if err != nil {
 			return nil, err
 		}
-		size := len(head)
-		set := make([]*Resource, 0, len(members[at]))
-		for _, e := range members[at] {
-			c, err := r.endpoint(e, collection)
-			if err != nil {
-				return nil, err
-			}
-			size += fieldSize(2, len(c.value))
-			set = append(set, c.res[collection])
+		p, err := r.part(at, members[at], collection)
+		if err != nil {
+			return nil, err
 		}
 		whole = protowire.AppendTag(whole, 2, protowire.BytesType)
-		whole = protowire.AppendVarint(whole, uint64(size))
+		whole = protowire.AppendVarint(whole, uint64(len(head)+len(p.body)))
 		whole = append(whole, head...)
-		for _, e := range members[at] {
-			whole = protowire.AppendTag(whole, 2, protowire.BytesType)
-			whole = protowire.AppendBytes(whole, r.cache[e.ID].value)
-		}
+		whole = append(whole, p.body...)
+		stamp = append(stamp, head, p.digest)
 		leds, err := proto.MarshalOptions{Deterministic: true}.Marshal(&endpointv3.LocalityLbEndpoints{
 			LbConfig: &endpointv3.LocalityLbEndpoints_LedsClusterLocalityConfig{
 				LedsClusterLocalityConfig: &endpointv3.LedsClusterLocalityConfig{
@@ -120,34 +123,70 @@
 		}
 		split = protowire.AppendTag(split, 2, protowire.BytesType)
 		split = protowire.AppendBytes(split, append(head, leds...))
-		next := NewSet(set...)
-		if before != nil && before.Collections[collection] != nil && before.Collections[collection].Version == next.Version {
-			next = before.Collections[collection]
-		}
-		out.Collections[collection] = next
+		out.Collections[collection] = p.set
 	}
 	policy, err := proto.MarshalOptions{Deterministic: true}.Marshal(&endpointv3.ClusterLoadAssignment{Policy: dropPolicy(a.Shed)})
 	if err != nil {
 		return nil, fmt.Errorf("drop policy: %w", err)
 	}
 	whole, split = append(whole, policy...), append(split, policy...)
-	out.Whole = fromValue(Endpoints, r.Service, whole, version(whole))
+	out.Whole = fromValue(Endpoints, r.Service, whole, version(append(stamp, policy)...))
 	out.Split = fromValue(Endpoints, r.Service, split, version(split))
 	return out, nil
 }
 
-// Sweep forgets the bytes of servers that no assignment had since the last sweep.
+// part renders one zone and priority, or returns it as it was where nothing of it changed.
+func (r *Renderer) part(at place, members []*assign.Endpoint, collection string) (*part, error) {
+	p := r.places[at]
+	if p != nil && slices.EqualFunc(p.members, members, func(a assign.Endpoint, b *assign.Endpoint) bool { return a == *b }) {
+		p.round = r.round
+		return p, nil
+	}
+	p = &part{members: make([]assign.Endpoint, 0, len(members)), round: r.round}
+	set := make([]*Resource, 0, len(members))
+	size := 0
+	for _, e := range members {
+		c, err := r.endpoint(e, collection)
+		if err != nil {
+			return nil, err
+		}
+		p.members = append(p.members, *e)
+		set = append(set, c.res[collection])
+		size += fieldSize(2, len(c.value))
+	}
+	p.body = make([]byte, 0, size)
+	for _, e := range members {
+		p.body = protowire.AppendTag(p.body, 2, protowire.BytesType)
+		p.body = protowire.AppendBytes(p.body, r.cache[e.ID].value)
+	}
+	p.set, p.digest = NewSet(set...), []byte(version(p.body))
+	r.places[at] = p
+	return p, nil
+}
+
+// Sweep forgets what no assignment had lately.
 func (r *Renderer) Sweep() {
-	for id, c := range r.cache {
-		if c.round == 0 {
+	for at, p := range r.places {
+		if r.round-p.round > sweepAfter {
+			delete(r.places, at)
+		}
+	}
+	in := make(map[string]bool, len(r.cache))
+	for _, p := range r.places {
+		for i := range p.members {
+			in[p.members[i].ID] = true
+		}
+	}
+	for id := range r.cache {
+		if !in[id] {
 			delete(r.cache, id)
-			continue
 		}
-		c.round = 0
-		r.cache[id] = c
 	}
 }
 
+// sweepAfter is the number of renderings after which a place that none of them had is forgotten.
+const sweepAfter = 16
+
 // priorities numbers the tiers that have a usable server, without gaps: proxies reject a set with one.
 // Where no server is usable all stand in the first.
 func priorities(a *assign.Assignment) [3]uint32 {
@@ -234,7 +273,6 @@
 		name := strings.TrimSuffix(collection, "*") + escape(strings.ToValidUTF8(e.ID, "?"))
 		c.res[collection] = fromValue(LbEndpoint, name, c.value, version(c.value))
 	}
-	c.round = r.round
 	r.cache[e.ID] = c
 	return c, nil
 }
--- /dev/null
+++ b/internal/control/resource/resource_test.go
@@ -0,0 +1,314 @@
+package resource
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	listenerv3 "github.com/envoyproxy/go-control-plane/envoy/config/listener/v3"
+	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"ringtrack.example/ringtrack/internal/control/assign"
+	"ringtrack.example/ringtrack/policy"
+)
+
+func testService() *Service {
+	s := policy.Settings{Classes: []policy.Class{
+		{Name: "read", AimMs: 200, GiveUpMs: 800, Effect: policy.Free},
+		{Name: "send", AimMs: 300, GiveUpMs: 600, Effect: policy.Guarded, Group: policy.GroupAll, KeyTTLMs: 1200},
+		{Name: "order", AimMs: 500, GiveUpMs: 1200, Effect: policy.SingleShot},
+	}, Limits: policy.Limits{MaxAttempts: 3, ConnectTimeoutMs: 150, OpenCap: 5000}}
+	return &Service{Name: "orders", Listen: "0.0.0.0:8080", Balancer: "ring_hash", AffinityHeader: "X-Affinity", Settings: s, Routes: assign.Routes(&s)}
+}
+
+func ep(i int) assign.Endpoint {
+	return assign.Endpoint{ID: fmt.Sprintf("s-%d", i), Addr: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: []string{"east", "west"}[i%2], Weight: 960}
+}
+
+func assignment(change func([]assign.Endpoint)) *assign.Assignment {
+	var es []assign.Endpoint
+	for i := range 6 {
+		es = append(es, ep(i))
+	}
+	if change != nil {
+		change(es)
+	}
+	return &assign.Assignment{Zone: "east", Own: 150, Endpoints: es}
+}
+
+func decode[M proto.Message](t *testing.T, r *Resource, m M) M {
+	t.Helper()
+	var a anypb.Any
+	if err := proto.Unmarshal(r.any, &a); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.UnmarshalTo(m); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func render(t *testing.T, r *Renderer, a *assign.Assignment) *Servers {
+	t.Helper()
+	s, err := r.Render(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// What is put together by hand on the wire is what the library reads.
+func TestFramesAreTheProtocols(t *testing.T) {
+	s := render(t, NewRenderer("orders"), assignment(nil))
+	rs := []*Resource{s.Whole, s.Split}
+	var full discoveryv3.DiscoveryResponse
+	if err := proto.Unmarshal(Full(Endpoints, "v1", "n1", rs), &full); err != nil {
+		t.Fatal(err)
+	}
+	if full.VersionInfo != "v1" || full.Nonce != "n1" || full.TypeUrl != Endpoints || len(full.Resources) != 2 {
+		t.Errorf("%+v", &full)
+	}
+	var set endpointv3.ClusterLoadAssignment
+	if err := full.Resources[0].UnmarshalTo(&set); err != nil || set.ClusterName != "orders" {
+		t.Errorf("%v, %+v", err, &set)
+	}
+	for _, c := range []struct {
+		ttl  int
+		bare bool
+	}{{0, false}, {30, false}, {300, true}} {
+		var d discoveryv3.DeltaDiscoveryResponse
+		if err := proto.Unmarshal(Delta(Endpoints, "v2", "n2", rs, []string{"x", "y"}, c.ttl, c.bare), &d); err != nil {
+			t.Fatal(err)
+		}
+		if d.SystemVersionInfo != "v2" || d.Nonce != "n2" || d.TypeUrl != Endpoints || len(d.Resources) != 2 || !slices.Equal(d.RemovedResources, []string{"x", "y"}) {
+			t.Errorf("%+v", &d)
+		}
+		one := d.Resources[0]
+		if one.Name != "orders" || one.Version != s.Whole.Version || one.GetTtl().GetSeconds() != int64(c.ttl) || (one.Resource == nil) != c.bare {
+			t.Errorf("%v %v: %+v", c.ttl, c.bare, one)
+		}
+	}
+}
+
+// The set that is put together from parts is the same as one that is marshalled whole.
+func TestWholeSet(t *testing.T) {
+	a := assignment(func(es []assign.Endpoint) {
+		es[1].Draining = true
+		es[2].Tier = assign.Last
+		es[3].Weight = 90
+	})
+	a.Shed = 25
+	set := decode(t, render(t, NewRenderer("orders"), a).Whole, &endpointv3.ClusterLoadAssignment{})
+	if set.GetPolicy().GetOverprovisioningFactor().GetValue() != overprovision || set.GetPolicy().GetDropOverloads()[0].GetDropPercentage().GetNumerator() != 25 {
+		t.Errorf("policy %+v", set.GetPolicy())
+	}
+	type place struct {
+		prio uint32
+		zone string
+	}
+	got := map[place]int{}
+	for _, l := range set.Endpoints {
+		got[place{l.Priority, l.Locality.Zone}] = len(l.LbEndpoints)
+		for _, e := range l.LbEndpoints {
+			addr := e.GetEndpoint().GetAddress().GetSocketAddress().GetAddress()
+			if draining := e.HealthStatus.String() == "DRAINING"; draining != (addr == "10.0.0.2") {
+				t.Errorf("%s: %v", addr, e.HealthStatus)
+			}
+		}
+	}
+	want := map[place]int{{0, "east"}: 2, {0, "west"}: 3, {1, "east"}: 1}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("places %v, want %v", got, want)
+	}
+}
+
+// Priorities never have gaps, whatever tiers are empty, and a set is never empty while any is listed.
+func TestPrioritiesHaveNoGaps(t *testing.T) {
+	for mask := range 4 * 4 * 4 * 4 {
+		a := assignment(func(es []assign.Endpoint) {
+			for i, m := 0, mask; i < 4; i, m = i+1, m/4 {
+				if m%4 == 3 {
+					es[i].Draining = true
+				} else {
+					es[i].Tier = assign.Tier(m % 4)
+				}
+			}
+		})
+		a.Endpoints = a.Endpoints[:4]
+		set := decode(t, render(t, NewRenderer("orders"), a).Whole, &endpointv3.ClusterLoadAssignment{})
+		seen, n := map[uint32]bool{}, 0
+		most := uint32(0)
+		for _, l := range set.Endpoints {
+			seen[l.Priority] = true
+			most = max(most, l.Priority)
+			n += len(l.LbEndpoints)
+			if l.LoadBalancingWeight.GetValue() == 0 {
+				t.Errorf("mask %d: a locality without weight", mask)
+			}
+		}
+		if n != 4 || int(most)+1 != len(seen) {
+			t.Fatalf("mask %d: %d servers, priorities %v", mask, n, seen)
+		}
+	}
+}
+
+// Two replicas, however they got there, render the same bytes; and a drain changes one server's
+// resource and no other's.
+func TestSameBytes(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	one, other := NewRenderer("orders"), NewRenderer("orders")
+	for range 50 { // one has a past
+		render(t, one, assignment(func(es []assign.Endpoint) {
+			for i := range es {
+				es[i].Tier, es[i].Weight, es[i].Draining = assign.Tier(rng.IntN(3)), uint32(1+rng.IntN(960)), rng.IntN(3) == 0
+			}
+		}))
+		one.Sweep()
+	}
+	x, y := render(t, one, assignment(nil)), render(t, other, assignment(nil))
+	if !bytes.Equal(x.Whole.any, y.Whole.any) || !bytes.Equal(x.Split.any, y.Split.any) || x.Whole.Version != y.Whole.Version {
+		t.Error("replicas differ")
+	}
+	for name, set := range x.Collections {
+		if changed, removed := set.Diff(y.Collections[name]); len(changed)+len(removed) > 0 {
+			t.Errorf("%s: replicas differ in %v, %v", name, changed, removed)
+		}
+	}
+	drained := render(t, one, assignment(func(es []assign.Endpoint) { es[3].Draining = true }))
+	news := 0
+	for name, set := range drained.Collections {
+		changed, removed := set.Diff(x.Collections[name])
+		news += len(changed) + len(removed)
+		if set == x.Collections[name] != (len(changed)+len(removed) == 0) {
+			t.Errorf("%s: the same collection is another one", name)
+		}
+	}
+	if news != 1 {
+		t.Errorf("a drain changed %d resources, want 1", news)
+	}
+}
+
+// What proxies must be told for the drain rule to hold, and for no request to be sent twice unasked.
+func TestServiceResources(t *testing.T) {
+	s := testService()
+	clusters, err := s.Clusters(9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(clusters) != 4 {
+		t.Fatalf("%d clusters", len(clusters))
+	}
+	for _, r := range clusters {
+		c := decode(t, r, &clusterv3.Cluster{})
+		common := c.GetCommonLbConfig()
+		switch {
+		case common.GetHealthyPanicThreshold() == nil || common.GetHealthyPanicThreshold().GetValue() != 0:
+			t.Errorf("%s: a panic threshold", c.Name)
+		case common.GetUpdateMergeWindow() == nil || common.GetUpdateMergeWindow().AsDuration() != 0:
+			t.Errorf("%s: changes of health are merged", c.Name)
+		case common.GetConsistentHashingLbConfig().GetHashBalanceFactor().GetValue() != 300:
+			t.Errorf("%s: no cap", c.Name)
+		case c.GetLbPolicy() != clusterv3.Cluster_RING_HASH || c.GetRingHashLbConfig().GetMinimumRingSize().GetValue() != 1024:
+			t.Errorf("%s: no ring", c.Name)
+		case c.GetEdsClusterConfig().GetServiceName() != "orders" || c.GetCircuitBreakers().GetThresholds()[0].GetMaxRequests().GetValue() != 5000:
+			t.Errorf("%s: %+v", c.Name, c)
+		}
+	}
+	rc, err := s.RouteConfig()
+	if err != nil {
+		t.Fatal(err)
+	}
+	routes := decode(t, rc, &routev3.RouteConfiguration{}).VirtualHosts[0].Routes
+	if len(routes) != 4 || len(routes[3].Match.Headers) != 0 {
+		t.Fatalf("%d routes; the last is to take the rest", len(routes))
+	}
+	for i, on := range []string{"5xx,reset,connect-failure,refused-stream,retriable-headers", "5xx,reset,connect-failure,refused-stream,retriable-headers",
+		"connect-failure,refused-stream,retriable-headers", "connect-failure,refused-stream,retriable-headers"} {
+		a := routes[i].GetRoute()
+		if a.RetryPolicy.RetryOn != on || a.RetryPolicy.NumRetries.GetValue() != 2 || a.HedgePolicy != nil || a.RetryPolicy.PerTryTimeout != nil {
+			t.Errorf("route %s: %+v", routes[i].Name, a.RetryPolicy)
+		}
+	}
+	ls, err := s.Listeners()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := decode(t, ls[1], &listenerv3.Listener{}); l.GetAddress().GetSocketAddress().GetPortValue() != 8080 {
+		t.Errorf("%+v", l)
+	}
+	s.Balancer = "maglev"
+	again, err := s.Clusters(9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c := decode(t, again[0], &clusterv3.Cluster{}); c.GetLbPolicy() != clusterv3.Cluster_MAGLEV {
+		t.Errorf("%v", c.GetLbPolicy())
+	}
+}
+
+func TestKeyOfPath(t *testing.T) {
+	for path, want := range map[string]string{"/api/7f3a": "7f3a", "/api/7f3a?op=1/2": "7f3a", "/": "", "/a": "a"} {
+		if got := KeyOfPath(path); got != want {
+			t.Errorf("%s: key %q, want %q", path, got, want)
+		}
+	}
+}
+
+// Names that could be taken for more than one part of a path are not.
+func TestCollectionNames(t *testing.T) {
+	r := NewRenderer("or/ders")
+	a := assignment(func(es []assign.Endpoint) { es[0].ID, es[0].Zone = "a/b*", "ea/st" })
+	for name, set := range render(t, r, a).Collections {
+		if strings.Count(name, "/") != 7 || strings.Count(name, "*") != 1 {
+			t.Errorf("collection %q", name)
+		}
+		for _, n := range set.Names() {
+			if strings.Count(n, "/") != 7 || strings.Contains(n, "*") {
+				t.Errorf("resource %q", n)
+			}
+		}
+	}
+}
+
+func TestRingSize(t *testing.T) {
+	for servers, want := range map[int]uint64{0: 1024, 16: 1024, 17: 2048, 1000: 65536, 100000: 1 << 18} {
+		if got := RingSize(servers); got != want {
+			t.Errorf("%d servers: ring %d, want %d", servers, got, want)
+		}
+	}
+}
+
+func BenchmarkRenderDrain(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var es []assign.Endpoint
+			for i := range n {
+				e := ep(i)
+				e.Addr = fmt.Sprintf("10.%d.%d.%d:80", i/62500, i/250%250, 1+i%250)
+				es = append(es, e)
+			}
+			r := NewRenderer("orders")
+			if _, err := r.Render(&assign.Assignment{Zone: "east", Own: 150, Endpoints: es}); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				next := slices.Clone(es)
+				next[i%n].Draining = true
+				for _, zone := range []string{"east", "west", "south", ""} { // all groups
+					if _, err := r.Render(&assign.Assignment{Zone: zone, Own: 150, Endpoints: next}); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/control/stream.go
+++ b/internal/control/stream.go
@@ -521,6 +521,9 @@
 		to      *resource.Set
 		removes bool
 	}
+	if snap.servers == nil {
+		return nil // no list yet: what is not known is not said to be empty
+	}
 	var due []news
 	for glob, had := range sb.globs {
 		cur := snap.collection(glob)
--- a/internal/lab/xdsproxy/proxy.go
+++ b/internal/lab/xdsproxy/proxy.go
@@ -240,6 +240,20 @@
 		}
 	}
 	asked := map[string][]string{}
+	more := func() error {
+		for t, names := range p.wants() {
+			if !slices.Equal(asked[t], names) {
+				asked[t] = names
+				if err := s.ask(t, names); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
+	if err := more(); err != nil { // what it holds of another stream refers to more
+		return err
+	}
 	for {
 		p.pass(ctx)
 		r, err := s.recv()
@@ -260,13 +274,8 @@
 		if err := s.ack(r, reason); err != nil {
 			return err
 		}
-		for t, names := range p.wants() {
-			if !slices.Equal(asked[t], names) {
-				asked[t] = names
-				if err := s.ask(t, names); err != nil {
-					return err
-				}
-			}
+		if err := more(); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/lab/xdsproxy/table.go
+++ b/internal/lab/xdsproxy/table.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
@@ -24,7 +25,7 @@
 	routes    map[string]Route
 	rest      *Route
 	factor    float64 // of the bounded load; 0: none
-	ring      []point
+	ring      func() []point // made when it is first picked from
 	usable    map[string]float64 // part of the requests, by address, in the priority in use
 }
 
@@ -156,9 +157,7 @@
 		}
 	}
 	slices.SortFunc(t.Endpoints, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	if p.o.Conn == nil || len(t.Endpoints) <= 64 { // crowds that share a connection do not pick
-		t.makeRing(parts, least, minimum)
-	}
+	t.ring = sync.OnceValue(func() []point { return t.makeRing(parts, least, minimum) })
 	return t
 }
 
@@ -171,9 +170,9 @@
 
 // makeRing places each server in proportion to its part, as ketama rings do: so many points that the
 // smallest has one at least.
-func (t *Table) makeRing(parts map[string]float64, least float64, minimum uint64) {
+func (t *Table) makeRing(parts map[string]float64, least float64, minimum uint64) (ring []point) {
 	if len(parts) == 0 {
-		return
+		return nil
 	}
 	scale := math.Ceil(least*float64(minimum)) / least
 	scale = min(scale, 8*float64(minimum))
@@ -186,11 +185,12 @@
 		}
 		target += part * scale
 		for n := 0; current < target; n++ {
-			t.ring = append(t.ring, point{hash(fmt.Sprintf("%s_%d", e.ID, n)), e.Addr})
+			ring = append(ring, point{hash(fmt.Sprintf("%s_%d", e.ID, n)), e.Addr})
 			current++
 		}
 	}
-	slices.SortFunc(t.ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	slices.SortFunc(ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	return ring
 }
 
 func hash(s string) uint64 {
@@ -205,11 +205,12 @@
 // Pick walks the ring from the key's place to a server that is not over its bound; inflight tells how
 // many requests an address has. "" where there is nobody.
 func (t *Table) Pick(key string, inflight func(addr string) int, avoid map[string]bool) string {
-	if len(t.ring) == 0 {
+	if t.ring == nil {
 		return ""
 	}
+	ring := t.ring()
 	h := hash(key)
-	start := sort.Search(len(t.ring), func(i int) bool { return t.ring[i].hash >= h })
+	start := sort.Search(len(ring), func(i int) bool { return ring[i].hash >= h })
 	total := 0
 	if t.factor > 0 && inflight != nil {
 		for addr := range t.usable {
@@ -217,8 +218,8 @@
 		}
 	}
 	seen, last := map[string]bool{}, ""
-	for i := range t.ring {
-		addr := t.ring[(start+i)%len(t.ring)].addr
+	for i := range ring {
+		addr := ring[(start+i)%len(ring)].addr
 		if seen[addr] {
 			continue
 		}
