--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -285,13 +285,14 @@
 	if old := h.static[resource.Cluster]; old != nil {
 		_, removed := next[resource.Cluster].Diff(old)
 		if len(removed) > 0 {
-			h.retired = next[resource.Cluster]
+			only := next[resource.Cluster]
+			h.retired = only
 			both := slices.Clone(clusters)
 			for _, name := range removed {
 				both = append(both, old.Get(name))
 			}
 			next[resource.Cluster] = resource.NewSet(both...)
-			time.AfterFunc(breakAfter, func() { h.post(h.retire) })
+			time.AfterFunc(breakAfter, func() { h.post(func() { h.retire(only) }) })
 		}
 	}
 	for t, set := range next {
@@ -303,9 +304,9 @@
 	return nil
 }
 
-// retire takes out the clusters that no routes name any more.
-func (h *hub) retire() {
-	if h.retired == nil {
+// retire takes out the clusters that no routes name any more, unless others have come meanwhile.
+func (h *hub) retire(only *resource.Set) {
+	if h.retired != only {
 		return
 	}
 	static := maps.Clone(h.static)
--- a/internal/control/raw_test.go
+++ b/internal/control/raw_test.go
@@ -46,21 +46,10 @@
 
 func openFull(t *testing.T, conn *grpc.ClientConn) *raw {
 	t.Helper()
-	r := &raw{t: t, conn: conn, got: make(chan *discoveryv3.DiscoveryResponse, 1000), ended: make(chan error, 1)}
-	var err error
-	if r.full, err = discoveryv3.NewAggregatedDiscoveryServiceClient(conn).StreamAggregatedResources(t.Context()); err != nil {
+	r, err := openFullErr(t, conn)
+	if err != nil {
 		t.Fatal(err)
 	}
-	go func() {
-		for {
-			m, err := r.full.Recv()
-			if err != nil {
-				r.ended <- err
-				return
-			}
-			r.got <- m
-		}
-	}()
 	return r
 }
 
@@ -228,3 +217,23 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// openFullErr is openFull where opening itself may fail.
+func openFullErr(t *testing.T, conn *grpc.ClientConn) (*raw, error) {
+	r := &raw{t: t, conn: conn, got: make(chan *discoveryv3.DiscoveryResponse, 1000), ended: make(chan error, 1)}
+	var err error
+	if r.full, err = discoveryv3.NewAggregatedDiscoveryServiceClient(conn).StreamAggregatedResources(t.Context()); err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			m, err := r.full.Recv()
+			if err != nil {
+				r.ended <- err
+				return
+			}
+			r.got <- m
+		}
+	}()
+	return r, nil
+}
--- /dev/null
+++ b/internal/control/witness_test.go
@@ -0,0 +1,236 @@
+package control_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/metadata"
+	_ "google.golang.org/grpc/xds" // the witness: nobody here wrote it
+
+	"ringtrack.example/ringtrack/internal/control"
+	"ringtrack.example/ringtrack/internal/membership"
+)
+
+// The witness is grpc-go's own xDS client. Its bootstrap comes by environment, which it reads at its
+// start, so that it runs in a process of its own: this test's, run again.
+const witnessEnv = "RINGTRACK_TEST_WITNESS"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(witnessEnv) != "" {
+		if err := witness(); err != nil {
+			fmt.Fprintln(os.Stderr, "witness:", err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// witness makes calls as it is told to, a line "CLASS FIRSTKEY CALLS" each, and answers with the
+// number of calls that each server answered, "" for those that failed.
+func witness() error {
+	conn, err := grpc.NewClient("xds:///orders", grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	client := healthpb.NewHealthClient(conn)
+	out := json.NewEncoder(os.Stdout)
+	in := bufio.NewScanner(os.Stdin)
+	for in.Scan() {
+		var class string
+		var first, calls int
+		if _, err := fmt.Sscan(in.Text(), &class, &first, &calls); err != nil {
+			return err
+		}
+		got := map[string]int{}
+		for i := range calls {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			ctx = metadata.AppendToOutgoingContext(ctx, "request-class", class, "x-affinity-key", fmt.Sprint("key-", first+i))
+			var header metadata.MD
+			_, err := client.Check(ctx, &healthpb.HealthCheckRequest{}, grpc.Header(&header))
+			cancel()
+			server := ""
+			if err == nil {
+				server = strings.Join(header.Get("server"), ",")
+			} else {
+				fmt.Fprintln(os.Stderr, "witness:", err)
+			}
+			got[server]++
+		}
+		out.Encode(got)
+	}
+	return nil
+}
+
+// grpcServer answers with its own id.
+type grpcServer struct {
+	healthpb.UnimplementedHealthServer
+	id   string
+	addr string
+	s    *grpc.Server
+}
+
+func (g *grpcServer) Check(ctx context.Context, _ *healthpb.HealthCheckRequest) (*healthpb.HealthCheckResponse, error) {
+	grpc.SetHeader(ctx, metadata.Pairs("server", g.id))
+	return &healthpb.HealthCheckResponse{}, nil
+}
+
+func (g *grpcServer) start(t *testing.T) {
+	t.Helper()
+	addr := g.addr
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.addr = ln.Addr().String()
+	g.s = grpc.NewServer()
+	healthpb.RegisterHealthServer(g.s, g)
+	go g.s.Serve(ln)
+	t.Cleanup(g.s.Stop)
+}
+
+// grpc-go's xDS client resolves the service, spreads by the ring, sends a key where it was, follows a
+// drain, falls over to the next priority and returns.
+func TestWitness(t *testing.T) {
+	var servers []*grpcServer
+	var entries []membership.Entry
+	for i := range 4 {
+		g := &grpcServer{id: fmt.Sprintf("s-%d", i)}
+		g.start(t)
+		servers = append(servers, g)
+		entries = append(entries, membership.Entry{ID: g.id, Addr: g.addr, Zone: "east", State: membership.Up, Weight: 1})
+	}
+	w := newWorld(t, entries, func(c *control.Config) {
+		c.XDS.AffinityHeader = "x-affinity-key"
+		c.Evidence.ReportMs, c.Evidence.LapseMs = 200, 600_000
+	})
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), witnessEnv+"=1", "GRPC_XDS_BOOTSTRAP_CONFIG="+fmt.Sprintf(
+		`{"xds_servers":[{"server_uri":%q,"channel_creds":[{"type":"insecure"}],"server_features":["xds_v3"]}],"node":{"id":"witness","locality":{"zone":"east"}}}`, w.Addr))
+	var log strings.Builder
+	cmd.Stderr = &log
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		in.Close()
+		cmd.Wait()
+		if t.Failed() {
+			t.Logf("the witness: %.3000s", log.String())
+		}
+	})
+	answers := bufio.NewScanner(out)
+	call := func(class string, first, calls int) map[string]int {
+		t.Helper()
+		fmt.Fprintln(in, class, first, calls)
+		if !answers.Scan() {
+			t.Fatal("the witness says nothing")
+		}
+		got := map[string]int{}
+		if err := json.Unmarshal(answers.Bytes(), &got); err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	// until repeats calls until they are answered as wanted.
+	until := func(what string, want func(map[string]int) bool) {
+		t.Helper()
+		var got map[string]int
+		for end := time.Now().Add(patience); time.Now().Before(end); {
+			if got = call("order", 0, 60); want(got) {
+				return
+			}
+		}
+		t.Fatalf("never saw %s; the last calls: %v", what, got)
+	}
+
+	got := call("order", 0, 400)
+	for _, g := range servers {
+		if n := got[g.id]; n < 30 || n > 250 {
+			t.Errorf("spread %v", got)
+		}
+	}
+	if got = call("order", 7, 1); len(got) != 1 {
+		t.Errorf("%v", got)
+	}
+	home := ""
+	for home = range got {
+	}
+	for range 20 {
+		if got = call("read", 7, 1); got[home] != 1 {
+			t.Errorf("the key went to %v, and to %s before", got, home)
+		}
+	}
+
+	// A drain: within 250 ms nothing new goes there.
+	drained := entries[0]
+	drained.State = membership.Draining
+	w.roster.Set(drained)
+	time.Sleep(250 * time.Millisecond)
+	if got = call("order", 0, 400); got["s-0"] != 0 || got[""] != 0 {
+		t.Errorf("after the drain: %v", got)
+	}
+
+	// A priority: s-3 is reported dead by all, and stands behind the others; then the others go.
+	var mu sync.Mutex
+	dead := 10
+	for i := range 3 {
+		id := fmt.Sprint("reporter-", i)
+		r := openFull(t, connect(t, w.Addr, nil))
+		r.ask(edsRequest(id, "orders"))
+		r.next()
+		w.lrs(t, id, 100*time.Millisecond, func() []*endpointv3.UpstreamEndpointStats {
+			mu.Lock()
+			defer mu.Unlock()
+			var out []*endpointv3.UpstreamEndpointStats
+			for i, e := range entries {
+				st := &endpointv3.UpstreamEndpointStats{Address: addressOf(e.Addr), TotalSuccessfulRequests: 10}
+				if i == 3 && dead > 0 {
+					st.TotalSuccessfulRequests, st.TotalErrorRequests = 0, 10
+				}
+				out = append(out, st)
+			}
+			return out
+		})
+	}
+	until("s-3 left alone", func(got map[string]int) bool { return got["s-3"] == 0 && got["s-1"] > 0 && got["s-2"] > 0 })
+	servers[1].s.Stop()
+	servers[2].s.Stop()
+	until("the fall-over to s-3", func(got map[string]int) bool { return got["s-3"] == 60 })
+	servers[1].start(t)
+	until("the return to s-1", func(got map[string]int) bool { return got["s-1"] == 60 })
+	w.roster.Set(entries[0])
+	until("s-0 served again", func(got map[string]int) bool { return got["s-0"] > 0 && got[""] == 0 })
+	if r, err := w.Report(); err != nil || r.Counts["rejections"] != 0 {
+		t.Errorf("%v, %d rejections", err, r.Counts["rejections"])
+	}
+}
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -40,7 +41,7 @@
 		return nil, err
 	}
 	r := &Roster{Addr: ln.Addr().String(), Asked: make(chan uint64, 1000), ended: make(chan struct{}),
-		list: membership.List{Revision: 1, Full: true, Entries: entries}, changed: map[string]uint64{}, wake: make(chan struct{})}
+		list: membership.List{Revision: 1, Full: true, Entries: slices.Clone(entries)}, changed: map[string]uint64{}, wake: make(chan struct{})}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() {
 		defer close(r.ended)
@@ -135,7 +136,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.list
-	l.Entries = append([]membership.Entry(nil), l.Entries...)
+	l.Entries = slices.Clone(l.Entries)
 	return l
 }
 
@@ -188,7 +189,7 @@
 	defer r.mu.Unlock()
 	r.list.Revision++
 	r.whole = r.list.Revision
-	r.list.Entries = entries
+	r.list.Entries = slices.Clone(entries)
 	r.stir()
 }
 
--- a/internal/lab/xdsproxy/table.go
+++ b/internal/lab/xdsproxy/table.go
@@ -24,8 +24,8 @@
 	Shed      float64    // part of requests to drop
 	routes    map[string]Route
 	rest      *Route
-	factor    float64 // of the bounded load; 0: none
-	ring      func() []point // made when it is first picked from
+	factor    float64            // of the bounded load; 0: none
+	ring      func() []point     // made when it is first picked from
 	usable    map[string]float64 // part of the requests, by address, in the priority in use
 }
 
