--- a/internal/control/assign/assign_test.go
+++ b/internal/control/assign/assign_test.go
@@ -611,3 +611,32 @@
 		t.Errorf("%d of 100 are shed in a calm", s)
 	}
 }
+
+// One drain: from the list to all groups' assignments.
+func BenchmarkDrain(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			entries := servers(n)
+			for i := range entries {
+				entries[i].Addr = fmt.Sprintf("10.%d.%d.%d:80", i/62500, i/250%250, 1+i%250)
+				entries[i].ID = fmt.Sprintf("s-%05d", i)
+			}
+			a, err := New(testConfig(), 1e9)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for p := range 1000 {
+				a.Connect(1e9, fmt.Sprint("p-", p), []string{"east", "west", ""}[p%3], true)
+			}
+			now := 1e9
+			for i := 0; b.Loop(); i++ {
+				entries[i%n].State = []string{membership.Draining, membership.Up}[i/n%2]
+				now += 10
+				a.Members(now, entries)
+				if len(a.Tick(now)) != 3 {
+					b.Fatal("a drain changed nothing")
+				}
+			}
+		})
+	}
+}
