--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,32 +7,38 @@
 	"net"
 	"os"
 	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"ringtrack.example/ringtrack/internal/core"
 )
 
 // Run serves until stop is done, then ends in order. It returns nil when every
 // request that was held has been answered. At each signal of reread it takes over
 // what can change without a restart from the configuration that read returns.
 func Run(stop context.Context, reread <-chan os.Signal, read func() (*Config, error), cfg *Config, ln net.Listener) error {
-	return run(stop, cfg, ln, func(l *loop) {
-		go reload(stop, reread, read, cfg, func(discovery string) { l.post(func() { l.rediscover(discovery) }) })
+	return run(stop, cfg, ln, func(l *core.Loop, _ *front) {
+		go reload(stop, reread, read, cfg, func(discovery string) { l.Post(func() { l.Rediscover(discovery) }) })
 	})
 }
 
 // run is Run, which also hands out the loop before it starts.
-func run(stop context.Context, cfg *Config, ln net.Listener, made func(*loop)) error {
+func run(stop context.Context, cfg *Config, ln net.Listener, made func(*core.Loop, *front)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel() // only after the front: requests held need the loop to the end
-	f := newFront(cfg)
-	l, err := newLoop(ctx, cfg, func() { f.ready.Store(true) })
+	budget := semaphore.NewWeighted(cfg.budget())
+	upstream := newSender(cfg, budget)
+	f := newFront(cfg, budget, upstream)
+	l, err := core.New(ctx, cfg.core(), budget, []core.Upstream{upstream}, func() { f.ready.Store(true) })
 	if err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
 	f.loop = l
-	made(l)
+	made(l, f)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		l.run()
+		l.Run()
 	}()
 	failed := make(chan error, 1)
 	go func() { failed <- f.serve(ln) }()
@@ -52,6 +58,6 @@
 	}
 	cancel()
 	<-ended
-	slog.Info("stopped", "figures", fmt.Sprintf("%+v", l.figures))
+	slog.Info("stopped", "figures", fmt.Sprintf("%+v", l.Figures()))
 	return nil
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -13,9 +12,7 @@
 	"testing"
 	"time"
 
-	"golang.org/x/time/rate"
-
-	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -107,7 +104,7 @@
 			if status == 503 && header.Get("Retry-After") != "0.600" {
 				t.Errorf("refused with Retry-After %q", header.Get("Retry-After"))
 			}
-			if f := a.figures(); f.backstops+f.guarded > 0 {
+			if f := a.figures(); f.Backstops+f.Guarded > 0 {
 				t.Errorf("a guard had to act: %+v", f)
 			}
 		})
@@ -178,7 +175,7 @@
 	}
 	nc.(*net.TCPConn).SetWriteBuffer(4096)
 	addr := ln.Addr().String()
-	s, b := testSender(8), &backend{}
+	s, b := testSender(8), &core.Backend{}
 	s.pool.open = 1
 	s.pool.idle[b] = []*conn{{Conn: nc, br: bufio.NewReader(nc), backend: b, addr: addr, since: time.Now()}}
 	c := testCall(make([]byte, maxBody))
@@ -198,18 +195,18 @@
 	s := testSender(8)
 	c := testCall([]byte("x"))
 	now := time.Now()
-	drained := &backend{}
-	drained.closed.Store(true)
+	drained := &core.Backend{}
+	drained.Close()
 	if res := s.do(t.Context(), drained, b.addr, c, now, now.Add(patience)); res.status != policy.Moot {
 		t.Errorf("drained: ended as %d, want %d", res.status, policy.Moot)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if res := s.do(ctx, &backend{}, b.addr, c, now, now.Add(patience)); res.status != policy.Moot {
+	if res := s.do(ctx, &core.Backend{}, b.addr, c, now, now.Add(patience)); res.status != policy.Moot {
 		t.Errorf("withdrawn: ended as %d, want %d", res.status, policy.Moot)
 	}
 	// One more goes through, after which an earlier one would have arrived as well.
-	if res := s.do(t.Context(), &backend{}, b.addr, c, now, now.Add(patience)); res.status != policy.OK {
+	if res := s.do(t.Context(), &core.Backend{}, b.addr, c, now, now.Add(patience)); res.status != policy.OK {
 		t.Errorf("ended as %d, want %d", res.status, policy.OK)
 	}
 	if b.count() != 1 {
@@ -294,64 +291,6 @@
 	}
 }
 
-// The backstop answers before the deadline when the module does not.
-func TestBackstop(t *testing.T) {
-	l, err := newLoop(t.Context(), startAgent(t, newDiscoveryServer(t, target("s-1", "127.0.0.1:1")), nil).loop.cfg, func() {})
-	if err != nil {
-		t.Fatal(err)
-	}
-	// A request that the module was never told of stands for one that it forgot.
-	c := &call{class: 2, deadline: time.Now().Add(time.Second), answer: make(chan answer, 1)}
-	r := &request{id: 1, call: c}
-	l.requests[1], l.open = r, 1
-	l.late(r)
-	if a := <-c.answer; a.verdict != failed || a.status != 504 {
-		t.Errorf("answered %+v, want a late failure", a)
-	}
-	l.finish(r, answer{verdict: served})
-	if len(c.answer) != 0 || l.figures.backstops != 1 || l.open != 0 || len(l.requests) != 0 {
-		t.Errorf("%d further answers, figures %+v, %d open", len(c.answer), l.figures, l.open)
-	}
-}
-
-// The guards hold whatever the module says.
-func TestGuards(t *testing.T) {
-	up := func() *backend { return &backend{addr: "127.0.0.1:1"} }
-	drained := up()
-	drained.closed.Store(true)
-	now := time.Now()
-	l := startAgent(t, newDiscoveryServer(t, target("s-1", "127.0.0.1:1")), nil).loop
-	for _, test := range []struct {
-		name  string
-		r     request
-		b     *backend
-		until time.Time
-		want  bool
-	}{
-		{"allowed", request{}, up(), now.Add(time.Second), true},
-		{"drained", request{}, drained, now.Add(time.Second), false},
-		{"unknown backend", request{}, nil, now.Add(time.Second), false},
-		{"one out", request{out: 1}, up(), now.Add(time.Second), false},
-		{"answered", request{answered: true}, up(), now.Add(time.Second), false},
-		{"may have run", request{mayRun: 1}, up(), now.Add(time.Second), false},
-		{"fourth attempt", request{attempts: make([]*attempt, 4)}, up(), now.Add(time.Second), false},
-		{"no time", request{}, up(), now, false},
-	} {
-		test.r.call = &call{class: 2}
-		if why := l.forbidden(&test.r, test.b, now, test.until); (why == "") != test.want {
-			t.Errorf("%s: %q", test.name, why)
-		}
-	}
-	// A refusal after an attempt that may have run is turned into a failure.
-	c := &call{class: 2, answer: make(chan answer, 1)}
-	done := make(chan bool)
-	l.post(func() { l.refuse(&request{id: 1 << 30, call: c, mayRun: 1}, 1); close(done) })
-	<-done
-	if a := <-c.answer; a.verdict != failed {
-		t.Errorf("answered %+v, want a failure", a)
-	}
-}
-
 func TestDrain(t *testing.T) {
 	old, other := newBackend(t, serving), newBackend(t, serving)
 	d := newDiscoveryServer(t, target("s-1", old.addr))
@@ -420,39 +359,6 @@
 	}
 }
 
-// What crosses on the way from discovery does not turn the list back.
-func TestOldListIsDropped(t *testing.T) {
-	l := startAgent(t, newDiscoveryServer(t, target("s-1", "127.0.0.1:1")), nil).loop
-	done := make(chan bool)
-	l.post(func() {
-		defer close(done)
-		drains := target("s-1", "127.0.0.1:1")
-		drains.State = "draining"
-		l.onList(&membership.List{Revision: 9, Entries: []membership.Entry{drains}}, true, nil)
-		l.onList(&membership.List{Revision: 8, Full: true, Entries: []membership.Entry{target("s-1", "127.0.0.1:1")}}, false, nil)
-		if !l.table.byID["s-1"].closed.Load() {
-			t.Error("an older list took back a drain")
-		}
-		l.onList(&membership.List{Revision: 10, Full: true}, true, nil)
-		if len(l.table.byID) != 0 || len(l.table.byAddr) != 0 {
-			t.Error("a backend that is gone is kept")
-		}
-	})
-	<-done
-}
-
-func TestNamesAreTheSameAtEveryAgentAndNeverCollide(t *testing.T) {
-	x, y := newTable(nil, nil), newTable(nil, nil)
-	a, b := x.backend("s-1"), y.backend("s-1")
-	if a.name != b.name {
-		t.Error("two agents name one backend differently")
-	}
-	delete(y.byID, "s-1") // now its name is taken by another id
-	if c := y.backend("s-1"); c.name == b.name {
-		t.Error("two backends have one name")
-	}
-}
-
 // A client that goes away has its attempt withdrawn.
 func TestClientGone(t *testing.T) {
 	arrived := make(chan struct{}, 10)
@@ -476,35 +382,11 @@
 	case <-time.After(patience):
 		t.Fatal("the attempt goes on")
 	}
-	if f := a.figures(); f.gone != 1 || f.backstops != 0 {
+	if f := a.figures(); f.Gone != 1 || f.Backstops != 0 {
 		t.Errorf("figures %+v", f)
 	}
 }
 
-// A log that nobody reads does not hold up the loop.
-func TestLogNeverBlocksTheLoop(t *testing.T) {
-	a, _ := one(t, serving)
-	blocked, held := make(chan struct{}), make(chan struct{})
-	a.loop.lines <- func() { close(held); <-blocked }
-	defer close(blocked)
-	<-held
-	done := make(chan struct{})
-	a.loop.post(func() {
-		a.loop.limit.SetLimit(rate.Inf)
-		for range 2 * cap(a.loop.lines) {
-			a.loop.log(slog.LevelDebug, "line")
-		}
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-time.After(patience):
-		t.Fatal("the loop waits for the log")
-	}
-	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
-	wantStatus(t, status, 200)
-}
-
 // Idle clients give way to new ones, and attempts beyond the limit don't open
 // connections: neither side can use up the descriptors.
 func TestDescriptorLimit(t *testing.T) {
@@ -514,7 +396,7 @@
 		return serving(c, req, n)
 	})
 	a := startAgent(t, newDiscoveryServer(t, target("s-1", b.addr)), func(c *Config) { c.Sockets = minSockets })
-	most := a.loop.cfg.clientRoom()
+	most := a.cfg.clientRoom()
 	for range 2 * most { // clients that stay connected and idle
 		c, err := net.Dial("tcp", a.addr)
 		if err != nil {
@@ -531,7 +413,7 @@
 	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
 	wantStatus(t, status, 200)
 
-	p, one, two := testSender(2).pool, &backend{}, &backend{}
+	p, one, two := testSender(2).pool, &core.Backend{}, &core.Backend{}
 	end := time.Now().Add(patience)
 	x, err := p.get(t.Context(), one, b.addr, end)
 	if err != nil {
--- a/internal/agent/answer_test.go
+++ b/internal/agent/answer_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -137,7 +138,7 @@
 	b := newBackend(t, serving)
 	now := time.Now()
 	full := testSender(0)
-	if res := full.do(t.Context(), &backend{}, b.addr, testCall(nil), now, now.Add(patience)); res.status != policy.Moot {
+	if res := full.do(t.Context(), &core.Backend{}, b.addr, testCall(nil), now, now.Add(patience)); res.status != policy.Moot {
 		t.Errorf("no descriptor: ended as %d, want %d", res.status, policy.Moot)
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -145,7 +146,7 @@
 		t.Fatal(err)
 	}
 	ln.Close()
-	if res := testSender(8).do(t.Context(), &backend{}, ln.Addr().String(), testCall(nil), now, now.Add(patience)); res.status != policy.ConnectFailed {
+	if res := testSender(8).do(t.Context(), &core.Backend{}, ln.Addr().String(), testCall(nil), now, now.Add(patience)); res.status != policy.ConnectFailed {
 		t.Errorf("refused: ended as %d, want %d", res.status, policy.ConnectFailed)
 	}
 }
@@ -153,7 +154,7 @@
 // A new backend at the address of one that has gone gets none of its connections.
 func TestAddressOfAGoneBackend(t *testing.T) {
 	b := newBackend(t, serving)
-	p, old, heir := testSender(8).pool, &backend{}, &backend{}
+	p, old, heir := testSender(8).pool, &core.Backend{}, &core.Backend{}
 	x, err := p.get(t.Context(), old, b.addr, time.Now().Add(patience))
 	if err != nil {
 		t.Fatal(err)
@@ -167,7 +168,7 @@
 		t.Error("the heir got the connection")
 	}
 	p.put(y)
-	old.closed.Store(true)
+	old.Close()
 	p.sweep()
 	if p.open != 1 || len(p.idle) != 1 || len(p.idle[heir]) != 1 {
 		t.Errorf("%d open, idle %v", p.open, p.idle)
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -8,25 +8,15 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/semaphore"
 
+	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/policy"
 )
 
-// backend is one listed server. Its fields belong to the loop, but for closed.
-type backend struct {
-	id     string
-	name   policy.Addr // what the module calls it
-	addr   string      // where it listens, as told to this agent last
-	gone   bool
-	out    int         // attempts out
-	closed atomic.Bool // told to drain or gone: read by attempts just before they write
-}
-
 // result is how one attempt ended.
 type result struct {
 	status    policy.Status
@@ -38,7 +28,14 @@
 	held      int64 // of the budget, for the body; whoever ends with the body gives it back
 }
 
-// sender makes attempts.
+// reply is a backend's whole answer.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// sender makes attempts: it is the core's upstream for HTTP.
 type sender struct {
 	pool        *pool
 	budget      *semaphore.Weighted
@@ -53,9 +50,26 @@
 	return s
 }
 
+// Do makes one attempt, of a call that the front of this package made.
+func (s *sender) Do(ctx context.Context, b *core.Backend, addr string, c *core.Call, sent, deadline time.Time) core.Result {
+	r := s.do(ctx, b, addr, c.Payload.(*call), sent, deadline)
+	out := core.Result{Status: r.status, LatencyMs: r.latencyMs, Report: r.report, Held: r.held,
+		Blamed: r.status == policy.Cancelled && r.code != 0}
+	if r.code != 0 {
+		out.Reply = &reply{r.code, r.header, r.body}
+	}
+	return out
+}
+
+// HangUp closes the idle connections to a backend.
+func (s *sender) HangUp(b *core.Backend) { s.pool.hangUp(b) }
+
+// Sweep closes connections that have idled too long.
+func (s *sender) Sweep() { s.pool.sweep() }
+
 // do makes one attempt and returns how it ended, exactly once. It never sends
 // anything twice. Cancelling ctx withdraws the attempt and closes its connection.
-func (s *sender) do(ctx context.Context, b *backend, addr string, c *call, sent, deadline time.Time) result {
+func (s *sender) do(ctx context.Context, b *core.Backend, addr string, c *call, sent, deadline time.Time) result {
 	r := s.attempt(ctx, b, addr, c, deadline)
 	// A withdrawn attempt says nothing of its backend, also where the withdrawal cut
 	// off a connect; an answer that was already there stands, and what was never
@@ -67,7 +81,7 @@
 	return r
 }
 
-func (s *sender) attempt(ctx context.Context, b *backend, addr string, c *call, deadline time.Time) (res result) {
+func (s *sender) attempt(ctx context.Context, b *core.Backend, addr string, c *call, deadline time.Time) (res result) {
 	connectBy := time.Now().Add(s.pool.connectTimeout)
 	cn, err := s.pool.get(ctx, b, addr, earliest(deadline, connectBy))
 	if err != nil {
@@ -92,7 +106,7 @@
 	cn.SetDeadline(deadline)
 	// The connect may have taken long: the drain grace runs from the telling, so
 	// nothing is begun on a backend that was told to drain meanwhile.
-	if ctx.Err() != nil || b.closed.Load() {
+	if ctx.Err() != nil || b.Closed() {
 		reusable = true
 		return result{status: policy.Moot}
 	}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 
+	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/membership"
 	"ringtrack.example/ringtrack/internal/wire"
 	"ringtrack.example/ringtrack/policy"
@@ -120,6 +121,11 @@
 	return c, nil
 }
 
+// core is what of it the loop is told.
+func (c *Config) core() core.Config {
+	return core.Config{Discovery: c.Discovery, Known: c.Known, Settings: c.Settings, Seed: c.Seed, Zones: c.Zones, Kinds: c.Kinds}
+}
+
 // minSockets leaves a few connections to each side beside the reserve.
 const minSockets = 64
 
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/lab"
 	"ringtrack.example/ringtrack/internal/membership"
 )
@@ -170,11 +171,13 @@
 
 // testAgent is an agent on a port of the kernel's choice.
 type testAgent struct {
-	t    *testing.T
-	addr string
-	loop *loop
-	stop context.CancelFunc
-	done chan error
+	t     *testing.T
+	addr  string
+	cfg   *Config
+	loop  *core.Loop
+	front *front
+	stop  context.CancelFunc
+	done  chan error
 }
 
 // startAgent starts an agent that knows the list of the discovery as it is now.
@@ -192,10 +195,12 @@
 		change(cfg)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	a := &testAgent{t: t, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
-	started := make(chan *loop, 1)
-	go func() { a.done <- run(ctx, cfg, ln, func(l *loop) { started <- l }) }()
-	a.loop = <-started
+	a := &testAgent{t: t, cfg: cfg, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
+	started := make(chan bool)
+	go func() {
+		a.done <- run(ctx, cfg, ln, func(l *core.Loop, f *front) { a.loop, a.front = l, f; close(started) })
+	}()
+	<-started
 	t.Cleanup(func() {
 		stop()
 		select {
@@ -228,9 +233,9 @@
 }
 
 // figures reads the loop's counts, in the loop.
-func (a *testAgent) figures() figures {
-	got := make(chan figures, 1)
-	a.loop.post(func() { got <- a.loop.figures })
+func (a *testAgent) figures() core.Figures {
+	got := make(chan core.Figures, 1)
+	a.loop.Post(func() { got <- a.loop.Figures() })
 	return <-got
 }
 
@@ -240,7 +245,7 @@
 // testSender makes attempts with most connections at the most.
 func testSender(most int) *sender {
 	return &sender{budget: semaphore.NewWeighted(1 << 20), reportNames: []string{"qps", "util", "eps"},
-		pool: &pool{connectTimeout: patience, keepalive: time.Minute, max: most, idle: map[*backend][]*conn{}}}
+		pool: &pool{connectTimeout: patience, keepalive: time.Minute, max: most, idle: map[*core.Backend][]*conn{}}}
 }
 
 func testCall(body []byte) *call {
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -10,6 +10,10 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"ringtrack.example/ringtrack/internal/core"
 )
 
 const (
@@ -27,17 +31,20 @@
 
 // front serves the clients.
 type front struct {
-	cfg     *Config
-	loop    *loop
-	server  *http.Server
-	classes map[string]int
-	tenants map[string]int
-	ready   atomic.Bool
-	conns   *clientConns
+	cfg      *Config
+	loop     *core.Loop
+	upstream core.Upstream
+	budget   *semaphore.Weighted // memory for bodies
+	server   *http.Server
+	classes  map[string]int
+	tenants  map[string]int
+	ready    atomic.Bool
+	conns    *clientConns
 }
 
-func newFront(cfg *Config) *front {
-	f := &front{cfg: cfg, classes: map[string]int{}, tenants: map[string]int{}}
+// newFront returns a front whose calls go out by this upstream. Its loop is set before it serves.
+func newFront(cfg *Config, budget *semaphore.Weighted, upstream core.Upstream) *front {
+	f := &front{cfg: cfg, budget: budget, upstream: upstream, classes: map[string]int{}, tenants: map[string]int{}}
 	for i, c := range cfg.Settings.Classes {
 		f.classes[c.Name] = i
 	}
@@ -111,11 +118,11 @@
 		return
 	}
 	held, err := f.readBody(req, c)
-	defer f.loop.budget.Release(held)
+	defer f.budget.Release(held)
 	if errors.Is(err, errNoMemory) {
 		// Nothing was sent: coming back is harmless.
 		w.Header().Set("Connection", "close")
-		f.write(w, answer{verdict: refused, afterMs: f.cfg.Settings.Limits.MaxRetryAfterMs})
+		f.write(w, core.Answer{Verdict: core.Refused, AfterMs: f.cfg.Settings.Limits.MaxRetryAfterMs})
 		return
 	}
 	if err != nil {
@@ -123,14 +130,14 @@
 		return
 	}
 	f.conns.taken(req.Context())
-	took := make(chan *request, 1)
-	f.loop.post(func() { took <- f.loop.take(c) })
+	took := make(chan *core.Request, 1)
+	f.loop.Post(func() { took <- f.loop.Take(&c.Call) })
 	select {
-	case a := <-c.answer:
+	case a := <-c.Answer:
 		f.write(w, a)
-		f.loop.budget.Release(a.held)
+		f.budget.Release(a.Held)
 	case <-req.Context().Done():
-		f.loop.post(func() { f.loop.left(<-took) })
+		f.loop.Post(func() { f.loop.Left(<-took) })
 	}
 }
 
@@ -147,26 +154,30 @@
 }
 
 // write sends the final answer.
-func (f *front) write(w http.ResponseWriter, a answer) {
+func (f *front) write(w http.ResponseWriter, a core.Answer) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
 	switch {
-	case a.verdict == served:
-		for name, values := range endToEnd(a.header) {
+	case a.Verdict == core.Served:
+		r := a.Reply.(*reply)
+		for name, values := range endToEnd(r.header) {
 			w.Header()[name] = values
 		}
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 		w.WriteHeader(http.StatusOK)
 		// A client that has gone by now is told nothing more: no one to report to.
-		_, _ = w.Write(a.body)
-	case a.verdict == refused:
-		if a.afterMs > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.afterMs/1000, 'f', 3, 64))
+		_, _ = w.Write(r.body)
+	case a.Verdict == core.Refused:
+		if a.AfterMs > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(a.AfterMs/1000, 'f', 3, 64))
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case a.status >= 400 && a.status < 500:
-		reject(w, badf(a.status, "%s", http.StatusText(a.status)))
-	case a.status != 0:
-		w.WriteHeader(a.status)
+	case a.Fault == core.Blamed:
+		status := a.Reply.(*reply).status
+		reject(w, badf(status, "%s", http.StatusText(status)))
+	case a.Fault == core.Duplicate:
+		reject(w, badf(http.StatusConflict, "%s", http.StatusText(http.StatusConflict)))
+	case a.Fault == core.Expired:
+		w.WriteHeader(http.StatusGatewayTimeout)
 	default:
 		w.WriteHeader(http.StatusBadGateway)
 	}
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"ringtrack.example/ringtrack/internal/core"
 )
 
 // pool keeps idle connections to backends and bounds all there are. http.Transport
@@ -22,7 +24,7 @@
 	mu sync.Mutex
 	// By backend, not by address: one that has gone may leave its address to another.
 	// The most recently used last.
-	idle map[*backend][]*conn
+	idle map[*core.Backend][]*conn
 	open int
 	ages ages
 }
@@ -30,7 +32,7 @@
 type conn struct {
 	net.Conn
 	br      *bufio.Reader
-	backend *backend
+	backend *core.Backend
 	addr    string
 	since   time.Time // idle since
 	slot    int       // how long it idled before its last use, as ages tells times apart
@@ -44,7 +46,7 @@
 		// The backend closes at keepalive at the latest; half of it is well before.
 		keepalive: ms(c.Settings.Limits.KeepaliveMs / 2),
 		max:       c.backendConns(),
-		idle:      map[*backend][]*conn{},
+		idle:      map[*core.Backend][]*conn{},
 	}
 	if p.connectTimeout <= 0 {
 		p.connectTimeout = time.Second
@@ -57,7 +59,7 @@
 
 // get returns an idle connection that is still good, the most recently used
 // first, or opens one.
-func (p *pool) get(ctx context.Context, b *backend, addr string, until time.Time) (*conn, error) {
+func (p *pool) get(ctx context.Context, b *core.Backend, addr string, until time.Time) (*conn, error) {
 	for {
 		p.mu.Lock()
 		list := p.idle[b]
@@ -92,7 +94,7 @@
 }
 
 // keep stores what is idle of a backend. The lock is held.
-func (p *pool) keep(b *backend, list []*conn) {
+func (p *pool) keep(b *core.Backend, list []*conn) {
 	if len(list) == 0 {
 		delete(p.idle, b)
 		return
@@ -123,7 +125,7 @@
 func (p *pool) put(cn *conn) {
 	cn.SetDeadline(time.Time{})
 	cn.since = time.Now()
-	if cn.backend.closed.Load() || !quiet(cn) {
+	if cn.backend.Closed() || !quiet(cn) {
 		p.close(cn)
 		return
 	}
@@ -140,7 +142,7 @@
 }
 
 // hangUp closes the idle connections to a backend.
-func (p *pool) hangUp(b *backend) {
+func (p *pool) hangUp(b *core.Backend) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, cn := range p.idle[b] {
@@ -157,7 +159,7 @@
 	defer p.mu.Unlock()
 	for b, list := range p.idle {
 		n := 0
-		for n < len(list) && (b.closed.Load() || time.Since(list[n].since) >= p.keepalive) {
+		for n < len(list) && (b.Closed() || time.Since(list[n].since) >= p.keepalive) {
 			p.open--
 			list[n].Close()
 			n++
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -38,8 +38,8 @@
 	wantStatus(t, status, 200)
 
 	next := newDiscoveryServer(t, target("s-2", fresh.addr))
-	before := a.loop.disc
-	a.loop.post(func() { a.loop.rediscover(next.Addr) })
+	before := a.loop.Roster()
+	a.loop.Post(func() { a.loop.Rediscover(next.Addr) })
 	next.wait(t, 1) // the watch goes on from the new list's version
 	wantServedBy(t, a, fresh)
 	select {
@@ -58,9 +58,9 @@
 		t.Errorf("%d calls to the old discovery, %d requests to its backend, after it was left", d.Calls()-asked, old.count()-n)
 	}
 	done := make(chan bool)
-	a.loop.post(func() {
+	a.loop.Post(func() {
 		defer close(done)
-		if a.loop.table.byID["s-1"] != nil || a.loop.table.byID["s-3"] == nil {
+		if a.loop.Lists("s-1") || !a.loop.Lists("s-3") {
 			t.Error("the table is not the new discovery's")
 		}
 	})
@@ -73,7 +73,7 @@
 	a := startAgent(t, newDiscoveryServer(t, target("s-1", old.addr)), nil)
 	next := newDiscoveryServer(t, target("s-2", fresh.addr))
 	next.SetDown(true)
-	a.loop.post(func() { a.loop.rediscover(next.Addr) })
+	a.loop.Post(func() { a.loop.Rediscover(next.Addr) })
 	for next.Calls() < roster.WholeTries+1 {
 		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
 		wantStatus(t, status, 200)
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/membership"
 	"ringtrack.example/ringtrack/policy"
 )
@@ -32,20 +33,12 @@
 
 // call is a client's request as the front took it, and where its answer goes.
 type call struct {
-	id       string
-	method   string
-	target   string // as it came, byte for byte
-	host     string
-	header   http.Header
-	body     []byte
-	class    int
-	tenant   int
-	key      uint64
-	hintMs   float64
-	hasHint  bool
-	retry    bool
-	deadline time.Time
-	answer   chan answer // of capacity one: the loop never waits for a client
+	core.Call
+	method string
+	target string // as it came, byte for byte
+	host   string
+	header http.Header
+	body   []byte
 }
 
 // bad is what is wrong with a request, and the status that says so. It is never a
@@ -88,22 +81,23 @@
 			return refuse("%s more than once", name)
 		}
 	}
-	c := &call{id: h.Get("Request-Id"), method: req.Method, target: req.RequestURI, host: req.Host, header: h,
-		answer: make(chan answer, 1)}
+	c := &call{Call: core.Call{ID: h.Get("Request-Id"), Via: f.upstream, Answer: make(chan core.Answer, 1)},
+		method: req.Method, target: req.RequestURI, host: req.Host, header: h}
+	c.Payload = c
 	var ok bool
-	if c.class, ok = f.classes[h.Get("Request-Class")]; !ok {
+	if c.Class, ok = f.classes[h.Get("Request-Class")]; !ok {
 		return refuse("unknown Request-Class")
 	}
 	if len(f.tenants) > 0 {
-		if c.tenant, ok = f.tenants[h.Get("Tenant")]; !ok {
+		if c.Tenant, ok = f.tenants[h.Get("Tenant")]; !ok {
 			return refuse("unknown Tenant")
 		}
 	}
-	if !token(c.id) {
+	if !token(c.ID) {
 		return refuse("Request-Id is no token of 1 to %d characters", maxToken)
 	}
 	_, keyed := h["Idempotency-Key"]
-	switch effect := f.cfg.Settings.Classes[c.class].Effect; {
+	switch effect := f.cfg.Settings.Classes[c.Class].Effect; {
 	case (effect == policy.Free) != (req.Method == http.MethodGet):
 		return refuse("method %s does not fit the class", req.Method)
 	case keyed != (effect == policy.Guarded):
@@ -118,16 +112,16 @@
 	if err != nil || left == 0 || left > maxTimeout {
 		return refuse("Request-Timeout-Ms is no whole number from 1 to %d", maxTimeout)
 	}
-	c.deadline = now.Add(time.Duration(left) * time.Millisecond)
+	c.Deadline = now.Add(time.Duration(left) * time.Millisecond)
 	if text := h.Get("Work-Hint"); text != "" {
 		us, err := strconv.ParseFloat(text, 64)
-		if c.hasHint = err == nil && us > 0 && us < 1e12; c.hasHint { // a guess: a bad one is none
-			c.hintMs = us / 1000
+		if c.HasHint = err == nil && us > 0 && us < 1e12; c.HasHint { // a guess: a bad one is none
+			c.HintMs = us / 1000
 		}
 	}
-	c.retry = f.cfg.Settings.Clients.MarksRetry && h.Get("Client-Retry") == "1"
+	c.Retry = f.cfg.Settings.Clients.MarksRetry && h.Get("Client-Retry") == "1"
 	if dir, last := path.Split(req.URL.EscapedPath()); len(dir) > 1 && last != "" {
-		c.key = membership.Hash(last)
+		c.Key = membership.Hash(last)
 	}
 	return c, nil
 }
@@ -141,7 +135,7 @@
 	}
 	c.body = make([]byte, min(n, freeBody))
 	if _, err = io.ReadFull(req.Body, c.body); err == nil && n > freeBody {
-		if !f.loop.budget.TryAcquire(int64(n)) {
+		if !f.budget.TryAcquire(int64(n)) {
 			return 0, errNoMemory
 		}
 		held = int64(n)
--- a/internal/agent/request_test.go
+++ b/internal/agent/request_test.go
@@ -106,8 +106,8 @@
 	if n := b.count(); n != 0 {
 		t.Errorf("%d arrivals at the backend", n)
 	}
-	if f := a.figures(); f.taken != 0 {
-		t.Errorf("the module was asked %d times", f.taken)
+	if f := a.figures(); f.Taken != 0 {
+		t.Errorf("the module was asked %d times", f.Taken)
 	}
 }
 
@@ -159,7 +159,7 @@
 	if b.count() != 1 {
 		t.Errorf("%d arrivals, want 1", b.count())
 	}
-	if f := a.figures(); f.failed != 1 || f.served != 1 {
+	if f := a.figures(); f.Failed != 1 || f.Served != 1 {
 		t.Errorf("figures %+v", f)
 	}
 }
@@ -187,8 +187,8 @@
 	if status != 200 || got != fmt.Sprint(maxBody) {
 		t.Errorf("the largest body: answered %d, arrived %s", status, got)
 	}
-	budget := a.loop.cfg.budget()
-	if err := a.loop.budget.Acquire(t.Context(), budget); err != nil { // all of it: none has leaked
+	budget := a.cfg.budget()
+	if err := a.front.budget.Acquire(t.Context(), budget); err != nil { // all of it: none has leaked
 		t.Fatal(err)
 	}
 	status, header, _ := a.ask(newRequest(a.addr, "order", large))
@@ -197,7 +197,7 @@
 	}
 	status, _, _ = a.ask(newRequest(a.addr, "order", "small"))
 	wantStatus(t, status, 200)
-	a.loop.budget.Release(budget)
+	a.front.budget.Release(budget)
 	if b.count() != 2 {
 		t.Errorf("%d arrivals, want 2", b.count())
 	}
@@ -207,7 +207,7 @@
 // a kept connection stays usable and a new one is answered.
 func TestSilentClientsLockNobodyOut(t *testing.T) {
 	a, _ := one(t, serving)
-	b := 2 * a.loop.cfg.clientRoom()
+	b := 2 * a.cfg.clientRoom()
 	kept := a.dial()
 	ask := func(c net.Conn) error {
 		fmt.Fprint(c, rawOrder("/api/a1", fmt.Sprint(lastID.Add(1)), "Content-Length: 0\r\n", ""))
@@ -235,7 +235,7 @@
 // may hold, a third of the descriptors: the agent closes the oldest of them in time.
 func TestIdleCallersLeaveRoom(t *testing.T) {
 	a, _ := one(t, serving)
-	most := a.loop.cfg.Sockets / 3
+	most := a.cfg.Sockets / 3
 	var conns []net.Conn
 	for range most {
 		c := a.dial()
@@ -314,7 +314,7 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	front := newFront(cfg)
+	front := newFront(cfg, nil, nil)
 	f.Add(rawOrder("/api/a1", "1", "Content-Length: 1\r\n", "x"))
 	f.Add(rawOrder("/api/a1", "1", "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"))
 	f.Add("GET / HTTP/1.0\r\n\r\n")
@@ -339,7 +339,7 @@
 			t.Fatalf("passed on as %q: %v", c.head(time.Second), err)
 		}
 		body, err := io.ReadAll(out.Body)
-		if err != nil || len(body) != len(c.body) || out.RequestURI != c.target || out.Header.Get("Request-Id") != c.id || br.Buffered() > 0 {
+		if err != nil || len(body) != len(c.body) || out.RequestURI != c.target || out.Header.Get("Request-Id") != c.ID || br.Buffered() > 0 {
 			t.Errorf("%q became %+v", text, out)
 		}
 	})
--- a/internal/agent/loop.go
+++ b/internal/core/loop.go
@@ -1,12 +1,8 @@
-// Package agent runs the decision module as a real agent: clients on one side,
-// backends and discovery on the other, and a loop that turns what happens into
-// the module's events and carries out its actions.
-package agent
+package core
 
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -29,25 +25,25 @@
 	sweepEvery = time.Second
 )
 
-// loop owns the module and all state of requests. One goroutine runs it; all
-// else reaches it through post. It never blocks: what may wait runs in
+// Loop owns the module and all state of requests. One goroutine runs it; all
+// else reaches it through Post. It never blocks: what may wait runs in
 // goroutines of its own.
-type loop struct {
-	cfg      *Config
-	ctx      context.Context
-	balancer *policy.Balancer
-	table    *table
-	sender   *sender
-	budget   *semaphore.Weighted // memory for bodies
-	disc     *roster.Client
-	limit    *rate.Limiter // the log is bounded work on one core
-	lines    chan func()   // log lines on their way to whoever reads the log
+type Loop struct {
+	cfg       Config
+	ctx       context.Context
+	balancer  *policy.Balancer
+	table     *table
+	upstreams []Upstream
+	budget    *semaphore.Weighted // memory for bodies
+	disc      *roster.Client
+	limit     *rate.Limiter // the log is bounded work on one core
+	lines     chan func()   // log lines on their way to whoever reads the log
 
 	inbox    chan func()
 	clock    clock.Clock
 	nextID   policy.RequestID
-	requests map[policy.RequestID]*request
-	ids      map[string]*request // the same by the clients' ids
+	requests map[policy.RequestID]*Request
+	ids      map[string]*Request // the same by the clients' ids
 	open     int                 // requests that have no answer yet
 	pending  []policy.Event
 	actions  []policy.Action
@@ -56,36 +52,18 @@
 	watching bool
 	fetching bool
 	ready    func()
-	figures  figures
+	figures  Figures
 }
 
-// figures are counted for the log at the end.
-type figures struct {
-	taken, served, refused, failed, gone, backstops, guarded int
+// Figures are counted for the log at the end.
+type Figures struct {
+	Taken, Served, Refused, Failed, Gone, Backstops, Guarded int
 }
 
-type verdict uint8
-
-const (
-	served verdict = iota
-	refused
-	failed
-)
-
-// answer is the one final answer to a call.
-type answer struct {
-	verdict verdict
-	afterMs float64 // refused: when the client may come back
-	status  int     // failed: 0 for the usual one
-	header  http.Header
-	body    []byte
-	held    int64 // of the budget; given back once the answer is written
-}
-
-// request is a call in the loop, kept until it is answered and no attempt is out.
-type request struct {
+// Request is a call in the loop, kept until it is answered and no attempt is out.
+type Request struct {
 	id       policy.RequestID
-	call     *call
+	call     *Call
 	answered bool
 	attempts []*attempt
 	out      int // attempts out
@@ -94,31 +72,33 @@
 }
 
 type attempt struct {
-	backend *backend
+	backend *Backend
 	cancel  context.CancelFunc
 	done    bool
 }
 
-func newLoop(ctx context.Context, cfg *Config, ready func()) (*loop, error) {
+// New returns a loop that has not started. budget is the memory for bodies, which fronts and upstreams
+// share; ready is called whenever a backend is known to be in service.
+func New(ctx context.Context, cfg Config, budget *semaphore.Weighted, upstreams []Upstream, ready func()) (*Loop, error) {
 	balancer, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	l := &loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
-		budget: semaphore.NewWeighted(cfg.budget()), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
+	l := &Loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
+		budget: budget, limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		clock:    clock.New(),
-		requests: map[policy.RequestID]*request{}, ids: map[string]*request{}, ready: ready}
-	l.sender = newSender(cfg, l.budget)
+		requests: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, ready: ready}
+	l.upstreams = upstreams
 	l.discover(cfg.Discovery)
 	return l, nil
 }
 
 // discover makes an address the one that is asked. What another still has to say is
 // dropped: it comes late, and its versions are not those of this one.
-func (l *loop) discover(addr string) {
+func (l *Loop) discover(addr string) {
 	d := roster.NewClient(l.ctx, addr)
 	d.Told = func(list *membership.List, watch bool, err error) {
-		l.post(func() {
+		l.Post(func() {
 			if l.disc == d {
 				l.onList(list, watch, err)
 			}
@@ -127,9 +107,9 @@
 	l.disc = d
 }
 
-// rediscover leaves the discovery for another and asks that for its whole list. Until
+// Rediscover leaves the discovery for another and asks that for its whole list. Until
 // it comes the table stays as it is.
-func (l *loop) rediscover(addr string) {
+func (l *Loop) Rediscover(addr string) {
 	if addr == l.disc.Addr {
 		return
 	}
@@ -139,16 +119,16 @@
 	go l.disc.Watch(0, true)
 }
 
-// post hands the loop something to do; it may wait, so the loop itself never calls it.
-func (l *loop) post(f func()) {
+// Post hands the loop something to do; it may wait, so the loop itself never calls it.
+func (l *Loop) Post(f func()) {
 	select {
 	case l.inbox <- f:
 	case <-l.ctx.Done():
 	}
 }
 
-// run is the loop; it ends with the context.
-func (l *loop) run() {
+// Run is the loop; it ends with the context.
+func (l *Loop) Run() {
 	go l.writeLog()
 	l.carryOut(l.balancer.Start(l.now(), l.actions[:0]))
 	// The list as last had comes with the start, however old, as at the simulator.
@@ -165,7 +145,9 @@
 			f()
 			l.drain()
 		case <-sweep.C:
-			l.sender.pool.sweep()
+			for _, u := range l.upstreams {
+				u.Sweep()
+			}
 		case <-l.ctx.Done():
 			return
 		}
@@ -173,15 +155,31 @@
 }
 
 // now is the clock in ms: Unix time, as started_ms of the list, that only advances.
-func (l *loop) now() float64 { return l.clock.Ms() }
+func (l *Loop) now() float64 { return l.clock.Ms() }
 
 // handle gives the module one event and carries out what it answers.
-func (l *loop) handle(ev *policy.Event) {
+func (l *Loop) handle(ev *policy.Event) {
 	l.carryOut(l.balancer.Handle(l.now(), ev, l.actions[:0]))
 }
 
+// hangUp closes the idle connections to a backend.
+func (l *Loop) hangUp(b *Backend) {
+	for _, u := range l.upstreams {
+		u.HangUp(b)
+	}
+}
+
+// Figures are the counts so far. It is called in the loop, or after its end.
+func (l *Loop) Figures() Figures { return l.figures }
+
+// Roster is the discovery that is asked now. It is called in the loop, or before it runs.
+func (l *Loop) Roster() *roster.Client { return l.disc }
+
+// Lists tells whether a backend of this id is known. It is called in the loop.
+func (l *Loop) Lists(id string) bool { return l.table.byID[id] != nil }
+
 // drain handles the events that carrying out actions has raised.
-func (l *loop) drain() {
+func (l *Loop) drain() {
 	for len(l.pending) > 0 {
 		ev := l.pending[0]
 		l.pending = l.pending[1:]
@@ -190,7 +188,7 @@
 	l.pending = nil
 }
 
-func (l *loop) carryOut(actions []policy.Action) {
+func (l *Loop) carryOut(actions []policy.Action) {
 	l.actions = actions
 	for i := range actions {
 		a := &actions[i]
@@ -209,12 +207,12 @@
 			}
 		case policy.ActFail:
 			if r := l.requests[a.Request]; r != nil {
-				l.finish(r, answer{verdict: failed})
+				l.finish(r, Answer{Verdict: Failed})
 			}
 		case policy.ActTimer:
 			token := a.Token
 			time.AfterFunc(ms(a.Ms), func() {
-				l.post(func() { l.handle(&policy.Event{Kind: policy.EvTimer, Token: token}) })
+				l.Post(func() { l.handle(&policy.Event{Kind: policy.EvTimer, Token: token}) })
 			})
 		case policy.ActFollow:
 			if !l.watching { // one watch is enough; it tells what another would
@@ -228,7 +226,7 @@
 			}
 		case policy.ActClose:
 			if b := l.table.byAddr[a.Server]; b != nil {
-				l.sender.pool.hangUp(b)
+				l.hangUp(b)
 			}
 		case policy.ActLog:
 			l.log(slog.LevelInfo, "module", "text", a.Text)
@@ -241,65 +239,65 @@
 
 // ---- requests ----
 
-// take gives a call to the module. Beyond openCap nothing is taken on, as at the
+// Take gives a call to the module. Beyond openCap nothing is taken on, as at the
 // simulator, where such requests never reach the instance.
-func (l *loop) take(c *call) *request {
-	l.figures.taken++
+func (l *Loop) Take(c *Call) *Request {
+	l.figures.Taken++
 	l.nextID++
-	r := &request{id: l.nextID, call: c}
+	r := &Request{id: l.nextID, call: c}
 	l.open++
-	if l.ids[c.id] != nil {
+	if l.ids[c.ID] != nil {
 		// Somebody else's, or its own that may still run: neither is to be touched.
-		l.finish(r, answer{verdict: failed, status: http.StatusConflict})
+		l.finish(r, Answer{Verdict: Failed, Fault: Duplicate})
 		return r
 	}
-	left := time.Until(c.deadline)
+	left := time.Until(c.Deadline)
 	most := l.cfg.Settings.Limits.OpenCap
 	if left <= 0 || most > 0 && l.open > most {
 		l.refuse(r, l.cfg.Settings.Limits.MaxRetryAfterMs)
 		return r
 	}
-	l.requests[r.id], l.ids[c.id] = r, r
+	l.requests[r.id], l.ids[c.ID] = r, r
 	r.backstop = time.AfterFunc(left-min(backstopMargin, left/16), func() {
-		l.post(func() { l.late(r) })
+		l.Post(func() { l.late(r) })
 	})
 	left -= min(moduleMargin, left/8)
-	l.handle(&policy.Event{Kind: policy.EvRequest, Request: r.id, Class: c.class, Tenant: c.tenant,
-		Key: c.key, LeftMs: float64(left.Microseconds()) / 1000, HintMs: c.hintMs,
-		HasHint: c.hasHint, Retry: c.retry})
+	l.handle(&policy.Event{Kind: policy.EvRequest, Request: r.id, Class: c.Class, Tenant: c.Tenant,
+		Key: c.Key, LeftMs: float64(left.Microseconds()) / 1000, HintMs: c.HintMs,
+		HasHint: c.HasHint, Retry: c.Retry})
 	return r
 }
 
 // late is the backstop: the module should have ended the request before. That it
 // did not is a bug or a stall, so it is logged and counted.
-func (l *loop) late(r *request) {
+func (l *Loop) late(r *Request) {
 	if r.answered {
 		return
 	}
-	l.figures.backstops++
+	l.figures.Backstops++
 	l.log(slog.LevelWarn, "backstop ended a request", "attempts", len(r.attempts), "out", r.out,
-		"late_ms", float64(time.Since(r.call.deadline.Add(-backstopMargin)).Microseconds())/1000)
-	l.finish(r, answer{verdict: failed, status: http.StatusGatewayTimeout})
+		"late_ms", float64(time.Since(r.call.Deadline.Add(-backstopMargin)).Microseconds())/1000)
+	l.finish(r, Answer{Verdict: Failed, Fault: Expired})
 	l.abandon(r)
 }
 
-// left is called when a client has gone away.
-func (l *loop) left(r *request) {
+// Left is called when a client has gone away.
+func (l *Loop) Left(r *Request) {
 	if r.answered {
 		select {
-		case a := <-r.call.answer: // nobody will
-			l.budget.Release(a.held)
+		case a := <-r.call.Answer: // nobody will
+			l.budget.Release(a.Held)
 		default:
 		}
 		return
 	}
-	l.figures.gone++
+	l.figures.Gone++
 	l.close(r)
 	l.abandon(r)
 }
 
 // abandon tells the module that a request is over, and withdraws its attempts.
-func (l *loop) abandon(r *request) {
+func (l *Loop) abandon(r *Request) {
 	for _, t := range r.attempts {
 		if !t.done && t.cancel != nil {
 			t.cancel()
@@ -310,35 +308,35 @@
 
 // refuse answers that a retry is harmless, unless an attempt may have run that
 // makes it harmful: then the request has failed.
-func (l *loop) refuse(r *request, afterMs float64) {
-	c := &l.cfg.Settings.Classes[r.call.class]
+func (l *Loop) refuse(r *Request, afterMs float64) {
+	c := &l.cfg.Settings.Classes[r.call.Class]
 	if r.mayRun > 0 && (c.Effect == policy.SingleShot || c.Effect == policy.Guarded && c.Group != policy.GroupAll) {
 		l.guard("refusal after an attempt that may have run")
-		l.finish(r, answer{verdict: failed})
+		l.finish(r, Answer{Verdict: Failed})
 		return
 	}
-	l.finish(r, answer{verdict: refused, afterMs: afterMs})
+	l.finish(r, Answer{Verdict: Refused, AfterMs: afterMs})
 }
 
 // finish gives the final answer; only the first counts.
-func (l *loop) finish(r *request, a answer) {
+func (l *Loop) finish(r *Request, a Answer) {
 	if r.answered {
 		return
 	}
-	switch a.verdict {
-	case served:
-		l.figures.served++
-	case refused:
-		l.figures.refused++
-	case failed:
-		l.figures.failed++
+	switch a.Verdict {
+	case Served:
+		l.figures.Served++
+	case Refused:
+		l.figures.Refused++
+	case Failed:
+		l.figures.Failed++
 	}
-	r.call.answer <- a
+	r.call.Answer <- a
 	l.close(r)
 }
 
 // close marks a request as over and forgets it as soon as no attempt is out.
-func (l *loop) close(r *request) {
+func (l *Loop) close(r *Request) {
 	if !r.answered {
 		r.answered = true
 		l.open--
@@ -350,16 +348,16 @@
 }
 
 // forget drops a request that is over once no attempt is out.
-func (l *loop) forget(r *request) {
+func (l *Loop) forget(r *Request) {
 	if r.answered && r.out == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
-		delete(l.ids, r.call.id)
+		delete(l.ids, r.call.ID)
 	}
 }
 
 // ---- attempts ----
 
-func (l *loop) send(a *policy.Action) {
+func (l *Loop) send(a *policy.Action) {
 	r := l.requests[a.Request]
 	if r == nil {
 		// The request is over and forgotten: nothing can be sent, or counted.
@@ -370,7 +368,7 @@
 	b := l.table.byAddr[a.Server]
 	t := &attempt{backend: b}
 	r.attempts = append(r.attempts, t)
-	until := r.call.deadline.Add(-backstopMargin)
+	until := r.call.Deadline.Add(-backstopMargin)
 	now := time.Now()
 	if a.Ms != 0 {
 		until = earliest(until, now.Add(ms(a.Ms)))
@@ -389,15 +387,15 @@
 	t.cancel = cancel
 	addr := b.addr
 	go func() {
-		res := l.sender.do(ctx, b, addr, r.call, now, until)
+		res := r.call.Via.Do(ctx, b, addr, r.call, now, until)
 		cancel()
-		l.post(func() { l.ended(r, index, &res) })
+		l.Post(func() { l.ended(r, index, &res) })
 	}()
 }
 
 // forbidden guards the contract whatever the module says; "" allows the attempt.
-func (l *loop) forbidden(r *request, b *backend, now, until time.Time) string {
-	c := &l.cfg.Settings.Classes[r.call.class]
+func (l *Loop) forbidden(r *Request, b *Backend, now, until time.Time) string {
+	c := &l.cfg.Settings.Classes[r.call.Class]
 	switch {
 	case r.answered:
 		return "attempt for a request that is over"
@@ -418,28 +416,27 @@
 }
 
 // ended takes the end of an attempt.
-func (l *loop) ended(r *request, index int, res *result) {
+func (l *Loop) ended(r *Request, index int, res *Result) {
 	t := r.attempts[index]
 	t.done = true
 	t.backend.out--
 	r.out--
-	if res.status.NeverRan() {
+	if res.Status.NeverRan() {
 		r.mayRun--
 	}
 	switch {
 	case r.answered:
-		l.budget.Release(res.held)
-	case res.status == policy.OK:
-		l.finish(r, answer{verdict: served, header: res.header, body: res.body, held: res.held})
-	case res.status == policy.Cancelled && res.code != 0:
+		l.budget.Release(res.Held)
+	case res.Status == policy.OK:
+		l.finish(r, Answer{Verdict: Served, Reply: res.Reply, Held: res.Held})
+	case res.Status == policy.Cancelled && res.Blamed:
 		// The backend found fault with the request: so would any other.
-		l.budget.Release(res.held)
-		l.finish(r, answer{verdict: failed, status: res.code})
+		l.finish(r, Answer{Verdict: Failed, Fault: Blamed, Reply: res.Reply, Held: res.Held})
 	default:
-		l.budget.Release(res.held)
+		l.budget.Release(res.Held)
 	}
 	l.handle(&policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index, Server: t.backend.name,
-		Status: res.status, LatencyMs: res.latencyMs, Final: r.answered, Report: res.report})
+		Status: res.Status, LatencyMs: res.LatencyMs, Final: r.answered, Report: res.Report})
 	l.forget(r)
 	l.table.forget(t.backend)
 }
@@ -449,7 +446,7 @@
 // onList takes an answer of discovery. A watch and a fetch may cross: what is
 // older than the list at hand is dropped, but for a whole list on the watch,
 // which is how a discovery that started again from nothing says so.
-func (l *loop) onList(list *membership.List, watch bool, err error) {
+func (l *Loop) onList(list *membership.List, watch bool, err error) {
 	if watch && err != nil {
 		l.watching = false
 	} else if !watch {
@@ -473,11 +470,11 @@
 	}
 }
 
-func (l *loop) list(list *membership.List, kind policy.ListKind, full bool) {
+func (l *Loop) list(list *membership.List, kind policy.ListKind, full bool) {
 	l.version, l.unknown = list.Revision, l.unknown && !full
 	entries, stale, gone := l.table.apply(list, full)
 	for _, b := range stale {
-		l.sender.pool.hangUp(b)
+		l.hangUp(b)
 	}
 	l.handle(&policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
 	for _, b := range gone {
@@ -487,12 +484,12 @@
 
 // ---- the log ----
 
-func (l *loop) guard(what string) {
-	l.figures.guarded++
+func (l *Loop) guard(what string) {
+	l.figures.Guarded++
 	l.log(slog.LevelError, "guard: "+what)
 }
 
-func (l *loop) log(level slog.Level, text string, args ...any) {
+func (l *Loop) log(level slog.Level, text string, args ...any) {
 	if !l.limit.Allow() {
 		return
 	}
@@ -504,7 +501,7 @@
 
 // writeLog writes the loop's log lines. The loop does not write itself: a log that
 // nobody reads blocks its writer, and every request with it.
-func (l *loop) writeLog() {
+func (l *Loop) writeLog() {
 	for {
 		select {
 		case line := <-l.lines:
@@ -514,3 +511,12 @@
 		}
 	}
 }
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/core/loop_test.go
@@ -0,0 +1,253 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
+
+	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/policy"
+)
+
+// patience bounds every wait of the tests; none of them needs more than a part of it.
+const patience = 20 * time.Second
+
+// stub is an upstream whose attempts end as a test says.
+type stub struct {
+	do func(ctx context.Context, b *Backend, c *Call) Result
+}
+
+func (s stub) Do(ctx context.Context, b *Backend, _ string, c *Call, _, _ time.Time) Result {
+	return s.do(ctx, b, c)
+}
+func (stub) HangUp(*Backend) {}
+func (stub) Sweep()          {}
+
+func target(id string) membership.Entry {
+	return membership.Entry{ID: id, Addr: "127.0.0.1:1", State: membership.Up, Weight: 1}
+}
+
+func testConfig() Config {
+	return Config{Discovery: "127.0.0.1:1", Seed: 7, Known: membership.List{Revision: 1, Full: true, Entries: []membership.Entry{target("s-1")}},
+		Settings: policy.Settings{Classes: []policy.Class{
+			{Name: "read", AimMs: 2000, GiveUpMs: 4000, Effect: policy.Free, Credit: 1},
+			{Name: "send", AimMs: 2000, GiveUpMs: 4000, Effect: policy.Guarded, Group: policy.GroupAll, KeyTTLMs: 8000, Credit: 2},
+			{Name: "order", AimMs: 2000, GiveUpMs: 4000, Effect: policy.SingleShot, Credit: 5}},
+			Limits:     policy.Limits{Cancelling: true, MaxAttempts: 3, MaxRetryAfterMs: 600, OpenCap: 1000},
+			Contract:   policy.Contract{AskWithinMs: 60_000, ColdFrom: 0.3, ColdMs: 8000, DrainGraceMs: 250, FallMultiple: 2.5, TipAfterMs: 1000},
+			Membership: "on_request", Replicas: 1, RoundMs: 5}}
+}
+
+// newTestLoop returns a loop that does not run.
+func newTestLoop(t *testing.T, u Upstream) *Loop {
+	t.Helper()
+	l, err := New(t.Context(), testConfig(), semaphore.NewWeighted(1<<20), []Upstream{u}, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// running starts a loop, which ends with the test.
+func running(t *testing.T, u Upstream) *Loop {
+	t.Helper()
+	l := newTestLoop(t, u)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.Run()
+	}()
+	t.Cleanup(func() { <-ended })
+	return l
+}
+
+func newCall(u Upstream, id string, class int) *Call {
+	return &Call{ID: id, Class: class, Via: u, Deadline: time.Now().Add(2 * time.Second), Answer: make(chan Answer, 1)}
+}
+
+func (l *Loop) ask(t *testing.T, c *Call) Answer {
+	t.Helper()
+	l.Post(func() { l.Take(c) })
+	select {
+	case a := <-c.Answer:
+		return a
+	case <-time.After(patience):
+		t.Fatal("no answer")
+	}
+	return Answer{}
+}
+
+// Each ending of an attempt, for each kind of class: what goes again, and how the call ends.
+func TestEndings(t *testing.T) {
+	for name, c := range map[string]struct {
+		status policy.Status
+		blamed bool
+		class  int
+		want   Verdict
+		fault  Fault
+		more   bool // tried again where there is another backend
+	}{
+		"served":                        {policy.OK, false, 2, Served, NoFault, false},
+		"unsafe, error":                 {policy.Error, false, 2, Failed, NoFault, false},
+		"unsafe, reset":                 {policy.Reset, false, 2, Failed, NoFault, false},
+		"unsafe, never ran":             {policy.Full, false, 2, Refused, NoFault, true},
+		"safe, error":                   {policy.Error, false, 0, Refused, NoFault, true},
+		"keyed, reset":                  {policy.Reset, false, 1, Refused, NoFault, true},
+		"unsafe, the request is blamed": {policy.Cancelled, true, 2, Failed, Blamed, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tries := make(chan struct{}, 100)
+			u := stub{func(context.Context, *Backend, *Call) Result {
+				tries <- struct{}{}
+				return Result{Status: c.status, Blamed: c.blamed, LatencyMs: 1, Reply: "reply"}
+			}}
+			l := newTestLoop(t, u)
+			l.cfg.Known.Entries = append(l.cfg.Known.Entries, target("s-2"), target("s-3"), target("s-4"))
+			ended := make(chan struct{})
+			go func() { defer close(ended); l.Run() }()
+			t.Cleanup(func() { <-ended })
+			a := l.ask(t, newCall(u, "1", c.class))
+			if a.Verdict != c.want || a.Fault != c.fault || (c.want == Served || c.fault == Blamed) != (a.Reply == "reply") {
+				t.Errorf("answered %+v", a)
+			}
+			if n := len(tries); c.more && n < 2 || !c.more && n != 1 || n > 3 {
+				t.Errorf("%d attempts", n)
+			}
+		})
+	}
+}
+
+// An id that is open is nobody else's.
+func TestDuplicateID(t *testing.T) {
+	release := make(chan struct{})
+	u := stub{func(ctx context.Context, _ *Backend, _ *Call) Result {
+		<-release
+		return Result{Status: policy.OK}
+	}}
+	l := running(t, u)
+	first := newCall(u, "1", 0)
+	l.Post(func() { l.Take(first) })
+	if a := l.ask(t, newCall(u, "1", 0)); a.Verdict != Failed || a.Fault != Duplicate {
+		t.Errorf("answered %+v", a)
+	}
+	close(release)
+	if a := <-first.Answer; a.Verdict != Served {
+		t.Errorf("the first: %+v", a)
+	}
+}
+
+// The backstop answers before the deadline when the module does not.
+func TestBackstop(t *testing.T) {
+	l := newTestLoop(t, stub{})
+	// A request that the module was never told of stands for one that it forgot.
+	c := newCall(stub{}, "1", 2)
+	r := &Request{id: 1, call: c}
+	l.requests[1], l.open = r, 1
+	l.late(r)
+	if a := <-c.Answer; a.Verdict != Failed || a.Fault != Expired {
+		t.Errorf("answered %+v, want a late failure", a)
+	}
+	l.finish(r, Answer{Verdict: Served})
+	if len(c.Answer) != 0 || l.figures.Backstops != 1 || l.open != 0 || len(l.requests) != 0 {
+		t.Errorf("%d further answers, figures %+v, %d open", len(c.Answer), l.figures, l.open)
+	}
+}
+
+// The guards hold whatever the module says.
+func TestGuards(t *testing.T) {
+	up := func() *Backend { return &Backend{addr: "127.0.0.1:1"} }
+	drained := up()
+	drained.Close()
+	now := time.Now()
+	l := newTestLoop(t, stub{})
+	for _, test := range []struct {
+		name  string
+		r     Request
+		b     *Backend
+		until time.Time
+		want  bool
+	}{
+		{"allowed", Request{}, up(), now.Add(time.Second), true},
+		{"drained", Request{}, drained, now.Add(time.Second), false},
+		{"unknown backend", Request{}, nil, now.Add(time.Second), false},
+		{"one out", Request{out: 1}, up(), now.Add(time.Second), false},
+		{"answered", Request{answered: true}, up(), now.Add(time.Second), false},
+		{"may have run", Request{mayRun: 1}, up(), now.Add(time.Second), false},
+		{"fourth attempt", Request{attempts: make([]*attempt, 4)}, up(), now.Add(time.Second), false},
+		{"no time", Request{}, up(), now, false},
+	} {
+		test.r.call = &Call{Class: 2}
+		if why := l.forbidden(&test.r, test.b, now, test.until); (why == "") != test.want {
+			t.Errorf("%s: %q", test.name, why)
+		}
+	}
+	// A refusal after an attempt that may have run is turned into a failure.
+	c := newCall(stub{}, "1", 2)
+	l.refuse(&Request{id: 1 << 30, call: c, mayRun: 1}, 1)
+	if a := <-c.Answer; a.Verdict != Failed {
+		t.Errorf("answered %+v, want a failure", a)
+	}
+}
+
+// What crosses on the way from discovery does not turn the list back.
+func TestOldListIsDropped(t *testing.T) {
+	l := running(t, stub{})
+	done := make(chan bool)
+	l.Post(func() {
+		defer close(done)
+		drains := target("s-1")
+		drains.State = membership.Draining
+		l.onList(&membership.List{Revision: 9, Entries: []membership.Entry{drains}}, true, nil)
+		l.onList(&membership.List{Revision: 8, Full: true, Entries: []membership.Entry{target("s-1")}}, false, nil)
+		if !l.table.byID["s-1"].Closed() {
+			t.Error("an older list took back a drain")
+		}
+		l.onList(&membership.List{Revision: 10, Full: true}, true, nil)
+		if len(l.table.byID) != 0 || len(l.table.byAddr) != 0 {
+			t.Error("a backend that is gone is kept")
+		}
+	})
+	<-done
+}
+
+func TestNamesAreTheSameAtEveryAgentAndNeverCollide(t *testing.T) {
+	x, y := newTable(nil, nil), newTable(nil, nil)
+	a, b := x.backend("s-1"), y.backend("s-1")
+	if a.name != b.name {
+		t.Error("two agents name one backend differently")
+	}
+	delete(y.byID, "s-1") // now its name is taken by another id
+	if c := y.backend("s-1"); c.name == b.name {
+		t.Error("two backends have one name")
+	}
+}
+
+// A log that nobody reads does not hold up the loop.
+func TestLogNeverBlocksTheLoop(t *testing.T) {
+	u := stub{func(context.Context, *Backend, *Call) Result { return Result{Status: policy.OK} }}
+	l := running(t, u)
+	blocked, held := make(chan struct{}), make(chan struct{})
+	l.lines <- func() { close(held); <-blocked }
+	defer close(blocked)
+	<-held
+	done := make(chan struct{})
+	l.Post(func() {
+		l.limit.SetLimit(rate.Inf)
+		for range 2 * cap(l.lines) {
+			l.log(slog.LevelDebug, "line")
+		}
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Fatal("the loop waits for the log")
+	}
+	if a := l.ask(t, newCall(u, "1", 2)); a.Verdict != Served {
+		t.Errorf("answered %+v", a)
+	}
+}
--- a/internal/agent/table.go
+++ b/internal/core/table.go
@@ -1,4 +1,4 @@
-package agent
+package core
 
 import (
 	"ringtrack.example/ringtrack/internal/membership"
@@ -9,28 +9,28 @@
 // name for them. It belongs to the loop.
 type table struct {
 	names  membership.Names
-	byID   map[string]*backend
-	byAddr map[policy.Addr]*backend
+	byID   map[string]*Backend
+	byAddr map[policy.Addr]*Backend
 }
 
 func newTable(zones, kinds []string) *table {
 	return &table{names: membership.NewNames(zones, kinds),
-		byID: map[string]*backend{}, byAddr: map[policy.Addr]*backend{}}
+		byID: map[string]*Backend{}, byAddr: map[policy.Addr]*Backend{}}
 }
 
 // backend finds or makes the entry of an id.
-func (t *table) backend(id string) *backend {
+func (t *table) backend(id string) *Backend {
 	if b := t.byID[id]; b != nil {
 		return b
 	}
-	b := &backend{id: id, name: membership.Addr(id, func(a policy.Addr) bool { return t.byAddr[a] != nil })}
+	b := &Backend{id: id, name: membership.Addr(id, func(a policy.Addr) bool { return t.byAddr[a] != nil })}
 	t.byID[id], t.byAddr[b.name] = b, b
 	return b
 }
 
 // apply takes a list into the table and returns the module's entries, the backends
 // whose idle connections are of no more use, and those gone.
-func (t *table) apply(l *membership.List, full bool) (entries []policy.Entry, stale, gone []*backend) {
+func (t *table) apply(l *membership.List, full bool) (entries []policy.Entry, stale, gone []*Backend) {
 	named := make(map[string]bool, len(l.Entries))
 	for i := range l.Entries {
 		s := &l.Entries[i]
@@ -67,7 +67,7 @@
 
 // forget drops backends that are gone and have no attempt out; the module has
 // forgotten them by then.
-func (t *table) forget(b *backend) {
+func (t *table) forget(b *Backend) {
 	if b.gone && b.out == 0 && t.byID[b.id] == b {
 		delete(t.byID, b.id)
 		delete(t.byAddr, b.name)
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,105 @@
+// Package core is the loop that owns the decision module and all requests. It knows no protocol: fronts
+// hand it calls and get one answer each, upstreams make attempts and return one ending each. It guards
+// the contract whatever the module says, and decides nothing else.
+package core
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/policy"
+)
+
+// Call is a client's request as a front took it, and where its answer goes.
+type Call struct {
+	ID       string // open once at a time over all fronts
+	Class    int
+	Tenant   int
+	Key      uint64
+	HintMs   float64
+	HasHint  bool
+	Retry    bool
+	Deadline time.Time
+	Via      Upstream
+	Payload  any         // the front's, for its upstream
+	Answer   chan Answer // of capacity one: the loop never waits for a client
+}
+
+// Verdict is how a call ends.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served  Verdict = iota
+	Refused         // trying again is harmless
+	Failed          // promises nothing
+)
+
+// Fault says why a call has failed, where a front has a word of its own for it.
+type Fault uint8
+
+// The faults.
+const (
+	NoFault   Fault = iota
+	Duplicate       // its id is that of a call that is open or may still run
+	Expired         // the backstop ended it
+	Blamed          // the backend found fault with the request
+)
+
+// Answer is the one final answer to a call.
+type Answer struct {
+	Verdict Verdict
+	AfterMs float64 // Refused: when the client may come back
+	Fault   Fault   // Failed
+	Reply   any     // the upstream's, for its front: Served, or Failed with Blamed
+	Held    int64   // of the budget of memory; given back once the answer is written
+}
+
+// Result is how one attempt ended.
+type Result struct {
+	Status    policy.Status
+	LatencyMs float64
+	Report    []float32
+	Blamed    bool // with Cancelled: the backend's word that the request is bad
+	Reply     any
+	Held      int64 // of the budget, for the reply; whoever ends with the reply gives it back
+}
+
+// Upstream makes attempts of one protocol. All methods may be called from any goroutine.
+type Upstream interface {
+	// Do makes one attempt and returns how it ended, exactly once. It never sends anything twice.
+	// Cancelling ctx withdraws it. Nothing is begun once b.Closed.
+	Do(ctx context.Context, b *Backend, addr string, c *Call, sent, deadline time.Time) Result
+	// HangUp closes the idle connections to a backend.
+	HangUp(b *Backend)
+	// Sweep closes connections that have idled too long. It is called once a second.
+	Sweep()
+}
+
+// Backend is one listed server. Its fields belong to the loop, but for what Closed tells.
+type Backend struct {
+	id     string
+	name   policy.Addr // what the module calls it
+	addr   string      // where it listens, as told to this agent last
+	gone   bool
+	out    int // attempts out
+	closed atomic.Bool
+}
+
+// Closed tells whether the backend was told to drain or gone: asked just before a write.
+func (b *Backend) Closed() bool { return b.closed.Load() }
+
+// Close makes Closed true, as the loop does when it is told so. It is for tests of upstreams.
+func (b *Backend) Close() { b.closed.Store(true) }
+
+// Config is what the loop is told.
+type Config struct {
+	Discovery string // host:port of the roster
+	Known     membership.List
+	Settings  policy.Settings
+	Seed      uint64
+	Zones     []string
+	Kinds     []string
+}
