Thrift on the same core: front, upstream, a stand-in by the apache library, rules per encoding

Need: old portals speak Thrift, and their orders bypass the agent. Change: internal/front/thrift and internal/upstream/thrift beside HTTP on internal/core; methods by a table (deploy file named by PROXY_THRIFT; without it the agent is as before); connections to backends in one pool, internal/upstream/conns. A oneway call that the client's library sends as CALL, as the apache one for Go does, is told by the table.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,11 +6,16 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/semaphore"
 
 	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/front/thrift"
+	"ringtrack.example/ringtrack/internal/thriftwire"
+	"ringtrack.example/ringtrack/internal/upstream/conns"
+	thriftup "ringtrack.example/ringtrack/internal/upstream/thrift"
 )
 
 // Run serves until stop is done, then ends in order. It returns nil when every
@@ -27,9 +32,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel() // only after the front: requests held need the loop to the end
 	budget := semaphore.NewWeighted(cfg.budget())
-	upstream := newSender(cfg, budget)
+	pool := newPool(cfg)
+	upstream := newSender(cfg, budget, pool)
 	f := newFront(cfg, budget, upstream)
-	l, err := core.New(ctx, cfg.core(), budget, []core.Upstream{upstream}, func() { f.ready.Store(true) })
+	upstreams := []core.Upstream{upstream}
+	tf, tln, err := newThrift(cfg, budget, pool)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	if tf != nil {
+		upstreams = append(upstreams, tf.Upstream)
+	}
+	l, err := core.New(ctx, cfg.core(), budget, upstreams, func() { f.ready.Store(true) })
 	if err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
@@ -40,8 +54,16 @@
 		defer close(ended)
 		l.Run()
 	}()
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	go func() { failed <- f.serve(ln) }()
+	if tf != nil {
+		tf.Loop = l
+		go func() {
+			if err := tf.Serve(tln); err != nil {
+				failed <- err
+			}
+		}()
+	}
 	select {
 	case err := <-failed:
 		return err
@@ -53,11 +75,39 @@
 	for _, c := range cfg.Settings.Classes {
 		held = max(held, ms(c.GiveUpMs)+50*time.Millisecond)
 	}
+	var others sync.WaitGroup
+	if tf != nil {
+		others.Go(func() { tf.Shutdown(tln, held) })
+	}
 	if err := f.shutdown(held); err != nil {
 		slog.Warn("shutdown", "err", err) // connections that never brought a request
 	}
+	others.Wait()
 	cancel()
 	<-ended
 	slog.Info("stopped", "figures", fmt.Sprintf("%+v", l.Figures()))
 	return nil
 }
+
+// newThrift makes the Thrift front and its listener, where there is to be one.
+func newThrift(cfg *Config, budget *semaphore.Weighted, pool *conns.Pool) (*thrift.Front, net.Listener, error) {
+	if cfg.Thrift == "" {
+		return nil, nil, nil
+	}
+	c, err := thrift.Load(cfg.Thrift)
+	if err != nil {
+		return nil, nil, err
+	}
+	table, err := c.Table(cfg.Settings.Classes)
+	if err != nil {
+		return nil, nil, err
+	}
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, nil, fmt.Errorf("thrift: listen: %w", err)
+	}
+	slog.Info("listening for Thrift", "addr", ln.Addr().String())
+	limits := thriftwire.Limits{Size: c.FrameLimit, Depth: c.DepthLimit}
+	return &thrift.Front{Upstream: &thriftup.Upstream{Pool: pool, Budget: budget, Limits: limits}, Budget: budget,
+		Table: table, Limits: limits, Most: cfg.clientRoom(), AfterMs: cfg.Settings.Limits.MaxRetryAfterMs}, ln, nil
+}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/upstream/conns"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -176,15 +177,14 @@
 	nc.(*net.TCPConn).SetWriteBuffer(4096)
 	addr := ln.Addr().String()
 	s, b := testSender(8), &core.Backend{}
-	s.pool.open = 1
-	s.pool.idle[b] = []*conn{{Conn: nc, br: bufio.NewReader(nc), backend: b, addr: addr, since: time.Now()}}
+	s.pool.Adopt(nc, conns.Key{Backend: b}, addr)
 	c := testCall(make([]byte, maxBody))
 	now := time.Now()
 	if res := s.do(context.Background(), b, addr, c, now, now.Add(patience)); res.status != policy.ConnectFailed {
 		t.Errorf("ended as %d, want %d", res.status, policy.ConnectFailed)
 	}
-	if s.pool.open != 0 {
-		t.Errorf("%d connections counted as open", s.pool.open)
+	if s.pool.Open() != 0 {
+		t.Errorf("%d connections counted as open", s.pool.Open())
 	}
 }
 
@@ -413,28 +413,28 @@
 	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
 	wantStatus(t, status, 200)
 
-	p, one, two := testSender(2).pool, &core.Backend{}, &core.Backend{}
+	p, one, two := testSender(2).pool, conns.Key{Backend: &core.Backend{}}, conns.Key{Backend: &core.Backend{}}
 	end := time.Now().Add(patience)
-	x, err := p.get(t.Context(), one, b.addr, end)
+	x, err := p.Get(t.Context(), one, b.addr, end)
 	if err != nil {
 		t.Fatal(err)
 	}
-	y, err := p.get(t.Context(), one, b.addr, end)
+	y, err := p.Get(t.Context(), one, b.addr, end)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer y.Close()
-	if _, err := p.get(t.Context(), one, b.addr, end); err != errTooMany {
+	if _, err := p.Get(t.Context(), one, b.addr, end); err != conns.ErrTooMany {
 		t.Errorf("a third connection of two: %v", err)
 	}
-	p.put(x)
-	z, err := p.get(t.Context(), two, newBackend(t, serving).addr, end) // the idle one gives way
+	p.Put(x)
+	z, err := p.Get(t.Context(), two, newBackend(t, serving).addr, end) // the idle one gives way
 	if err != nil {
 		t.Fatal(err)
 	}
 	z.Close()
-	if p.open != 2 {
-		t.Errorf("%d connections counted, want 2", p.open)
+	if p.Open() != 2 {
+		t.Errorf("%d connections counted, want 2", p.Open())
 	}
 }
 
--- a/internal/agent/answer_test.go
+++ b/internal/agent/answer_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/upstream/conns"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -154,24 +155,24 @@
 // A new backend at the address of one that has gone gets none of its connections.
 func TestAddressOfAGoneBackend(t *testing.T) {
 	b := newBackend(t, serving)
-	p, old, heir := testSender(8).pool, &core.Backend{}, &core.Backend{}
-	x, err := p.get(t.Context(), old, b.addr, time.Now().Add(patience))
+	p, old, heir := testSender(8).pool, conns.Key{Backend: &core.Backend{}}, conns.Key{Backend: &core.Backend{}}
+	x, err := p.Get(t.Context(), old, b.addr, time.Now().Add(patience))
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.put(x)
-	y, err := p.get(t.Context(), heir, b.addr, time.Now().Add(patience))
+	p.Put(x)
+	y, err := p.Get(t.Context(), heir, b.addr, time.Now().Add(patience))
 	if err != nil {
 		t.Fatal(err)
 	}
 	if x == y {
 		t.Error("the heir got the connection")
 	}
-	p.put(y)
-	old.Close()
-	p.sweep()
-	if p.open != 1 || len(p.idle) != 1 || len(p.idle[heir]) != 1 {
-		t.Errorf("%d open, idle %v", p.open, p.idle)
+	p.Put(y)
+	old.Backend.Close()
+	p.Sweep()
+	if p.Open() != 1 || p.Idle(old) != 0 || p.Idle(heir) != 1 {
+		t.Errorf("%d open, %d and %d idle", p.Open(), p.Idle(old), p.Idle(heir))
 	}
 }
 
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/upstream/conns"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -37,13 +38,13 @@
 
 // sender makes attempts: it is the core's upstream for HTTP.
 type sender struct {
-	pool        *pool
+	pool        *conns.Pool
 	budget      *semaphore.Weighted
 	reportNames []string
 }
 
-func newSender(c *Config, budget *semaphore.Weighted) *sender {
-	s := &sender{pool: newPool(c), budget: budget}
+func newSender(c *Config, budget *semaphore.Weighted, pool *conns.Pool) *sender {
+	s := &sender{pool: pool, budget: budget}
 	if c.Settings.Report.How == "inline" {
 		s.reportNames = c.Settings.Report.Names
 	}
@@ -62,10 +63,10 @@
 }
 
 // HangUp closes the idle connections to a backend.
-func (s *sender) HangUp(b *core.Backend) { s.pool.hangUp(b) }
+func (s *sender) HangUp(b *core.Backend) { s.pool.HangUp(b) }
 
 // Sweep closes connections that have idled too long.
-func (s *sender) Sweep() { s.pool.sweep() }
+func (s *sender) Sweep() { s.pool.Sweep() }
 
 // do makes one attempt and returns how it ended, exactly once. It never sends
 // anything twice. Cancelling ctx withdraws the attempt and closes its connection.
@@ -82,12 +83,12 @@
 }
 
 func (s *sender) attempt(ctx context.Context, b *core.Backend, addr string, c *call, deadline time.Time) (res result) {
-	connectBy := time.Now().Add(s.pool.connectTimeout)
-	cn, err := s.pool.get(ctx, b, addr, earliest(deadline, connectBy))
+	connectBy := time.Now().Add(s.pool.ConnectTimeout())
+	cn, err := s.pool.Get(ctx, conns.Key{Backend: b}, addr, earliest(deadline, connectBy))
 	if err != nil {
 		// Refused or never came up: not a byte was sent. Only what the backend had the
 		// time for, or did, is its fault.
-		if ours(err) || deadline.Before(connectBy) && !errors.Is(err, syscall.ECONNREFUSED) {
+		if conns.Ours(err) || deadline.Before(connectBy) && !errors.Is(err, syscall.ECONNREFUSED) {
 			return result{status: policy.Moot}
 		}
 		return result{status: policy.ConnectFailed}
@@ -98,9 +99,9 @@
 	defer func() {
 		// If the withdrawal has begun its deadline would hit the next user.
 		if stop() && reusable {
-			s.pool.put(cn)
+			s.pool.Put(cn)
 		} else {
-			s.pool.close(cn)
+			s.pool.Close(cn)
 		}
 	}()
 	cn.SetDeadline(deadline)
@@ -121,7 +122,7 @@
 		return result{status: broken(err)}
 	}
 	held := int64(0)
-	resp, body, err := readAnswer(cn.br, func(n int64) error {
+	resp, body, err := readAnswer(cn.BR, func(n int64) error {
 		if n <= freeBody {
 			return nil
 		}
@@ -135,21 +136,15 @@
 	})
 	if err != nil {
 		s.budget.Release(held)
-		s.pool.ages.count(cn.slot, !errors.Is(err, errSpoilt) && broken(err) == policy.Reset)
+		s.pool.Ended(cn, !errors.Is(err, errSpoilt) && broken(err) == policy.Reset)
 		return result{status: broken(err)}
 	}
-	s.pool.ages.count(cn.slot, false)
+	s.pool.Ended(cn, false)
 	reusable = !resp.Close
 	return result{status: outcome(resp), code: resp.StatusCode, header: resp.Header, body: body, held: held,
 		report: parseReport(resp.Header["Server-Load"], s.reportNames)}
 }
 
-// ours tells whether a connection failed for want of something here.
-func ours(err error) bool {
-	return errors.Is(err, errTooMany) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
-		errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, context.Canceled)
-}
-
 // isNet tells errors of the connection from those of what came on it.
 func isNet(err error) bool {
 	var net net.Error
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -9,7 +9,9 @@
 	"strconv"
 
 	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/front/thrift"
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/upstream/conns"
 	"ringtrack.example/ringtrack/internal/wire"
 	"ringtrack.example/ringtrack/policy"
 )
@@ -27,6 +29,7 @@
 	Settings  policy.Settings
 	Zones     []string // names of zones and of machine kinds, by the number the module knows
 	Kinds     []string
+	Thrift    string // file of the Thrift front's configuration; "": there is none
 }
 
 // file is the form of $PROXY_CONFIG.
@@ -77,7 +80,20 @@
 			*fields[name] = v
 		}
 	}
-	return f.config()
+	c, err := f.config()
+	if err != nil {
+		return nil, err
+	}
+	if c.Thrift = getenv("PROXY_THRIFT"); c.Thrift != "" {
+		t, err := thrift.Load(c.Thrift)
+		if err == nil {
+			_, err = t.Table(c.Settings.Classes)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("config: PROXY_THRIFT: %w", err)
+		}
+	}
+	return c, nil
 }
 
 func (f *file) config() (*Config, error) {
@@ -136,6 +152,12 @@
 func (c *Config) backendConns() int { return c.Sockets * 7 / 16 }
 func (c *Config) clientRoom() int   { return c.Sockets / 4 }
 
+// newPool makes the pool of connections to backends that all upstreams share. A backend closes at
+// keepalive at the latest; half of it is well before.
+func newPool(c *Config) *conns.Pool {
+	return conns.New(ms(c.Settings.Limits.ConnectTimeoutMs), ms(c.Settings.Limits.KeepaliveMs/2), c.backendConns())
+}
+
 // budget is the memory for bodies of requests and answers together, beside the small
 // ones: what is left of the limit is for connections, the module and the runtime.
 func (c *Config) budget() int64 { return int64(c.MemoryMB) << 20 / 5 }
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -20,6 +20,7 @@
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/lab"
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/upstream/conns"
 )
 
 // patience bounds every wait of the tests; none of them needs more than a part of it.
@@ -245,7 +246,7 @@
 // testSender makes attempts with most connections at the most.
 func testSender(most int) *sender {
 	return &sender{budget: semaphore.NewWeighted(1 << 20), reportNames: []string{"qps", "util", "eps"},
-		pool: &pool{connectTimeout: patience, keepalive: time.Minute, max: most, idle: map[*core.Backend][]*conn{}}}
+		pool: conns.New(patience, time.Minute, most)}
 }
 
 func testCall(body []byte) *call {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -429,6 +429,8 @@
 		l.budget.Release(res.Held)
 	case res.Status == policy.OK:
 		l.finish(r, Answer{Verdict: Served, Reply: res.Reply, Held: res.Held})
+	case res.Status == policy.Cancelled && res.Unanswered:
+		l.finish(r, Answer{Verdict: Served})
 	case res.Status == policy.Cancelled && res.Blamed:
 		// The backend found fault with the request: so would any other.
 		l.finish(r, Answer{Verdict: Failed, Fault: Blamed, Reply: res.Reply, Held: res.Held})
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -63,8 +63,11 @@
 	LatencyMs float64
 	Report    []float32
 	Blamed    bool // with Cancelled: the backend's word that the request is bad
-	Reply     any
-	Held      int64 // of the budget, for the reply; whoever ends with the reply gives it back
+	// Unanswered, with Cancelled: written whole, and no answer will ever come, as the protocol has it.
+	// It may have run, and for its client it is served.
+	Unanswered bool
+	Reply      any
+	Held       int64 // of the budget, for the reply; whoever ends with the reply gives it back
 }
 
 // Upstream makes attempts of one protocol. All methods may be called from any goroutine.
--- /dev/null
+++ b/internal/front/thrift/front.go
@@ -0,0 +1,381 @@
+package thrift
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/thriftwire"
+	upstream "ringtrack.example/ringtrack/internal/upstream/thrift"
+)
+
+const (
+	// readTime bounds how long a message may take to come from its first byte on, idleTime how long a
+	// connection is kept between calls, writeTime what a client may take to read its reply.
+	readTime, idleTime, writeTime = 2500 * time.Millisecond, 10 * time.Second, 2 * time.Second
+	// linger is how long connections still come after the front was told to end.
+	linger = 500 * time.Millisecond
+)
+
+// Types of the application exceptions by which calls end that no server answered. The first two are
+// those that other implementations use for the same.
+const (
+	Refused = 11                            // nothing ran: trying again is harmless, after the time in the message
+	Expired = 12                            // the time was over; it may have run
+	Failed  = thriftwire.InternalError      // it may have run
+	Unknown = thriftwire.UnknownMethod      // the method is not listed
+	Broken  = thriftwire.ProtocolError      // the message can't be read
+	Kind    = thriftwire.InvalidMessageType // a message that is no call
+)
+
+// Front serves clients on one listener.
+type Front struct {
+	Loop     *core.Loop
+	Upstream core.Upstream
+	Budget   *semaphore.Weighted // memory for messages over the first few KiB
+	Table    *Table
+	Limits   thriftwire.Limits
+	Most     int           // connections at once
+	Linger   time.Duration // how long connections still come after Shutdown; 0: half a second
+	AfterMs  float64       // when refused clients may come back, where the module says nothing
+
+	seq    atomic.Uint64
+	mu     sync.Mutex
+	conns  map[*client]struct{}
+	ending bool
+	wg     sync.WaitGroup
+}
+
+// client is one connection.
+type client struct {
+	net.Conn
+	br   *bufio.Reader
+	busy bool // a call is open; under the front's lock
+	t    thriftwire.Transport
+}
+
+// Serve accepts clients until the listener is closed; then it returns nil.
+func (f *Front) Serve(ln net.Listener) error {
+	f.mu.Lock()
+	f.conns = map[*client]struct{}{}
+	f.mu.Unlock()
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return fmt.Errorf("thrift: %w", err)
+		}
+		c := &client{Conn: nc, br: bufio.NewReaderSize(nc, 4<<10)}
+		f.mu.Lock()
+		if len(f.conns) >= f.Most && !f.evict() {
+			f.mu.Unlock()
+			nc.Close()
+			continue
+		}
+		f.conns[c] = struct{}{}
+		f.mu.Unlock()
+		f.wg.Go(func() { f.serve(c) })
+	}
+}
+
+// evict closes a connection without an open call, to make room. The lock is held.
+func (f *Front) evict() bool {
+	for c := range f.conns {
+		if !c.busy {
+			delete(f.conns, c)
+			c.Close()
+			return true
+		}
+	}
+	return false
+}
+
+// Shutdown ends service without losing a call: it accepts for a while more, lets open calls end, for held
+// at the most, and closes each connection after its reply.
+func (f *Front) Shutdown(ln net.Listener, held time.Duration) {
+	f.mu.Lock()
+	f.ending = true
+	f.mu.Unlock()
+	if f.Linger == 0 {
+		f.Linger = linger
+	}
+	time.Sleep(f.Linger)
+	ln.Close()
+	over := time.Now().Add(held)
+	for time.Now().Before(over) {
+		f.mu.Lock()
+		busy := 0
+		for c := range f.conns {
+			if c.busy {
+				busy++
+			} else {
+				c.Close()
+			}
+		}
+		f.mu.Unlock()
+		if busy == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.mu.Lock()
+	for c := range f.conns {
+		c.Close()
+	}
+	f.mu.Unlock()
+	f.wg.Wait()
+}
+
+// incoming is a message as it was read, or how reading ended.
+type incoming struct {
+	msg  []byte
+	head thriftwire.Message
+	at   time.Time
+	held int64
+	err  error
+}
+
+// serve answers a connection's calls in the order in which they came, one at a time: what a client sends
+// ahead waits, one message of it read.
+func (f *Front) serve(c *client) {
+	in := make(chan incoming)
+	over := make(chan struct{})
+	var reader sync.WaitGroup
+	reader.Go(func() {
+		for {
+			m := f.read(c)
+			select {
+			case in <- m:
+			case <-over:
+				f.Budget.Release(m.held)
+				return
+			}
+			if m.err != nil {
+				return
+			}
+		}
+	})
+	defer func() {
+		close(over)
+		c.Close()
+		reader.Wait()
+		f.mu.Lock()
+		delete(f.conns, c)
+		f.mu.Unlock()
+	}()
+	idle := time.NewTimer(idleTime)
+	defer idle.Stop()
+	var ahead *incoming // sent before the last call was answered
+	for {
+		m := ahead
+		if m == nil {
+			idle.Reset(idleTime)
+			select {
+			case next := <-in:
+				m = &next
+			case <-idle.C:
+				return
+			}
+		}
+		if m.err != nil {
+			f.refuseToRead(c, m)
+			return
+		}
+		f.mu.Lock()
+		c.busy = true
+		f.mu.Unlock()
+		var ok bool
+		ahead, ok = f.handle(c, m, in)
+		f.Budget.Release(m.held)
+		f.mu.Lock()
+		c.busy = false
+		last := f.ending
+		f.mu.Unlock()
+		if !ok || last {
+			if ahead != nil {
+				f.Budget.Release(ahead.held) // never taken
+			}
+			return
+		}
+	}
+}
+
+// read reads the next message.
+func (f *Front) read(c *client) (m incoming) {
+	c.SetReadDeadline(time.Time{}) // who idles is closed by serve
+	if c.t == 0 {
+		for n := 1; ; n++ {
+			b, err := c.br.Peek(n)
+			if err != nil {
+				m.err = err
+				return m
+			}
+			if n == 1 {
+				c.SetReadDeadline(time.Now().Add(readTime))
+			}
+			b, _ = c.br.Peek(c.br.Buffered())
+			t, _, ok, err := thriftwire.Detect(b)
+			if err != nil {
+				m.err = err
+				return m
+			}
+			if ok {
+				c.t = t
+				break
+			}
+			n = len(b)
+		}
+	}
+	if _, m.err = c.br.Peek(1); m.err != nil {
+		return m
+	}
+	c.SetReadDeadline(time.Now().Add(readTime))
+	m.msg, m.head, m.err = upstream.Read(c.br, c.t, f.Limits, f.Table.paths, func(n int64) error {
+		if !f.Budget.TryAcquire(n) {
+			return errNoMemory
+		}
+		m.held += n
+		return nil
+	})
+	m.at = time.Now()
+	return m
+}
+
+var errNoMemory = errors.New("thrift: no memory for a message")
+
+// refuseToRead answers what can't be read, as far as it was: nothing of it was passed on.
+func (f *Front) refuseToRead(c *client, m *incoming) {
+	f.Budget.Release(m.held)
+	switch {
+	case errors.Is(m.err, thriftwire.ErrHTTP):
+		c.SetWriteDeadline(time.Now().Add(writeTime))
+		io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: 30\r\n\r\nThis port speaks Thrift only.\n")
+	case errors.Is(m.err, thriftwire.ErrTHeader):
+		slog.Warn("thrift", "peer", c.RemoteAddr().String(), "err", m.err)
+	case m.head.Name == nil || m.head.Kind == thriftwire.Oneway:
+		// Nothing to answer to.
+	case errors.Is(m.err, errNoMemory):
+		f.except(c, &m.head, Refused, refusal(f.AfterMs))
+	case upstream.IsSpoilt(m.err):
+		f.except(c, &m.head, Broken, m.err.Error())
+	}
+}
+
+func refusal(afterMs float64) string {
+	return "refused: nothing ran, come back after " + strconv.FormatFloat(afterMs, 'f', 0, 64) + " ms"
+}
+
+// handle takes one call through the core. It returns what the client sent ahead meanwhile, if anything,
+// and false where the connection is to be closed.
+func (f *Front) handle(c *client, m *incoming, in <-chan incoming) (ahead *incoming, ok bool) {
+	oneway := m.head.Kind == thriftwire.Oneway
+	if m.head.Kind != thriftwire.Call && !oneway {
+		f.except(c, &m.head, Kind, "a message that is no call")
+		return nil, false
+	}
+	what := f.Table.find(m.head.Name)
+	oneway = oneway || what != nil && what.oneway
+	if what == nil {
+		return nil, oneway || f.except(c, &m.head, Unknown, "the method is not listed here")
+	}
+	left := what.deadlineMs
+	if what.deadline >= 0 {
+		if fd := m.head.Fields[what.deadline]; fd.Found && int64(fd.Int) >= 1 && int64(fd.Int) <= mostDeadline {
+			left = float64(int64(fd.Int))
+		}
+	}
+	call := &core.Call{ID: "thrift-" + strconv.FormatUint(f.seq.Add(1), 36), Class: what.class, Via: f.Upstream,
+		Deadline: m.at.Add(time.Duration(left * float64(time.Millisecond))), Answer: make(chan core.Answer, 1),
+		Payload: &upstream.Call{Message: m.msg, Head: m.head, Transport: c.t, Oneway: oneway, NeverRan: what.neverRan}}
+	if what.key >= 0 {
+		call.Key = keyOf(m.msg, &m.head.Fields[what.key])
+	}
+	took := make(chan *core.Request, 1)
+	f.Loop.Post(func() { took <- f.Loop.Take(call) })
+	var a core.Answer
+	select {
+	case a = <-call.Answer:
+	case next := <-in:
+		if next.err != nil && !oneway {
+			// The client has left, or sends what can't be read: nobody waits for the answer.
+			f.Budget.Release(next.held)
+			f.Loop.Post(func() { f.Loop.Left(<-took) })
+			return nil, false
+		}
+		ahead = &next // it waits for its turn
+		a = <-call.Answer
+	}
+	return ahead, f.answer(c, m, a, oneway)
+}
+
+// keyOf is the key that a field's value names: the same for the same text over all fronts.
+func keyOf(msg []byte, fd *thriftwire.Field) uint64 {
+	switch {
+	case !fd.Found || fd.Type == thriftwire.String && fd.Start == fd.End:
+		return 0
+	case fd.Type == thriftwire.String:
+		return membership.Hash(string(msg[fd.Start:fd.End]))
+	case fd.Type == thriftwire.Bool:
+		return membership.Hash(strconv.FormatBool(fd.Bool))
+	}
+	return membership.Hash(strconv.FormatInt(int64(fd.Int), 10))
+}
+
+// answer writes the one answer to a call. A oneway call has none.
+func (f *Front) answer(c *client, m *incoming, a core.Answer, oneway bool) bool {
+	defer f.Budget.Release(a.Held)
+	if oneway {
+		return true
+	}
+	if r, ok := a.Reply.(*upstream.Reply); ok && (a.Verdict == core.Served || a.Fault == core.Blamed) {
+		return f.write(c, r.Head.AppendHeadWithSeq(frameRoom(c.t, len(r.Message)), r.Message, m.head.Seq), r.Head.Rest(r.Message))
+	}
+	switch {
+	case a.Verdict == core.Refused:
+		after := a.AfterMs
+		if after <= 0 {
+			after = f.AfterMs
+		}
+		return f.except(c, &m.head, Refused, refusal(after))
+	case a.Fault == core.Expired:
+		return f.except(c, &m.head, Expired, "failed: the time was over, it may have run")
+	}
+	return f.except(c, &m.head, Failed, "failed: it may have run")
+}
+
+// frameRoom is where a message is begun: behind its length, where it is framed.
+func frameRoom(t thriftwire.Transport, size int) []byte {
+	if t == thriftwire.Framed {
+		return make([]byte, 4, 64+min(size, thriftwire.MaxName))
+	}
+	return make([]byte, 0, 64)
+}
+
+func (f *Front) except(c *client, head *thriftwire.Message, code int32, text string) bool {
+	return f.write(c, thriftwire.AppendException(frameRoom(c.t, 0), head.Protocol, head.Name, head.Seq, code, text), nil)
+}
+
+// write sends a reply that is head and rest.
+func (f *Front) write(c *client, head, rest []byte) bool {
+	if c.t == thriftwire.Framed {
+		binary.BigEndian.PutUint32(head, uint32(len(head)-4+len(rest)))
+	}
+	c.SetWriteDeadline(time.Now().Add(writeTime))
+	out := net.Buffers{head, rest}
+	_, err := out.WriteTo(c.Conn)
+	return err == nil
+}
--- a/internal/agent/ages.go
+++ b/internal/upstream/conns/ages.go
@@ -1,4 +1,4 @@
-package agent
+package conns
 
 import (
 	"math"
--- /dev/null
+++ b/internal/upstream/conns/pool.go
@@ -0,0 +1,240 @@
+// Package conns keeps idle connections to backends and bounds all there are, for upstreams of every
+// protocol: descriptors are shared, connections never are.
+package conns
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/core"
+)
+
+// Pool keeps idle connections to backends and bounds all there are. http.Transport
+// is not used on purpose: it sends again by itself on a broken kept connection, and
+// does not tell whether the last byte was written, on which hangs whether an attempt
+// may have run.
+type Pool struct {
+	connectTimeout time.Duration
+	keepalive      time.Duration // idle connections older than this are not used again
+	max            int
+
+	mu sync.Mutex
+	// By backend, not by address: one that has gone may leave its address to another.
+	// The most recently used last.
+	idle map[Key][]*Conn
+	open int
+	ages ages
+}
+
+// Key tells which connections may be used for one another: those to one backend, on which one kind of
+// thing is spoken. 0 is HTTP; other upstreams number their own.
+type Key struct {
+	Backend *core.Backend
+	Kind    uint8
+}
+
+// Conn is a connection of a pool.
+type Conn struct {
+	net.Conn
+	BR    *bufio.Reader
+	key   Key
+	addr  string
+	since time.Time // idle since
+	slot  int       // how long it idled before its last use, as ages tells times apart
+}
+
+// ErrTooMany says that all descriptors for backends are in use.
+var ErrTooMany = errors.New("no descriptor left for a connection")
+
+// New returns a pool of max connections at the most. Times of 0 stand for a second.
+func New(connectTimeout, keepalive time.Duration, max int) *Pool {
+	p := &Pool{connectTimeout: connectTimeout, keepalive: keepalive, max: max, idle: map[Key][]*Conn{}}
+	if p.connectTimeout <= 0 {
+		p.connectTimeout = time.Second
+	}
+	if p.keepalive <= 0 {
+		p.keepalive = time.Second
+	}
+	return p
+}
+
+// ConnectTimeout is how long a connection may take to come up.
+func (p *Pool) ConnectTimeout() time.Duration { return p.connectTimeout }
+
+// Open is the number of connections, idle ones and those in use.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Idle is the number of idle connections of a key.
+func (p *Pool) Idle(key Key) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[key])
+}
+
+// Ended notes how an attempt on a connection ended: whether it broke without a byte of an answer.
+func (p *Pool) Ended(cn *Conn, broke bool) { p.ages.count(cn.slot, broke) }
+
+// Adopt takes in an idle connection that was opened elsewhere.
+func (p *Pool) Adopt(nc net.Conn, key Key, addr string) {
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	p.Put(&Conn{Conn: nc, BR: bufio.NewReader(nc), key: key, addr: addr})
+}
+
+// Get returns an idle connection that is still good, the most recently used
+// first, or opens one.
+func (p *Pool) Get(ctx context.Context, key Key, addr string, until time.Time) (*Conn, error) {
+	for {
+		p.mu.Lock()
+		list := p.idle[key]
+		if len(list) == 0 {
+			break
+		}
+		cn := list[len(list)-1]
+		p.keep(key, list[:len(list)-1])
+		p.mu.Unlock()
+		age := time.Since(cn.since)
+		if cn.addr == addr && age < p.keepalive && p.ages.usable(age) && quiet(cn) {
+			cn.slot = ageSlot(age)
+			return cn, nil
+		}
+		p.Close(cn)
+	}
+	if p.open >= p.max && !p.evict() {
+		p.mu.Unlock()
+		return nil, ErrTooMany
+	}
+	p.open++
+	p.mu.Unlock()
+	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	return &Conn{Conn: nc, BR: bufio.NewReaderSize(nc, 4<<10), key: key, addr: addr}, nil
+}
+
+// keep stores what is idle of a backend. The lock is held.
+func (p *Pool) keep(key Key, list []*Conn) {
+	if len(list) == 0 {
+		delete(p.idle, key)
+		return
+	}
+	p.idle[key] = list
+}
+
+// evict closes the connection that has been idle longest, to make room for
+// another backend's. The lock is held.
+func (p *Pool) evict() bool {
+	var oldest *Conn
+	for _, list := range p.idle {
+		if oldest == nil || list[0].since.Before(oldest.since) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.keep(oldest.key, p.idle[oldest.key][1:])
+	p.open--
+	oldest.Close()
+	return true
+}
+
+// Put keeps a connection for the next attempt, unless it brought more than it was
+// asked for: the rest would be taken for the next answer.
+func (p *Pool) Put(cn *Conn) {
+	cn.SetDeadline(time.Time{})
+	cn.since = time.Now()
+	if cn.key.Backend.Closed() || !quiet(cn) {
+		p.Close(cn)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[cn.key] = append(p.idle[cn.key], cn)
+}
+
+// Close closes a connection that was got.
+func (p *Pool) Close(cn *Conn) {
+	cn.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// HangUp closes the idle connections to a backend.
+func (p *Pool) HangUp(b *core.Backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, list := range p.idle {
+		if key.Backend != b {
+			continue
+		}
+		for _, cn := range list {
+			p.open--
+			cn.Close()
+		}
+		delete(p.idle, key)
+	}
+}
+
+// Sweep closes connections that have idled too long, and those of backends that were
+// closed while a connection was on its way back.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, list := range p.idle {
+		n := 0
+		for n < len(list) && (key.Backend.Closed() || time.Since(list[n].since) >= p.keepalive) {
+			p.open--
+			list[n].Close()
+			n++
+		}
+		p.keep(key, list[n:])
+	}
+}
+
+// quiet tells whether a connection on which nothing is asked is still open and
+// silent. One that the peer closed, or that brings bytes nobody asked for, must not
+// carry a request: it would end as a reset, or take those bytes for its answer.
+func quiet(cn *Conn) bool {
+	if cn.BR.Buffered() > 0 {
+		return false
+	}
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	good := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		good = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && good
+}
+
+// Ours tells whether a connection failed for want of something here.
+func Ours(err error) bool {
+	return errors.Is(err, ErrTooMany) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, context.Canceled)
+}
