--- /dev/null
+++ b/internal/front/thrift/config_test.go
@@ -0,0 +1,88 @@
+package thrift
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ringtrack.example/ringtrack/internal/thriftwire"
+)
+
+const good = "listen = \"127.0.0.1:9090\"\nclass = \"order\"\n"
+
+// Bad configuration names its key.
+func TestConfigNamesTheKey(t *testing.T) {
+	load := func(text string) error {
+		file := filepath.Join(t.TempDir(), "thrift.toml")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, err := Load(file)
+		if err == nil {
+			_, err = c.Table(testClasses)
+		}
+		return err
+	}
+	if err := load(good); err != nil {
+		t.Fatal(err)
+	}
+	method := func(rest string) string { return good + "[[method]]\nname = \"m\"\nclass = \"order\"\n" + rest }
+	for key, text := range map[string]string{
+		"listen: ":                "class = \"order\"\n",
+		"frame_limit: ":           good + "frame_limit = 1\n",
+		"depth_limit: ":           good + "depth_limit = 0\n",
+		"unlisted: ":              good + "unlisted = \"maybe\"\n",
+		"class: the settings":     "listen = \"127.0.0.1:9090\"\n",
+		"class: \"read\" may run": strings.Replace(good, "order", "read", 1),
+		"deadline_ms: ":           good + "deadline_ms = 70000\n",
+		"unknown: framelimit":     good + "framelimit = 1\n",
+		"method[0].name: ":        good + "[[method]]\nclass = \"order\"\n",
+		"method[0].class: ":       good + "[[method]]\nname = \"m\"\nclass = \"none\"\n",
+		"method[0].key: ":         method("key = \"1.x\"\n"),
+		"longer than":             method("key = \"1.2.3.4.5.6.7.8.9\"\n"),
+		"method[0].deadline: ":    method("deadline = \"70000\"\n"),
+		"method[0].deadline_ms: ": method("deadline_ms = -5\n"),
+		"method[1].name: ":        method("") + "[[method]]\nname = \"m\"\nclass = \"order\"\n",
+		"different paths": method("key = \"1\"\n") + "[[method]]\nname = \"a\"\nclass = \"order\"\nkey = \"2\"\ndeadline = \"3\"\n" +
+			"[[method]]\nname = \"b\"\nclass = \"order\"\nkey = \"4\"\ndeadline = \"5\"\n",
+	} {
+		if err := load(text); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
+
+// The file that is shipped is sound, and names find their lines.
+func TestShippedConfig(t *testing.T) {
+	c, err := Load("../../../deploy/thrift.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := c.Table(testClasses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, class := range map[string]int{"Orders:place": 2, "Bulletins:send": 1, "Bulletins:hint": 0, "place": 2, "Other:thing": 2} {
+		if m := table.find([]byte(name)); m == nil || m.class != class {
+			t.Errorf("%s: %+v, want class %d", name, m, class)
+		}
+	}
+	c.Method = append(c.Method, MethodConfig{Name: "Other:*", Class: "read"})
+	if table, err = c.Table(testClasses); err != nil || table.find([]byte("Other:thing")).class != 0 {
+		t.Errorf("a whole service: %v", err)
+	}
+}
+
+// One key is the same however it is written, and over all fronts.
+func TestKeys(t *testing.T) {
+	msg := []byte("xxkeyxx")
+	field := thriftwire.Field{Found: true, Start: 2, End: 5, Type: thriftwire.String}
+	number := thriftwire.Field{Found: true, Type: thriftwire.I64, Int: ^uint64(0)}
+	if keyOf(msg, &field) == 0 || keyOf(msg, &field) != keyOf([]byte("yykey"), &field) || keyOf(msg, &number) == keyOf(msg, &field) {
+		t.Error("keys differ, or are one")
+	}
+	if keyOf(msg, &thriftwire.Field{}) != 0 || keyOf(msg, &thriftwire.Field{Found: true, Type: thriftwire.String}) != 0 {
+		t.Error("no key is one")
+	}
+}
--- a/internal/thriftwire/reader.go
+++ b/internal/thriftwire/reader.go
@@ -243,6 +243,10 @@
 		r.skip, top.left = n*top.left, 0
 		return true, nil
 	}
+	before := r.pos
+	if err := r.run(b, top); err != nil || r.pos > before {
+		return err == nil, err
+	}
 	ok, err := r.value(b, t, -1, level{})
 	if ok && err == nil {
 		// value may have grown the stack; the level is where it was.
@@ -251,6 +255,65 @@
 	return ok, err
 }
 
+// run passes elements without parts by, as long as all of one is there.
+func (r *Reader) run(b []byte, top *level) error {
+	for top.left > 0 {
+		t, rest := top.value, b[r.pos:]
+		if top.kind == Map && top.left%2 == 0 {
+			t = top.key
+		}
+		n := t.fixed()
+		switch {
+		case r.Protocol == Compact && (t == I16 || t == I32 || t == I64):
+			var err error
+			if n, err = varintSize(rest, 8*n); n == 0 || err != nil {
+				return err
+			}
+		case t == String:
+			size, m, err := r.length(rest)
+			if m == 0 || err != nil {
+				return err
+			}
+			n = m + size
+		case n == 0:
+			return nil
+		}
+		if len(rest) < n {
+			return nil
+		}
+		r.pos += n
+		top.left--
+		if err := r.sized(r.pos); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// length reads a string's. n is the bytes that it takes, 0 where they are not all there yet.
+func (r *Reader) length(rest []byte) (size, n int, err error) {
+	long := int64(0)
+	if r.Protocol == Compact {
+		v, m, err := varint(rest, 32)
+		if m == 0 || err != nil {
+			return 0, 0, err
+		}
+		long, n = int64(int32(uint32(v))), m
+	} else {
+		if len(rest) < 4 {
+			return 0, 0, nil
+		}
+		long, n = int64(int32(binary.BigEndian.Uint32(rest))), 4
+	}
+	switch {
+	case long < 0:
+		return 0, 0, malformed("a string of %d bytes", long)
+	case long > int64(r.limits.Size-r.pos):
+		return 0, 0, ErrTooLarge
+	}
+	return int(long), n, nil
+}
+
 // at is the level that an element of type t belongs to, after its value was begun.
 func (r *Reader) at(t Type) *level {
 	switch t {
@@ -365,28 +428,12 @@
 		inner.kind = Struct
 		return true, r.open(inner)
 	case String:
-		var size int64
-		n := 4
-		if r.Protocol == Compact {
-			v, m, err := varint(rest, 32)
-			if m == 0 || err != nil {
-				return false, err
-			}
-			size, n = int64(int32(uint32(v))), m
-		} else {
-			if len(rest) < 4 {
-				return false, nil
-			}
-			size = int64(int32(binary.BigEndian.Uint32(rest)))
-		}
-		if size < 0 {
-			return false, malformed("a string of %d bytes", size)
-		}
-		if size > int64(room) {
-			return false, ErrTooLarge
+		size, n, err := r.length(rest)
+		if n == 0 || err != nil {
+			return false, err
 		}
 		r.pos += n
-		r.skip = int(size)
+		r.skip = size
 		if want >= 0 {
 			r.Fields[want] = Field{Found: true, Start: r.pos, End: r.pos, Type: String}
 			if size > 0 {
@@ -496,6 +543,9 @@
 // varint reads an unsigned varint of so many bits. n is 0 where there is not all of it yet. One that is
 // longer than its bits need is malformed.
 func varint(b []byte, bits int) (v uint64, n int, err error) {
+	if len(b) > 0 && b[0] < 0x80 {
+		return uint64(b[0]), 1, nil
+	}
 	most := (bits + 6) / 7
 	for i := range b {
 		if i >= most {
@@ -516,4 +566,19 @@
 	return 0, 0, nil
 }
 
+// varintSize is varint for one whose value nobody wants.
+func varintSize(b []byte, bits int) (int, error) {
+	most := (bits + 6) / 7
+	for i, c := range b[:min(len(b), most)] {
+		if c < 0x80 {
+			if i < most-1 || c>>(7-(7*most-bits)) == 0 {
+				return i + 1, nil
+			}
+			break
+		}
+	}
+	_, n, err := varint(b, bits) // which says what is wrong
+	return n, err
+}
+
 func unzigzag(v uint64) int64 { return int64(v>>1) ^ -int64(v&1) }
