--- a/cmd/ringtrack-lab/main.go
+++ b/cmd/ringtrack-lab/main.go
@@ -44,7 +44,7 @@
 func runProof(ctx context.Context, args []string) error {
 	if args[0] == "--list" {
 		for _, p := range prove.All {
-			fmt.Printf("%-8s %s\n", p.Name, p.About)
+			fmt.Printf("%-12s %s\n", p.Name, p.About)
 		}
 		return nil
 	}
--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -105,6 +105,7 @@
 	{"drains", "1,000 drains under steady requests and with pushes in flight: nothing new later than 250 ms", 0.4, Drains},
 	{"storm", "1,000 proxies lose the service at once; it comes back empty: all are served again", 0.3, Storm},
 	{"stall", "1,000 proxies of which one reads nothing: the others notice nothing", 0.3, Stall},
+	{"thrift-kill", "10,000 unsafe Thrift calls while servers' connections are reset: none runs twice, none is lost", 0.5, ThriftKill},
 }
 
 // Find returns a proof by name.
