--- a/internal/front/thrift/rules_test.go
+++ b/internal/front/thrift/rules_test.go
@@ -64,8 +64,7 @@
 
 func newWorld(t *testing.T, enc thriftlab.Encoding, servers int) *world {
 	t.Helper()
-	w := &world{t: t, enc: enc, ledger: lab.NewLedger(lab.DefaultRules()), budget: semaphore.NewWeighted(1 << 20),
-		pool: conns.New(time.Second, time.Minute, 64)}
+	w := &world{t: t, enc: enc, ledger: lab.NewLedger(lab.DefaultRules())}
 	var entries []membership.Entry
 	for i := range servers {
 		s, err := thriftlab.NewServer(fmt.Sprint("s-", i), enc, w.ledger)
@@ -75,6 +74,15 @@
 		t.Cleanup(s.Close)
 		w.servers, entries = append(w.servers, s), append(entries, s.Entry)
 	}
+	w.start(entries)
+	return w
+}
+
+// start starts the core and the front before servers.
+func (w *world) start(entries []membership.Entry) {
+	t := w.t
+	t.Helper()
+	w.budget, w.pool = semaphore.NewWeighted(1<<20), conns.New(time.Second, time.Minute, 64)
 	var err error
 	if w.roster, err = lab.NewRoster(entries...); err != nil {
 		t.Fatal(err)
@@ -112,7 +120,6 @@
 		}
 	}
 	t.Cleanup(w.stop)
-	return w
 }
 
 var lastOp atomic.Int64
