One acceptor for the lab's stand-in servers

Need: two stand-ins had the same listener code. Change: lab.Acceptor owns the listener, the connections and their goroutines.

--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,45 +28,23 @@
 // OrderServer is a stand-in for an order server, on HTTP/1.1 as the protocol page has it. Bodies name
 // the operation, which is how the ledger knows it again over tries.
 type OrderServer struct {
+	*Acceptor
 	ID     string
-	Addr   string
 	Entry  membership.Entry
 	Work   time.Duration // how long a request takes
 	ledger *Ledger
-
-	mode  atomic.Int32
-	ln    net.Listener
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	over  bool
-	wg    sync.WaitGroup
-	begun atomic.Int64
+	mode   atomic.Int32
+	begun  atomic.Int64
 }
 
 // NewOrderServer starts one; ledger may be nil.
 func NewOrderServer(id, zone string, work time.Duration, ledger *Ledger) (*OrderServer, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	s := &OrderServer{ID: id, Work: work, ledger: ledger}
+	var err error
+	if s.Acceptor, err = Accept(s.serve); err != nil {
 		return nil, err
 	}
-	s := &OrderServer{ID: id, Addr: ln.Addr().String(), Work: work, ledger: ledger, ln: ln, conns: map[net.Conn]bool{}}
 	s.Entry = membership.Entry{ID: id, Addr: s.Addr, Zone: zone, Kind: "fast", State: membership.Up, Weight: 1}
-	s.wg.Go(func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			if s.over {
-				c.Close()
-			} else {
-				s.conns[c] = true
-				s.wg.Go(func() { s.serve(c) })
-			}
-			s.mu.Unlock()
-		}
-	})
 	return s, nil
 }
 
@@ -77,25 +54,7 @@
 // Begun is the number of requests that began here.
 func (s *OrderServer) Begun() int64 { return s.begun.Load() }
 
-// Close ends the server and its connections.
-func (s *OrderServer) Close() {
-	s.ln.Close()
-	s.mu.Lock()
-	s.over = true
-	for c := range s.conns {
-		c.Close()
-	}
-	s.mu.Unlock()
-	s.wg.Wait()
-}
-
 func (s *OrderServer) serve(c net.Conn) {
-	defer func() {
-		c.Close()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-	}()
 	br := bufio.NewReader(c)
 	for {
 		if _, err := br.Peek(1); err != nil {
--- a/internal/lab/thriftlab/thriftlab.go
+++ b/internal/lab/thriftlab/thriftlab.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -182,82 +181,32 @@
 
 // Server is a stand-in order server.
 type Server struct {
-	ID, Addr string
-	Entry    membership.Entry
-	Work     time.Duration
-	enc      Encoding
-	ledger   *lab.Ledger
-	mode     atomic.Int32
-	ln       net.Listener
-	mu       sync.Mutex
-	conns    map[net.Conn]bool
-	over     bool
-	wg       sync.WaitGroup
-	Calls    atomic.Int64
-	Oneways  atomic.Int64
-	Conns    atomic.Int64
+	*lab.Acceptor
+	ID      string
+	Entry   membership.Entry
+	Work    time.Duration
+	enc     Encoding
+	ledger  *lab.Ledger
+	mode    atomic.Int32
+	Calls   atomic.Int64
+	Oneways atomic.Int64
 }
 
 // NewServer starts one; ledger may be nil.
 func NewServer(id string, enc Encoding, ledger *lab.Ledger) (*Server, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	s := &Server{ID: id, enc: enc, ledger: ledger}
+	var err error
+	if s.Acceptor, err = lab.Accept(s.serve); err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Addr: ln.Addr().String(), enc: enc, ledger: ledger, ln: ln, conns: map[net.Conn]bool{}}
 	s.Entry = membership.Entry{ID: id, Addr: s.Addr, Zone: "east", Kind: "fast", State: membership.Up, Weight: 1}
-	s.wg.Go(func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			if s.over {
-				c.Close()
-			} else {
-				s.conns[c] = true
-				s.Conns.Add(1)
-				s.wg.Go(func() { s.serve(c) })
-			}
-			s.mu.Unlock()
-		}
-	})
 	return s, nil
 }
 
 // Set changes the mode.
 func (s *Server) Set(m Mode) { s.mode.Store(int32(m)) }
 
-// Cut resets all connections.
-func (s *Server) Cut() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		c.(*net.TCPConn).SetLinger(0)
-		c.Close()
-	}
-}
-
-// Close ends the server and its connections.
-func (s *Server) Close() {
-	s.ln.Close()
-	s.mu.Lock()
-	s.over = true
-	for c := range s.conns {
-		c.Close()
-	}
-	s.mu.Unlock()
-	s.wg.Wait()
-}
-
 func (s *Server) serve(c net.Conn) {
-	defer func() {
-		c.Close()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-	}()
 	ctx := context.Background()
 	t := s.enc.transport(thrift.NewTSocketFromConnConf(c, &thrift.TConfiguration{}))
 	p := s.enc.Protocol.GetProtocol(t)
