Take out what nothing uses

Cause: read once more, the change held fields and functions that nothing called. Change: Resource.Size, KeyOfPath, a stream's last version, and three of the lab's are gone.

--- a/internal/control/resource/resource.go
+++ b/internal/control/resource/resource.go
@@ -64,9 +64,6 @@
 	return hex.EncodeToString(h.Sum(nil)[:8])
 }
 
-// Size is the number of bytes of the resource on the wire, about.
-func (r *Resource) Size() int { return len(r.any) }
-
 // Set is resources of one type, or of one collection, that are handed out together. It is never
 // changed once made.
 type Set struct {
--- a/internal/control/resource/resource_test.go
+++ b/internal/control/resource/resource_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -254,9 +255,11 @@
 	}
 }
 
+// The pattern that proxies are handed finds the last part of a path.
 func TestKeyOfPath(t *testing.T) {
+	re := regexp.MustCompile(lastOfPath)
 	for path, want := range map[string]string{"/api/7f3a": "7f3a", "/api/7f3a?op=1/2": "7f3a", "/": "", "/a": "a"} {
-		if got := KeyOfPath(path); got != want {
+		if got := re.ReplaceAllString(path, "$1"); got != want {
 			t.Errorf("%s: key %q, want %q", path, got, want)
 		}
 	}
--- a/internal/control/resource/service.go
+++ b/internal/control/resource/service.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"regexp"
 	"strings"
 	"time"
 
@@ -175,12 +174,6 @@
 				Pattern: &matcherv3.RegexMatcher{Regex: lastOfPath}, Substitution: `\1`}}}})
 }
 
-// lastOfPathRE is lastOfPath, for proxies written here.
-var lastOfPathRE = regexp.MustCompile(lastOfPath)
-
-// KeyOfPath is the key that a path names.
-func KeyOfPath(path string) string { return lastOfPathRE.ReplaceAllString(path, "$1") }
-
 // NotStarted is the header of an answer that says the attempt never ran.
 const NotStarted = "not-started"
 
--- a/internal/control/stream.go
+++ b/internal/control/stream.go
@@ -89,7 +89,6 @@
 	pending  []pending                // not acknowledged, oldest first
 	sentSeq  uint64                   // the newest publication that was sent, or had nothing to send
 	ackedSeq uint64
-	version  string // sent last
 	nonce    string
 	again    bool // what is asked for has grown: send, whatever was sent
 	rejected bool // the last answer was a rejection
@@ -378,7 +377,7 @@
 		return nil
 	}
 	sb.pending = append(sb.pending, pending{nonce: f.nonce, version: version, seq: seq})
-	sb.nonce, sb.version = f.nonce, version
+	sb.nonce = f.nonce
 	s.mu.Lock()
 	s.shown.Sent += int64(len(f.bytes))
 	s.shown.Responses++
--- a/internal/lab/thriftlab/thriftlab.go
+++ b/internal/lab/thriftlab/thriftlab.go
@@ -182,14 +182,13 @@
 // Server is a stand-in order server.
 type Server struct {
 	*lab.Acceptor
-	ID      string
-	Entry   membership.Entry
-	Work    time.Duration
-	enc     Encoding
-	ledger  *lab.Ledger
-	mode    atomic.Int32
-	Calls   atomic.Int64
-	Oneways atomic.Int64
+	ID     string
+	Entry  membership.Entry
+	Work   time.Duration
+	enc    Encoding
+	ledger *lab.Ledger
+	mode   atomic.Int32
+	Calls  atomic.Int64
 }
 
 // NewServer starts one; ledger may be nil.
@@ -234,7 +233,6 @@
 			}
 		}
 		if kind == thrift.ONEWAY || name == "tell" {
-			s.Oneways.Add(1)
 			ran()
 			continue
 		}
--- a/internal/lab/xdsproxy/proxy.go
+++ b/internal/lab/xdsproxy/proxy.go
@@ -51,7 +51,6 @@
 	Delta  bool // incremental
 	LEDS   bool // servers one by one; incremental only
 	Creds  credentials.TransportCredentials
-	Conn   *grpc.ClientConn // shared with others, instead of one of its own
 	// Reject, if set, says why a response of a type is rejected; "" accepts it.
 	Reject func(typeURL string) string
 	// ApplyAfter holds back what came before it is used, though it is acknowledged at once: the seeded
@@ -107,23 +106,21 @@
 
 // Dial starts a proxy.
 func Dial(o Options) (*Proxy, error) {
-	p := &Proxy{o: o, conn: o.Conn, ready: make(chan struct{}), changed: make(chan struct{}),
+	p := &Proxy{o: o, ready: make(chan struct{}), changed: make(chan struct{}),
 		clusters: map[string]*clusterv3.Cluster{}, routes: map[string]*routev3.RouteConfiguration{},
 		sets: map[string]*endpointv3.ClusterLoadAssignment{}, single: map[string]map[string]*endpointv3.LbEndpoint{},
 		versions: map[string]map[string]string{}, version: map[string]string{}, table: &Table{},
 		inflight: map[string]int{}, stats: map[string]*stat{}}
-	if p.conn == nil {
-		if o.Creds == nil {
-			o.Creds = insecure.NewCredentials()
-		}
-		var err error
-		p.conn, err = grpc.NewClient(o.Target, grpc.WithTransportCredentials(o.Creds),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)),
-			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 2 * time.Second,
-				Backoff: backoffConfig()}))
-		if err != nil {
-			return nil, err
-		}
+	if o.Creds == nil {
+		o.Creds = insecure.NewCredentials()
+	}
+	var err error
+	p.conn, err = grpc.NewClient(o.Target, grpc.WithTransportCredentials(o.Creds),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 2 * time.Second,
+			Backoff: backoffConfig()}))
+	if err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
@@ -135,9 +132,7 @@
 func (p *Proxy) Close() {
 	p.cancel()
 	p.Pause(false)
-	if p.o.Conn == nil {
-		p.conn.Close()
-	}
+	p.conn.Close()
 	p.done.Wait()
 }
 
--- a/internal/lab/xdsproxy/table.go
+++ b/internal/lab/xdsproxy/table.go
@@ -36,14 +36,13 @@
 
 // Route is what the proxy may do with a request of a class.
 type Route struct {
-	Cluster  string
-	Timeout  time.Duration
-	RetryOn  string
-	Retries  int
-	Hedged   bool
-	TryTime  time.Duration
-	NotRan   string // header of an answer that says so
-	Wildcard bool
+	Cluster string
+	Timeout time.Duration
+	RetryOn string
+	Retries int
+	Hedged  bool
+	TryTime time.Duration
+	NotRan  string // header of an answer that says so
 }
 
 // Find returns a server by id.
