One table of rule tests for all protocols: HTTP and six encodings of Thrift

Need: HTTP's rules were tested through the agent and Thrift's beside it, by tests that could drift. Modes of stand-ins are one list. Found by the table and mended: a sound reply with more behind it was failed over Thrift and served over HTTP (now served, the connection closed); a client's own unreadable call was answered "spoilt reply"; a client that sent an empty frame waited 2.5 s for its connection's end.

--- a/internal/front/thrift/config_test.go
+++ b/internal/front/thrift/config_test.go
@@ -7,11 +7,17 @@
 	"testing"
 
 	"ringtrack.example/ringtrack/internal/thriftwire"
+	"ringtrack.example/ringtrack/policy"
 )
 
 const good = "listen = \"127.0.0.1:9090\"\nclass = \"order\"\n"
 
 // Bad configuration names its key.
+var testClasses = []policy.Class{
+	{Name: "read", AimMs: 1000, GiveUpMs: 2000, Effect: policy.Free, Credit: 1},
+	{Name: "send", AimMs: 1000, GiveUpMs: 2000, Effect: policy.Guarded, Group: policy.GroupAll, KeyTTLMs: 8000, Credit: 2},
+	{Name: "order", AimMs: 1000, GiveUpMs: 2000, Effect: policy.SingleShot, Credit: 5}}
+
 func TestConfigNamesTheKey(t *testing.T) {
 	load := func(text string) error {
 		file := filepath.Join(t.TempDir(), "thrift.toml")
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -270,8 +270,8 @@
 		// Nothing to answer to.
 	case errors.Is(m.err, errNoMemory):
 		f.except(c, &m.head, Refused, refusal(f.AfterMs))
-	case upstream.IsSpoilt(m.err):
-		f.except(c, &m.head, Broken, m.err.Error())
+	case upstream.IsUnreadable(m.err):
+		f.except(c, &m.head, Broken, "the call can't be read: "+m.err.Error())
 	}
 }
 
--- a/internal/front/thrift/witness_test.go
+++ b/internal/front/thrift/witness_test.go
@@ -1,4 +1,4 @@
-package thrift
+package thrift_test
 
 import (
 	"bytes"
@@ -13,11 +13,14 @@
 
 	"github.com/apache/thrift/lib/go/thrift"
 
-	"ringtrack.example/ringtrack/internal/lab"
 	"ringtrack.example/ringtrack/internal/lab/thriftlab"
+	"ringtrack.example/ringtrack/internal/lab/world"
 	"ringtrack.example/ringtrack/internal/membership"
 )
 
+// patience bounds every wait of the tests.
+const patience = 20 * time.Second
+
 // The witness: clients and servers of the apache library talk through the front, in every transport and
 // protocol that it has of ours, plain and multiplexed, with all kinds of values.
 
@@ -255,10 +258,14 @@
 					sock.Interrupt()
 					<-served
 				})
-				w := &world{t: t, enc: enc, ledger: lab.NewLedger(lab.DefaultRules())}
-				w.start([]membership.Entry{{ID: "s-1", Addr: sock.Addr().String(), Zone: "east", State: membership.Up, Weight: 1}})
+				w, err := world.New(world.Protocol{Name: enc.Name, Encoding: &enc}, world.Options{Seed: 7,
+					Entries: []membership.Entry{{ID: "s-1", Addr: sock.Addr().String(), Zone: "east", State: membership.Up, Weight: 1}}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { w.Close() })
 
-				socket := thrift.NewTSocketConf(w.addr, &thrift.TConfiguration{ConnectTimeout: patience, SocketTimeout: patience})
+				socket := thrift.NewTSocketConf(w.Addr, &thrift.TConfiguration{ConnectTimeout: patience, SocketTimeout: patience})
 				if err := socket.Open(); err != nil {
 					t.Fatal(err)
 				}
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -16,13 +16,22 @@
 // Mode is how a stand-in server behaves.
 type Mode int32
 
-// The modes.
+// The modes. Servers of every protocol know the first part; the rest is Thrift's.
 const (
 	Serving  Mode = iota
 	Silent        // reads, and answers nothing
-	Failing       // answers 500 after running
-	Full          // turns away: 503 with Not-Started
+	Failing       // answers that it has failed, after running
+	Full          // turns away, saying that nothing ran
 	Breaking      // runs, then breaks the connection
+	Twice         // runs, and answers twice
+	Half          // runs, answers half, and nothing more
+	Slow          // runs, and answers a byte at a time
+	Trickle       // runs, and answers so slowly that no deadline holds
+	Foreign       // runs, and answers in another protocol
+
+	WrongSeq  // runs, and answers under another sequence id
+	OtherName // runs, and answers for another method
+	Declaring // runs, and answers a declared exception
 )
 
 // OrderServer is a stand-in for an order server, on HTTP/1.1 as the protocol page has it. Bodies name
@@ -31,7 +40,7 @@
 	*Acceptor
 	ID     string
 	Entry  membership.Entry
-	Work   time.Duration // how long a request takes
+	work   atomic.Int64 // ns that a request takes
 	ledger *Ledger
 	mode   atomic.Int32
 	begun  atomic.Int64
@@ -39,7 +48,8 @@
 
 // NewOrderServer starts one; ledger may be nil.
 func NewOrderServer(id, zone string, work time.Duration, ledger *Ledger) (*OrderServer, error) {
-	s := &OrderServer{ID: id, Work: work, ledger: ledger}
+	s := &OrderServer{ID: id, ledger: ledger}
+	s.SetWork(work)
 	var err error
 	if s.Acceptor, err = Accept(s.serve); err != nil {
 		return nil, err
@@ -51,6 +61,9 @@
 // Set changes the mode.
 func (s *OrderServer) Set(m Mode) { s.mode.Store(int32(m)) }
 
+// SetWork changes how long a request takes.
+func (s *OrderServer) SetWork(d time.Duration) { s.work.Store(int64(d)) }
+
 // Begun is the number of requests that began here.
 func (s *OrderServer) Begun() int64 { return s.begun.Load() }
 
@@ -77,7 +90,8 @@
 		if id == "" {
 			id = req.URL.Query().Get("op") // of a request without a body
 		}
-		switch Mode(s.mode.Load()) {
+		mode := Mode(s.mode.Load())
+		switch mode {
 		case Silent:
 			io.Copy(io.Discard, br) // until the other side gives up
 			return
@@ -93,13 +107,43 @@
 			io.WriteString(c, "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		if s.Work > 0 {
-			time.Sleep(s.Work)
+		if d := time.Duration(s.work.Load()); d > 0 {
+			time.Sleep(d)
 		}
 		s.ran(id)
 		text := s.ID + " " + id
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		if mode == Foreign {
+			answer = []byte("\x80\x01\x00\x02\x00\x00\x00\x05order\x00\x00\x00\x01\x00")
+		}
+		if !mode.Write(c, answer) {
+			return
+		}
+	}
+}
+
+// Write writes an answer as the mode has it, and returns false where the connection is of no more use.
+func (m Mode) Write(c net.Conn, answer []byte) bool {
+	switch m {
+	case Twice:
+		answer = append(answer[:len(answer):len(answer)], answer...)
+	case Half:
+		c.Write(answer[:len(answer)/2])
+		io.Copy(io.Discard, c)
+		return false
+	case Slow, Trickle:
+		for i := range answer {
+			if _, err := c.Write(answer[i : i+1]); err != nil {
+				return false
+			}
+			if m == Trickle {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		return true
 	}
+	_, err := c.Write(answer)
+	return err == nil
 }
 
 func (s *OrderServer) ran(id string) {
--- a/internal/lab/thriftlab/thriftlab.go
+++ b/internal/lab/thriftlab/thriftlab.go
@@ -160,35 +160,16 @@
 	})
 }
 
-// Mode is how a server behaves.
-type Mode int32
-
-// The modes.
-const (
-	Serving   Mode = iota
-	Silent         // reads, and answers nothing
-	Breaking       // runs, then resets the connection
-	Raising        // runs, and answers an application exception
-	Full           // does not run: declared exception 2
-	WrongSeq       // runs, and answers under another sequence id
-	Twice          // answers twice
-	OtherName      // answers for another method
-	Half           // answers half a reply, and nothing more
-	Slow           // answers a byte at a time
-	NotThrift      // answers in HTTP
-	Declaring      // runs, and answers declared exception 2
-)
-
 // Server is a stand-in order server.
 type Server struct {
 	*lab.Acceptor
 	ID     string
 	Entry  membership.Entry
-	Work   time.Duration
 	enc    Encoding
 	ledger *lab.Ledger
+	work   atomic.Int64 // ns that a call takes
 	mode   atomic.Int32
-	Calls  atomic.Int64
+	begun  atomic.Int64
 }
 
 // NewServer starts one; ledger may be nil.
@@ -202,8 +183,14 @@
 	return s, nil
 }
 
+// SetWork changes how long a call takes.
+func (s *Server) SetWork(d time.Duration) { s.work.Store(int64(d)) }
+
+// Begun is the number of calls that began here.
+func (s *Server) Begun() int64 { return s.begun.Load() }
+
 // Set changes the mode.
-func (s *Server) Set(m Mode) { s.mode.Store(int32(m)) }
+func (s *Server) Set(m lab.Mode) { s.mode.Store(int32(m)) }
 
 func (s *Server) serve(c net.Conn) {
 	ctx := context.Background()
@@ -222,11 +209,11 @@
 		if err := p.ReadMessageEnd(ctx); err != nil {
 			return
 		}
-		s.Calls.Add(1)
+		s.begun.Add(1)
 		if s.ledger != nil {
 			s.ledger.Began(s.ID, began)
 		}
-		mode := Mode(s.mode.Load())
+		mode := lab.Mode(s.mode.Load())
 		ran := func() {
 			if s.ledger != nil && o.Op != "" {
 				s.ledger.Ran(s.ID, o.Op, time.Now())
@@ -236,38 +223,38 @@
 			ran()
 			continue
 		}
-		if s.Work > 0 {
-			time.Sleep(s.Work)
+		if d := time.Duration(s.work.Load()); d > 0 {
+			time.Sleep(d)
 		}
 		reply := Placed{Receipt: s.ID + " " + o.Op}
 		switch mode {
-		case Silent:
+		case lab.Silent:
 			io.Copy(io.Discard, c)
 			return
-		case Breaking:
+		case lab.Breaking:
 			ran()
 			c.(*net.TCPConn).SetLinger(0)
 			return
-		case Full:
+		case lab.Full:
 			reply = Placed{Declared: 2, Text: "full"}
-		case Declaring:
+		case lab.Declaring:
 			reply = Placed{Declared: 2, Text: "full"}
-		case WrongSeq:
+		case lab.WrongSeq:
 			seq++
-		case OtherName:
+		case lab.OtherName:
 			name = "other"
-		case NotThrift:
+		case lab.Foreign:
 			ran()
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		if mode != Full {
+		if mode != lab.Full {
 			ran()
 		}
 		out := thrift.NewTMemoryBuffer()
 		ot := s.enc.transport(out)
 		op := s.enc.Protocol.GetProtocol(ot)
-		if mode == Raising {
+		if mode == lab.Failing {
 			op.WriteMessageBegin(ctx, name, thrift.EXCEPTION, seq)
 			thrift.NewTApplicationException(thrift.INTERNAL_ERROR, "raised").Write(ctx, op)
 		} else {
@@ -276,73 +263,66 @@
 		}
 		op.WriteMessageEnd(ctx)
 		op.Flush(ctx)
-		b := out.Bytes()
-		switch mode {
-		case Twice:
-			c.Write(append(append([]byte(nil), b...), b...))
-		case Half:
-			c.Write(b[:len(b)/2])
-			io.Copy(io.Discard, c)
+		if !mode.Write(c, out.Bytes()) {
 			return
-		case Slow:
-			for i := range b {
-				c.Write(b[i : i+1])
-			}
-		default:
-			c.Write(b)
 		}
 	}
 }
 
-// Client is the apache library's client on one connection.
-type Client struct {
-	t *thrift.TSocket
-	p thrift.TProtocol
-	c *thrift.TStandardClient
-}
+// Kind is how a call is sent.
+type Kind uint8
 
-// Dial connects one.
-func Dial(addr string, enc Encoding, timeout time.Duration) (*Client, error) {
-	s := thrift.NewTSocketConf(addr, &thrift.TConfiguration{ConnectTimeout: timeout, SocketTimeout: timeout})
-	if err := s.Open(); err != nil {
-		return nil, err
-	}
-	t := enc.transport(s)
-	p := enc.Protocol.GetProtocol(t)
-	return &Client{s, p, thrift.NewTStandardClient(enc.Protocol.GetProtocol(t), p)}, nil
+// The kinds.
+const (
+	Call         Kind = iota
+	Oneway            // as the specification has it
+	OnewayAsCall      // as the apache library for Go sends it: of the type CALL, with nobody waiting
+	Reply             // no call at all
+)
+
+// Encode is a call as it stands on a connection.
+func (e Encoding) Encode(method string, kind Kind, seq int32, o *Order) []byte {
+	ctx := context.Background()
+	out := thrift.NewTMemoryBuffer()
+	t := e.transport(out)
+	p := e.Protocol.GetProtocol(t)
+	p.WriteMessageBegin(ctx, method, map[Kind]thrift.TMessageType{Call: thrift.CALL, Oneway: thrift.ONEWAY,
+		OnewayAsCall: thrift.CALL, Reply: thrift.REPLY}[kind], seq)
+	o.Write(ctx, p)
+	p.WriteMessageEnd(ctx)
+	p.Flush(ctx)
+	return out.Bytes()
 }
 
-// Close closes it.
-func (c *Client) Close() { c.t.Close() }
+// Reader reads the replies on one connection.
+type Reader struct{ p thrift.TProtocol }
 
-// Place makes a call. The code of an application exception comes back, or -1 where there was none.
-func (c *Client) Place(method string, o *Order) (r Placed, code int32, err error) {
-	_, err = c.c.Call(context.Background(), method, o, &r)
-	var x thrift.TApplicationException
-	if errors.As(err, &x) {
-		return r, x.TypeId(), err
-	}
-	return r, -1, err
+// NewReader returns one.
+func (e Encoding) NewReader(r io.Reader) *Reader {
+	return &Reader{e.Protocol.GetProtocol(e.transport(thrift.NewStreamTransportR(r)))}
 }
 
-// Tell makes a oneway call as the specification has it. The library's own client sends these as CALL.
-func (c *Client) Tell(method string, o *Order) error {
+// Read reads a reply. The code is that of an application exception, or -1 where there was none.
+func (r *Reader) Read() (res Placed, seq, code int32, err error) {
 	ctx := context.Background()
-	if err := c.p.WriteMessageBegin(ctx, method, thrift.ONEWAY, 7); err != nil {
-		return err
+	_, kind, seq, err := r.p.ReadMessageBegin(ctx)
+	if err != nil {
+		return res, seq, -1, err
 	}
-	if err := o.Write(ctx, c.p); err != nil {
-		return err
+	code = -1
+	switch kind {
+	case thrift.REPLY:
+		err = res.Read(ctx, r.p)
+	case thrift.EXCEPTION:
+		x := thrift.NewTApplicationException(0, "")
+		if err = x.Read(ctx, r.p); err == nil {
+			code, res.Text = x.TypeId(), x.Error()
+		}
+	default:
+		err = errors.New("thriftlab: no reply")
 	}
-	if err := c.p.WriteMessageEnd(ctx); err != nil {
-		return err
+	if err == nil {
+		err = r.p.ReadMessageEnd(ctx)
 	}
-	return c.p.Flush(ctx)
-}
-
-// TellAsCall makes a oneway call as the apache library for Go sends it: of the type CALL, with nobody
-// waiting for an answer.
-func (c *Client) TellAsCall(method string, o *Order) error {
-	_, err := c.c.Call(context.Background(), method, o, nil)
-	return err
+	return res, seq, code, err
 }
--- /dev/null
+++ b/internal/lab/world/protocol.go
@@ -0,0 +1,142 @@
+package world
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/front/thrift"
+	"ringtrack.example/ringtrack/internal/lab"
+	"ringtrack.example/ringtrack/internal/lab/thriftlab"
+)
+
+// Protocol is what clients, agent and servers of a world speak.
+type Protocol struct {
+	Name string
+	// Encoding is Thrift's; nil: HTTP/1.1.
+	Encoding *thriftlab.Encoding
+}
+
+// HTTP is HTTP/1.1.
+var HTTP = Protocol{Name: "HTTP"}
+
+// Protocols are all that the agent speaks.
+func Protocols() []Protocol {
+	all := []Protocol{HTTP}
+	for _, e := range thriftlab.Encodings() {
+		all = append(all, Protocol{e.Name, &e})
+	}
+	return all
+}
+
+// Thrift tells whether the protocol is one of Thrift's.
+func (p Protocol) Thrift() bool { return p.Encoding != nil }
+
+// Request is one that a client sends.
+type Request struct {
+	Op     string // what the ledger knows it by
+	Method string // over HTTP its class
+	Effect lab.Effect
+	Key    string
+	Within time.Duration
+	Kind   thriftlab.Kind // Thrift only
+	Seq    int32          // Thrift only
+}
+
+// Answer is one that a client got.
+type Answer struct {
+	Verdict  lab.Verdict
+	After    time.Duration // refused: when to come back
+	Code     int           // an application exception's type, or an HTTP status; 0 of what was served
+	Receipt  string
+	Declared int16 // id of the declared exception
+	Text     string
+	Seq      int32
+}
+
+var lastID atomic.Uint64
+
+// Encode is a request as it stands on a connection. An HTTP request has an id of its own each time.
+func (p Protocol) Encode(r *Request) []byte {
+	if p.Thrift() {
+		return p.Encoding.Encode(r.Method, r.Kind, r.Seq,
+			&thriftlab.Order{Op: r.Op, Key: r.Key, Ms: int32(r.Within.Milliseconds()), Lines: []string{"a", "b"}})
+	}
+	var b bytes.Buffer
+	target, body := "/api/"+r.Key, r.Op+" a b"
+	if r.Effect == lab.Safe {
+		fmt.Fprintf(&b, "GET %s?op=%s HTTP/1.1\r\n", target, r.Op)
+		body = ""
+	} else {
+		fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nContent-Length: %d\r\n", target, len(body))
+	}
+	fmt.Fprintf(&b, "Host: agent\r\nRequest-Id: %016x\r\nRequest-Class: %s\r\nRequest-Timeout-Ms: %d\r\n",
+		lastID.Add(1), r.Method, r.Within.Milliseconds())
+	if r.Effect == lab.Keyed {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", r.Op)
+	}
+	b.WriteString("\r\n" + body)
+	return b.Bytes()
+}
+
+// Client is a connection of a client.
+type Client struct {
+	net.Conn
+	br     *bufio.Reader
+	thrift *thriftlab.Reader // nil: HTTP
+}
+
+// Dial connects a client to what listens at addr. All that it does ends with the time-out.
+func (p Protocol) Dial(addr string, timeout time.Duration) (*Client, error) {
+	nc, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	nc.SetDeadline(time.Now().Add(timeout))
+	c := &Client{Conn: nc, br: bufio.NewReader(nc)}
+	if p.Thrift() {
+		c.thrift = p.Encoding.NewReader(c.br)
+	}
+	return c, nil
+}
+
+// Read reads the next answer.
+func (c *Client) Read() (a Answer, err error) {
+	if c.thrift != nil {
+		res, seq, code, err := c.thrift.Read()
+		a = Answer{Verdict: lab.Served, Receipt: res.Receipt, Declared: res.Declared, Text: res.Text, Seq: seq}
+		if code >= 0 {
+			a.Verdict, a.Code = lab.Failed, int(code)
+		}
+		if code == thrift.Refused {
+			a.Verdict = lab.Refused
+			if _, rest, ok := strings.Cut(res.Text, "come back after "); ok {
+				ms, _ := strconv.ParseFloat(strings.TrimSuffix(rest, " ms"), 64)
+				a.After = time.Duration(ms * float64(time.Millisecond))
+			}
+		}
+		return a, err
+	}
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return a, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	a = Answer{Verdict: lab.Failed, Code: resp.StatusCode, Text: string(body)}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		a.Verdict, a.Code, a.Receipt = lab.Served, 0, string(body)
+	case http.StatusServiceUnavailable:
+		a.Verdict = lab.Refused
+		s, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		a.After = time.Duration(s * float64(time.Second))
+	}
+	return a, err
+}
--- /dev/null
+++ b/internal/lab/world/world.go
@@ -0,0 +1,312 @@
+// Package world is a whole small world in one process: the product's core with a front and an upstream of
+// one protocol, stand-in servers that speak it, a roster, clients and the ledger of the four rules. The
+// rule tests and the proofs of the agent's side stand on it, so that each runs in every protocol.
+package world
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"ringtrack.example/ringtrack/internal/core"
+	httpfront "ringtrack.example/ringtrack/internal/front/http"
+	thriftfront "ringtrack.example/ringtrack/internal/front/thrift"
+	"ringtrack.example/ringtrack/internal/lab"
+	"ringtrack.example/ringtrack/internal/lab/thriftlab"
+	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/thriftwire"
+	"ringtrack.example/ringtrack/internal/upstream/conns"
+	httpup "ringtrack.example/ringtrack/internal/upstream/http"
+	thriftup "ringtrack.example/ringtrack/internal/upstream/thrift"
+	"ringtrack.example/ringtrack/policy"
+)
+
+const (
+	// patience bounds what a client waits for.
+	patience = 20 * time.Second
+	// memory is that for bodies, room the connections of clients.
+	memory, room = 16 << 20, 512
+)
+
+// Settings are those of a world that says nothing else: one class of each effect, 2 s to answer.
+func Settings() policy.Settings {
+	return policy.Settings{Classes: []policy.Class{
+		{Name: "read", AimMs: 1000, GiveUpMs: 2000, Effect: policy.Free, Credit: 1},
+		{Name: "send", AimMs: 1000, GiveUpMs: 2000, Effect: policy.Guarded, Group: policy.GroupAll, KeyTTLMs: 8000, Credit: 2},
+		{Name: "order", AimMs: 1000, GiveUpMs: 2000, Effect: policy.SingleShot, Credit: 5}},
+		Limits:     policy.Limits{Cancelling: true, MaxAttempts: 3, MaxRetryAfterMs: 600, OpenCap: 1000},
+		Contract:   policy.Contract{AskWithinMs: 800, ColdFrom: 0.3, ColdMs: 8000, DrainGraceMs: 250, FallMultiple: 2.5, TipAfterMs: 1000},
+		Membership: "on_request", Replicas: 1, RoundMs: 5}
+}
+
+// effects are what methods do; over HTTP they are classes. "stamp" is an order whose exceptions prove
+// nothing, "tell" one that nobody answers, "nobody" is not listed.
+var effects = map[string]lab.Effect{"read": lab.Safe, "send": lab.Keyed, "order": lab.Unsafe, "stamp": lab.Unsafe,
+	"tell": lab.Unsafe, "nobody": lab.Unsafe}
+
+// Server is a stand-in order server of the world's protocol.
+type Server struct {
+	Standin
+	Entry membership.Entry
+}
+
+// Standin is what servers of all protocols do.
+type Standin interface {
+	Set(lab.Mode)
+	SetWork(time.Duration)
+	Begun() int64
+	Cut()
+	Close()
+}
+
+// NewServer starts a stand-in server.
+func (p Protocol) NewServer(id string, ledger *lab.Ledger) (*Server, error) {
+	if p.Thrift() {
+		s, err := thriftlab.NewServer(id, *p.Encoding, ledger)
+		if err != nil {
+			return nil, err
+		}
+		return &Server{s, s.Entry}, nil
+	}
+	s, err := lab.NewOrderServer(id, "east", 0, ledger)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{s, s.Entry}, nil
+}
+
+// Options say what is in a world. The zero value has three servers.
+type Options struct {
+	Servers  int
+	Entries  []membership.Entry // in place of servers of the world's own
+	Settings *policy.Settings   // nil: Settings()
+	Zones    []string           // nil: "east"
+	Seed     uint64
+	Refuse   bool // Thrift: methods that are not listed
+}
+
+// World is one.
+type World struct {
+	Protocol Protocol
+	Addr     string // of the front
+	Loop     *core.Loop
+	Ledger   *lab.Ledger
+	Roster   *lab.Roster
+	Servers  []*Server
+	Pool     *conns.Pool
+
+	budget *semaphore.Weighted
+	down   func() error
+	once   sync.Once
+	ended  error
+	lastOp atomic.Int64
+}
+
+// New starts a world.
+func New(p Protocol, o Options) (w *World, err error) {
+	w = &World{Protocol: p, Ledger: lab.NewLedger(lab.DefaultRules()), budget: semaphore.NewWeighted(memory), down: func() error { return nil },
+		Pool: conns.New(time.Second, time.Minute, 256)}
+	defer func() {
+		if err != nil {
+			w.Close()
+		}
+	}()
+	entries := o.Entries
+	if entries == nil {
+		for i := range max(o.Servers, 3) {
+			s, err := p.NewServer(fmt.Sprint("s-", i), w.Ledger)
+			if err != nil {
+				return w, err
+			}
+			w.Servers, entries = append(w.Servers, s), append(entries, s.Entry)
+		}
+	}
+	if w.Roster, err = lab.NewRoster(entries...); err != nil {
+		return w, err
+	}
+	settings, zones := Settings(), o.Zones
+	if o.Settings != nil {
+		settings = *o.Settings
+	}
+	if zones == nil {
+		zones = []string{"east"}
+	}
+	return w, w.start(core.Config{Discovery: w.Roster.Addr, Known: w.Roster.List(), Settings: settings, Seed: o.Seed, Zones: zones}, o.Refuse)
+}
+
+// start starts core and front.
+func (w *World) start(cfg core.Config, refuse bool) error {
+	const linger = 10 * time.Millisecond
+	limits := thriftwire.Limits{Size: 1 << 20, Depth: 32}
+	var upstream core.Upstream = &httpup.Upstream{Pool: w.Pool, Budget: w.budget}
+	if w.Protocol.Thrift() {
+		upstream = &thriftup.Upstream{Pool: w.Pool, Budget: w.budget, Limits: limits}
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w.Addr = ln.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	var serve func() error
+	var shutdown func() error
+	ready := func() {}
+	if w.Protocol.Thrift() {
+		table, err := thriftTable(&cfg.Settings, refuse)
+		if err != nil {
+			cancel()
+			ln.Close()
+			return err
+		}
+		f := &thriftfront.Front{Upstream: upstream, Budget: w.budget, Table: table, Limits: limits, Most: room,
+			AfterMs: cfg.Settings.Limits.MaxRetryAfterMs, Linger: linger}
+		serve = func() error { f.Loop = w.Loop; return f.Serve(ln) }
+		shutdown = func() error { f.Shutdown(ln, 3*time.Second); return nil }
+	} else {
+		f := httpfront.New(&cfg.Settings, w.budget, upstream, room)
+		f.Linger, ready = linger, f.Ready
+		serve = func() error { f.Loop = w.Loop; return f.Serve(ln) }
+		shutdown = func() error { return f.Shutdown(3 * time.Second) }
+	}
+	if w.Loop, err = core.New(ctx, cfg, w.budget, []core.Upstream{upstream}, ready); err != nil {
+		cancel()
+		ln.Close()
+		return err
+	}
+	served, ended := make(chan error, 1), make(chan struct{})
+	go func() { defer close(ended); w.Loop.Run() }()
+	go func() { served <- serve() }()
+	w.down = func() error {
+		err := errors.Join(shutdown(), <-served)
+		cancel()
+		<-ended
+		return err
+	}
+	return nil
+}
+
+func thriftTable(settings *policy.Settings, refuse bool) (*thriftfront.Table, error) {
+	c := &thriftfront.Config{Listen: "127.0.0.1:1", FrameLimit: 1 << 20, DepthLimit: 32, Unlisted: "unsafe", Class: "order"}
+	if refuse {
+		c.Unlisted = "refuse"
+	}
+	for _, name := range []string{"read", "send", "order"} {
+		m := thriftfront.MethodConfig{Name: name, Class: name, Key: "1.3", Deadline: "1.4"}
+		m.NeverRan.Exceptions = []int16{2}
+		c.Method = append(c.Method, m)
+	}
+	c.Method = append(c.Method, thriftfront.MethodConfig{Name: "stamp", Class: "order"}, thriftfront.MethodConfig{Name: "tell", Class: "order", Oneway: true})
+	return c.Table(settings.Classes)
+}
+
+// Stop ends the front, which lets open calls end, and the core.
+func (w *World) Stop() error {
+	w.once.Do(func() { w.ended = w.down() })
+	return w.ended
+}
+
+// Close ends all of it.
+func (w *World) Close() error {
+	err := w.Stop()
+	if w.Roster != nil {
+		w.Roster.Close()
+	}
+	for _, s := range w.Servers {
+		s.Close()
+	}
+	return err
+}
+
+// Leaked tells whether memory for bodies was not given back. It is for the end.
+func (w *World) Leaked() bool { return !w.budget.TryAcquire(memory) }
+
+// Set changes the mode of all servers.
+func (w *World) Set(m lab.Mode) {
+	for _, s := range w.Servers {
+		s.Set(m)
+	}
+}
+
+// Begun is the number of requests that began at any server.
+func (w *World) Begun() (n int64) {
+	for _, s := range w.Servers {
+		n += s.Begun()
+	}
+	return n
+}
+
+// Figures are the core's.
+func (w *World) Figures() core.Figures {
+	got := make(chan core.Figures, 1)
+	w.Loop.Post(func() { got <- w.Loop.Figures() })
+	return <-got
+}
+
+// Followed waits until the roster has been asked for changes.
+func (w *World) Followed(ctx context.Context) error {
+	select {
+	case <-w.Roster.Asked:
+		return nil
+	case <-time.After(patience):
+		return errors.New("world: the roster is not followed")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Dial connects a client to the front.
+func (w *World) Dial() (*Client, error) { return w.Protocol.Dial(w.Addr, patience) }
+
+// Request is a new operation.
+func (w *World) Request(method string, within time.Duration) *Request {
+	n := w.lastOp.Add(1)
+	return &Request{Op: fmt.Sprint(method, "-", n), Method: method, Effect: effects[method], Key: "key", Within: within, Seq: int32(n)}
+}
+
+// Send sends a request and notes it in the ledger.
+func (w *World) Send(c *Client, r *Request) error {
+	w.Ledger.Asked(r.Op, r.Effect, r.Op, time.Now().Add(r.Within))
+	_, err := c.Write(w.Protocol.Encode(r))
+	return err
+}
+
+// Answered reads the answer to a request and notes it in the ledger.
+func (w *World) Answered(c *Client, r *Request) (Answer, error) {
+	a, err := c.Read()
+	switch {
+	case err != nil:
+		w.Ledger.Unanswered(r.Op)
+		return a, fmt.Errorf("%s: no answer: %w", r.Op, err)
+	case w.Protocol.Thrift() && a.Seq != r.Seq:
+		err = fmt.Errorf("%s: sequence id %d, sent %d", r.Op, a.Seq, r.Seq)
+	case a.Verdict == lab.Served && a.Declared == 0 && (len(a.Receipt) <= len(r.Op) || a.Receipt[len(a.Receipt)-len(r.Op)-1:] != " "+r.Op):
+		err = fmt.Errorf("%s: answered with %q", r.Op, a.Receipt)
+	}
+	w.Ledger.Answered(r.Op, a.Verdict, time.Now())
+	return a, err
+}
+
+// Call makes one call on a connection of its own.
+func (w *World) Call(method string, within time.Duration) (Answer, error) {
+	c, err := w.Dial()
+	if err != nil {
+		return Answer{}, err
+	}
+	defer c.Close()
+	return w.CallOn(c, w.Request(method, within))
+}
+
+// CallOn makes one call on a connection.
+func (w *World) CallOn(c *Client, r *Request) (Answer, error) {
+	if err := w.Send(c, r); err != nil {
+		w.Ledger.Unanswered(r.Op)
+		return Answer{}, err
+	}
+	return w.Answered(c, r)
+}
--- a/internal/thriftwire/detect.go
+++ b/internal/thriftwire/detect.go
@@ -36,6 +36,7 @@
 //
 //	80 01            unframed, strict binary
 //	82               unframed, compact
+//	00 00 00 00      an empty frame, or a method without a name: nothing
 //	00..7f LLLLLL    a length: framed, if what follows begins a message; else the length of an old
 //	                 binary message's name, which begins with a letter
 func Detect(b []byte) (t Transport, p Protocol, ok bool, err error) {
@@ -57,6 +58,10 @@
 	case c >= 0x80:
 		return 0, 0, false, malformed("no message begins with %#x", c)
 	}
+	if len(b) >= 4 && string(b[:4]) == "\x00\x00\x00\x00" {
+		// Who sends it may wait for an answer, and never send more.
+		return 0, 0, false, malformed("neither a frame nor a message begins with % x", b[:4])
+	}
 	if len(b) < 5 {
 		return 0, 0, false, nil
 	}
--- a/internal/thriftwire/reader_test.go
+++ b/internal/thriftwire/reader_test.go
@@ -303,7 +303,7 @@
 		}
 	}
 	for text, want := range map[string]error{"GET / HTTP/1.1": ErrHTTP, "POST /x HTTP": ErrHTTP, "PRI * HTTP/2": ErrHTTP,
-		"\x00\x00\x00\x20\x0f\xff\x00\x00": ErrTHeader, "\x00\x00\x00\x00\x80\x01": nil, "\x90\x00\x00\x00\x00": ErrMalformed,
+		"\x00\x00\x00\x20\x0f\xff\x00\x00": ErrTHeader, "\x00\x00\x00\x00\x80\x01": ErrMalformed, "\x00\x00\x00\x00": ErrMalformed, "\x00\x00\x00": nil, "\x90\x00\x00\x00\x00": ErrMalformed,
 		"\x00\x00\x00\x05\x01abc": ErrMalformed, "HELO there": ErrMalformed} {
 		if _, _, _, err := Detect([]byte(text)); !errors.Is(err, want) {
 			t.Errorf("%q: %v, want %v", text, err, want)
--- a/internal/upstream/thrift/thrift.go
+++ b/internal/upstream/thrift/thrift.go
@@ -58,12 +58,22 @@
 // free is what a reply may take of memory without asking for it, and what is read at once.
 const free = 4 << 10
 
+// errSpoilt marks a reply that can't be read, or is another call's: the call may have run.
 var errSpoilt = errors.New("thrift: spoilt reply")
 
 func spoilt(format string, args ...any) error {
 	return fmt.Errorf("%w: %s", errSpoilt, fmt.Sprintf(format, args...))
 }
 
+// unreadable marks what Read could not take for a message, whoever sent it.
+type unreadable struct{ error }
+
+func (u unreadable) Unwrap() error { return u.error }
+
+func unread(format string, args ...any) error {
+	return unreadable{fmt.Errorf("%w: %s", thriftwire.ErrMalformed, fmt.Sprintf(format, args...))}
+}
+
 // kind numbers what is spoken on a connection, for the pool; 0 is HTTP's.
 func kind(c *Call) uint8 { return uint8(c.Transport)<<4 | uint8(c.Head.Protocol) }
 
@@ -145,7 +155,7 @@
 		return core.Result{Status: broken(err)}
 	}
 	u.Pool.Ended(cn, false)
-	reusable = true
+	reusable = true // unless there is more behind the reply, which the pool looks for
 	res := core.Result{Status: policy.OK, Reply: reply, Held: held}
 	switch {
 	case reply.Head.Kind == thriftwire.Exception:
@@ -177,6 +187,9 @@
 		}
 		return err
 	})
+	if IsUnreadable(err) {
+		err = spoilt("%v", err)
+	}
 	if err != nil {
 		return nil, held, err
 	}
@@ -189,8 +202,6 @@
 		return nil, held, spoilt("sequence id %d, asked with %d", head.Seq, seq)
 	case string(head.Name) != string(c.Head.Name) && string(head.Name) != unplexed(c.Head.Name):
 		return nil, held, spoilt("a reply to another method")
-	case br.Buffered() > 0:
-		return nil, held, spoilt("more than the reply")
 	}
 	return &Reply{msg, head}, held, nil
 }
@@ -204,7 +215,8 @@
 }
 
 // Read reads one message. reserve is asked for memory beyond the first few KiB as the message grows;
-// its error ends the reading. What is malformed or too large is errSpoilt.
+// its error ends the reading. Of what is malformed or too large
+// IsUnreadable is true.
 func Read(br *bufio.Reader, t thriftwire.Transport, limits thriftwire.Limits, paths []thriftwire.Path, reserve func(n int64) error) ([]byte, thriftwire.Message, error) {
 	r := thriftwire.NewReader(limits, paths...)
 	if t == thriftwire.Framed {
@@ -218,7 +230,7 @@
 		}
 		size, err := thriftwire.FrameSize(b, most)
 		if err != nil {
-			return nil, r.Message, fmt.Errorf("%w: %w", errSpoilt, err)
+			return nil, r.Message, unreadable{err}
 		}
 		br.Discard(4)
 		msg := make([]byte, min(size, free))
@@ -238,11 +250,11 @@
 		ok, err := r.Read(msg)
 		switch {
 		case err != nil:
-			return nil, r.Message, fmt.Errorf("%w: %w", errSpoilt, err)
+			return nil, r.Message, unreadable{err}
 		case !ok:
-			return nil, r.Message, spoilt("a frame shorter than its message")
+			return nil, r.Message, unread("a frame shorter than its message")
 		case r.Size != size:
-			return nil, r.Message, spoilt("a frame of %d bytes with a message of %d", size, r.Size)
+			return nil, r.Message, unread("a frame of %d bytes with a message of %d", size, r.Size)
 		}
 		return msg, r.Message, nil
 	}
@@ -268,7 +280,7 @@
 		msg = append(msg, chunk...)
 		ok, err := r.Read(msg)
 		if err != nil {
-			return nil, r.Message, fmt.Errorf("%w: %w", errSpoilt, err)
+			return nil, r.Message, unreadable{err}
 		}
 		if ok {
 			br.Discard(r.Size - had)
@@ -287,8 +299,11 @@
 	return err
 }
 
-// IsSpoilt tells whether what came can't be read, as against a connection that broke.
-func IsSpoilt(err error) bool { return errors.Is(err, errSpoilt) }
+// IsUnreadable tells whether Read took what came for no message, as against a connection that broke.
+func IsUnreadable(err error) bool {
+	var u unreadable
+	return errors.As(err, &u)
+}
 
 // broken maps what ended an attempt whose last byte was written: it may have run.
 func broken(err error) policy.Status {
