Proof latency: what the agent adds to a call, Thrift beside HTTP

Need: nobody could say whether Thrift's calls cost more than HTTP's. Change: prove latency sends 500 calls a second by turns straight to servers and through the agent, over HTTP and framed binary Thrift, and compares what the agent adds.

--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -104,6 +104,7 @@
 	{"crowd", "1,000 proxies, 1,000 servers, one drain: time, bytes and CPU, beside go-control-plane's snapshot cache", 0.2, Crowd},
 	{"drains", "1,000 drains under steady requests and with pushes in flight: nothing new later than 250 ms", 0.4, Drains},
 	{"storm", "1,000 proxies lose the service at once; it comes back empty: all are served again", 0.3, Storm},
+	{"latency", "what the agent adds to a call at 500 calls a second, Thrift beside HTTP", 0.5, Latency},
 	{"stall", "1,000 proxies of which one reads nothing: the others notice nothing", 0.3, Stall},
 	{"thrift-kill", "10,000 unsafe Thrift calls while servers' connections are reset: none runs twice, none is lost", 0.5, ThriftKill},
 }
