A stand-in for ZooKeeper-style registries, and a reader of their protocol

Need: membership from ephemeral nodes is to be built against a registry whose faults are scripted. Change: internal/zkwire reads and writes the protocol's records, bounded by the frame; internal/lab/zk is an ensemble of one to five servers with sessions, watches (one-shot, persistent, recursive), multi, ACLs, lags, lost leaders, half-open connections and corrupt frames. Beside them, not yet proved: the source, the registrar and the merge of roster and nodes, off unless PROXY_EPHEMERAL names their file.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math"
 	"net"
 	"os"
@@ -12,6 +14,7 @@
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/front/thrift"
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/membership/ephemeral"
 	"ringtrack.example/ringtrack/internal/upstream/conns"
 	"ringtrack.example/ringtrack/internal/wire"
 	"ringtrack.example/ringtrack/policy"
@@ -31,6 +34,8 @@
 	Zones     []string // names of zones and of machine kinds, by the number the module knows
 	Kinds     []string
 	Thrift    string // file of the Thrift front's configuration; "": there is none
+	// Ephemeral says which registry tells what runs; nil: the roster alone says which backends there are.
+	Ephemeral *ephemeral.Config
 
 	linger time.Duration // how long connections still come after SIGTERM; 0: what fronts take for it
 }
@@ -96,6 +101,11 @@
 			return nil, fmt.Errorf("config: PROXY_THRIFT: %w", err)
 		}
 	}
+	if path := getenv("PROXY_EPHEMERAL"); path != "" {
+		if c.Ephemeral, err = ephemeral.Load(path); err != nil {
+			return nil, fmt.Errorf("config: PROXY_EPHEMERAL: %w", err)
+		}
+	}
 	return c, nil
 }
 
@@ -142,7 +152,23 @@
 
 // core is what of it the loop is told.
 func (c *Config) core() core.Config {
-	return core.Config{Discovery: c.Discovery, Known: c.Known, Settings: c.Settings, Seed: c.Seed, Zones: c.Zones, Kinds: c.Kinds}
+	out := core.Config{Discovery: c.Discovery, Known: c.Known, Settings: c.Settings, Seed: c.Seed, Zones: c.Zones, Kinds: c.Kinds}
+	if c.Ephemeral != nil {
+		source := ephemeral.NewSource(c.Ephemeral)
+		out.Merge = c.Ephemeral.Merge()
+		out.Nodes = func(ctx context.Context, told func(func(*membership.Merge, float64))) {
+			source.Run(ctx, func(u ephemeral.Update) {
+				if u.Err != nil {
+					slog.Warn("registry", "err", u.Err)
+				}
+				for _, p := range u.Problems {
+					slog.Warn("registry", "problem", p)
+				}
+				told(u.Apply)
+			})
+		}
+	}
+	return out
 }
 
 // minSockets leaves a few connections to each side beside the reserve.
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -64,7 +64,7 @@
 	s.hub.post(func() {
 		h := s.hub
 		now := h.clock.Ms()
-		r := &Report{NowMs: now, Membership: h.set.Status(now), Problems: h.assigner.Problems(),
+		r := &Report{NowMs: now, Membership: h.status(now), Problems: h.assigner.Problems(),
 			Evidence: h.assigner.Counts(), Assignments: map[string]*assign.Assignment{},
 			Counts: map[string]int64{"published": h.counts.Published.Load(), "drains": h.counts.Drains.Load(),
 				"stalled": h.counts.Stalled.Load(), "ended": h.counts.Ended.Load(),
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -16,6 +16,7 @@
 
 	"ringtrack.example/ringtrack/internal/control/assign"
 	"ringtrack.example/ringtrack/internal/control/resource"
+	"ringtrack.example/ringtrack/internal/membership/ephemeral"
 	"ringtrack.example/ringtrack/internal/wire"
 	"ringtrack.example/ringtrack/policy"
 )
@@ -31,7 +32,9 @@
 		Addr         string  `toml:"addr"`
 		StaleAfterMs float64 `toml:"stale_after_ms"`
 	} `toml:"roster"`
-	Evidence struct {
+	// Ephemeral is the file of the registry that tells what runs; "": the roster alone does.
+	Ephemeral string `toml:"ephemeral"`
+	Evidence  struct {
 		ReportMs float64 `toml:"report_ms"`
 		LapseMs  float64 `toml:"lapse_ms"`
 	} `toml:"evidence"`
@@ -55,6 +58,7 @@
 
 	settings     policy.Settings
 	zones, kinds []string
+	ephemeral    *ephemeral.Config
 }
 
 // TLSConfig names the files of the service's own certificate and of those that proxies' must descend
@@ -96,7 +100,7 @@
 	if err := d.Decode(c); err != nil {
 		return nil, fmt.Errorf("config: %s: %s", file, explain(err))
 	}
-	for _, f := range []*string{&c.Settings, &c.TLS.Cert, &c.TLS.Key, &c.TLS.ClientCA} {
+	for _, f := range []*string{&c.Settings, &c.Ephemeral, &c.TLS.Cert, &c.TLS.Key, &c.TLS.ClientCA} {
 		if *f != "" && !filepath.IsAbs(*f) {
 			*f = filepath.Join(filepath.Dir(file), *f)
 		}
@@ -129,6 +133,12 @@
 
 // Check reads the settings file and reports the first key that makes no sense.
 func (c *Config) Check() error {
+	if c.Ephemeral != "" {
+		var err error
+		if c.ephemeral, err = ephemeral.Load(c.Ephemeral); err != nil {
+			return err
+		}
+	}
 	for _, a := range []struct {
 		key, value string
 		needed     bool
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -17,6 +17,7 @@
 	"ringtrack.example/ringtrack/internal/control/assign"
 	"ringtrack.example/ringtrack/internal/control/resource"
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/membership/ephemeral"
 )
 
 const (
@@ -35,6 +36,7 @@
 	config   atomic.Pointer[Config]
 	clock    clock.Clock
 	set      *membership.Set
+	merge    *membership.Merge // in place of set, with a registry of what runs; else nil
 	assigner *assign.Assigner
 	renderer *resource.Renderer
 	nonces   *nonces
@@ -87,6 +89,9 @@
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}), log: log,
 		ends:    rate.NewLimiter(rate.Limit(cfg.Proxies.EndsPerS), max(int(cfg.Proxies.EndsPerS), 1)),
 		streams: map[*stream]struct{}{}}
+	if cfg.ephemeral != nil {
+		h.merge = membership.NewMerge(cfg.ephemeral.Merge())
+	}
 	h.config.Store(cfg)
 	var err error
 	if h.assigner, err = assign.New(cfg.assign(), h.clock.Ms()); err != nil {
@@ -121,6 +126,9 @@
 				(<-h.inbox)()
 			}
 		case <-timer.C:
+			if h.merge != nil {
+				h.merged(h.clock.Ms())
+			}
 		case <-sweep.C:
 			h.renderer.Sweep()
 		case <-ctx.Done():
@@ -129,6 +137,9 @@
 		h.turn()
 		now := h.clock.Ms()
 		next := h.assigner.NextMs(now)
+		if h.merge != nil {
+			next = min(next, h.merge.NextMs())
+		}
 		for _, at := range []float64{h.pendAt, h.watchAt} {
 			if at > 0 {
 				next = min(next, at)
@@ -388,6 +399,18 @@
 func (h *hub) told(l *membership.List, err error) {
 	h.post(func() {
 		now := h.clock.Ms()
+		if h.merge != nil {
+			switch {
+			case err != nil:
+				h.merge.RosterLost(err)
+			case l == nil:
+				h.merge.RosterAlive(now)
+			default:
+				h.merge.Roster(now, l)
+			}
+			h.merged(now)
+			return
+		}
 		switch {
 		case err != nil:
 			h.set.Lost("roster", err)
@@ -398,3 +421,34 @@
 		}
 	})
 }
+
+// registry takes what the registry of what runs told.
+func (h *hub) registry(u ephemeral.Update) {
+	h.post(func() {
+		now := h.clock.Ms()
+		u.Apply(h.merge, now)
+		h.merged(now)
+	})
+}
+
+// merged hands on what the merge has to tell, if anything.
+func (h *hub) merged(now float64) {
+	if len(h.merge.Take(now)) > 0 {
+		h.assigner.Members(now, h.merge.Entries())
+	}
+}
+
+// entries are all servers, status how the sources do.
+func (h *hub) entries() []membership.Entry {
+	if h.merge != nil {
+		return h.merge.Entries()
+	}
+	return h.set.Entries()
+}
+
+func (h *hub) status(now float64) []membership.Status {
+	if h.merge != nil {
+		return h.merge.Status(now)
+	}
+	return h.set.Status(now)
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	"google.golang.org/grpc/status"
 
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/membership/ephemeral"
 	"ringtrack.example/ringtrack/internal/membership/roster"
 )
 
@@ -100,6 +102,24 @@
 			s.hub.told(l, err)
 		})
 	})
+	if e := cfg.ephemeral; e != nil {
+		running.Go(func() {
+			ephemeral.NewSource(e).Run(inner, func(u ephemeral.Update) {
+				if u.Err != nil {
+					s.log.Warn("registry", "err", u.Err)
+				}
+				for _, p := range u.Problems {
+					s.log.Warn("registry", "problem", p)
+				}
+				s.hub.registry(u)
+			})
+		})
+		if e.Register.ID != "" {
+			running.Go(func() {
+				ephemeral.NewRegistrar(e).Run(inner, func(problem string) { s.log.Warn("registration", "problem", problem) })
+			})
+		}
+	}
 	if s.certs != nil {
 		running.Go(func() { s.watchFiles(inner) })
 	}
@@ -161,7 +181,7 @@
 func (s *Server) Reload(next *Config) error {
 	old := s.hub.cfg()
 	for key, same := range map[string]bool{"listen": next.Listen == old.Listen, "admin": next.Admin == old.Admin,
-		"service": next.Service == old.Service, "roster": next.Roster == old.Roster, "evidence": next.Evidence == old.Evidence,
+		"service": next.Service == old.Service, "roster": next.Roster == old.Roster, "ephemeral": reflect.DeepEqual(next.ephemeral, old.ephemeral), "evidence": next.Evidence == old.Evidence,
 		"proxies": next.Proxies == old.Proxies, "tls": next.TLS == old.TLS} {
 		if !same {
 			s.log.Warn("changed in the configuration, but used only after a restart", "key", key)
@@ -178,7 +198,7 @@
 		h.config.Store(&merged)
 		servers := 0
 		if h.assigner.Listed() {
-			servers = len(h.set.Entries())
+			servers = len(h.entries())
 		}
 		if err := h.restate(servers); err != nil {
 			h.config.Store(old)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -53,6 +54,9 @@
 	fetching bool
 	ready    func()
 	figures  Figures
+
+	merge *membership.Merge // of the roster with what runs; nil: there is the roster alone
+	due   *time.Timer       // when the merge has something to tell by time alone
 }
 
 // Figures are counted for the log at the end.
@@ -89,6 +93,9 @@
 		clock:    clock.New(),
 		requests: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, ready: ready}
 	l.upstreams = upstreams
+	if cfg.Nodes != nil {
+		l.merge = membership.NewMerge(cfg.Merge)
+	}
 	l.discover(cfg.Discovery)
 	return l, nil
 }
@@ -137,6 +144,19 @@
 	if l.table.usable() {
 		l.ready()
 	}
+	if l.merge != nil {
+		followed := make(chan struct{})
+		go func() {
+			defer close(followed)
+			l.cfg.Nodes(l.ctx, func(apply func(*membership.Merge, float64)) {
+				l.Post(func() {
+					apply(l.merge, l.now())
+					l.merged(policy.ListOther)
+				})
+			})
+		}()
+		defer func() { <-followed }()
+	}
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
 	for {
@@ -455,6 +475,9 @@
 		l.fetching = false
 	}
 	if err != nil {
+		if l.merge != nil {
+			l.merge.RosterLost(err)
+		}
 		l.log(slog.LevelWarn, "discovery call failed", "err", err)
 		l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 		return
@@ -474,6 +497,37 @@
 
 func (l *Loop) list(list *membership.List, kind policy.ListKind, full bool) {
 	l.version, l.unknown = list.Revision, l.unknown && !full
+	if l.merge != nil {
+		l.merge.Roster(l.now(), list)
+		l.merged(policy.ListDelta)
+		return
+	}
+	l.tell(list, kind, full)
+}
+
+// merged tells what the merge has to tell now, and comes back when time alone will have more.
+func (l *Loop) merged(kind policy.ListKind) {
+	now := l.now()
+	changes := membership.List{Entries: l.merge.Take(now)}
+	if len(changes.Entries) > 0 || kind != policy.ListOther {
+		l.tell(&changes, kind, false)
+	}
+	if l.due != nil {
+		l.due.Stop()
+		l.due = nil
+	}
+	if next := l.merge.NextMs(); !math.IsInf(next, 1) {
+		l.due = time.AfterFunc(max(ms(next-now), time.Millisecond), func() {
+			l.Post(func() { l.merged(policy.ListOther) })
+		})
+	}
+	if l.table.usable() {
+		l.ready()
+	}
+}
+
+// tell takes a list into the table and gives it to the module.
+func (l *Loop) tell(list *membership.List, kind policy.ListKind, full bool) {
 	entries, stale, gone := l.table.apply(list, full)
 	for _, b := range stale {
 		l.hangUp(b)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -105,4 +105,9 @@
 	Seed      uint64
 	Zones     []string
 	Kinds     []string
+
+	// Nodes follows a registry of what runs, until ctx ends, and has each thing it learns applied to the
+	// merge, in the loop. nil: the roster alone says which backends there are.
+	Nodes func(ctx context.Context, told func(apply func(m *membership.Merge, now float64)))
+	Merge membership.MergeConfig // with Nodes
 }
--- /dev/null
+++ b/internal/lab/zk/ops.go
@@ -0,0 +1,337 @@
+package zk
+
+import (
+	"time"
+
+	"ringtrack.example/ringtrack/internal/zkwire"
+)
+
+// request carries out one request and answers it; false closes the connection.
+func (c *conn) request(r *zkwire.Reader) bool {
+	xid, op := r.Int(), zkwire.Op(r.Int())
+	if r.Err() != nil {
+		return false
+	}
+	s, e := c.s, c.s.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply := func(code zkwire.Code, body func([]byte) []byte) bool {
+		h := zkwire.ReplyHeader{Xid: xid, Zxid: s.tree.zxid, Err: code}
+		c.send(func(b []byte) []byte {
+			if b = h.Append(b); code == zkwire.OK && body != nil {
+				b = body(b)
+			}
+			return b
+		})
+		return true
+	}
+	if c.session != nil {
+		if e.sessions[c.session.id] != c.session {
+			return reply(zkwire.SessionExpired, nil)
+		}
+		c.session.heard = time.Now()
+	} else if !c.ro {
+		return false
+	}
+	switch op {
+	case zkwire.OpPing:
+		return reply(zkwire.OK, nil)
+	case zkwire.OpCloseSession:
+		if c.session != nil {
+			e.end(c.session, true)
+		}
+		reply(zkwire.OK, nil)
+		// What is queued goes out; the client closes.
+		return true
+	case zkwire.OpAuth:
+		r.Int()
+		scheme, auth := r.String(), string(r.Buffer())
+		if scheme != "digest" {
+			reply(zkwire.AuthFailed, nil)
+			return true
+		}
+		c.auth = append(c.auth, Digest(auth))
+		if c.session != nil {
+			c.session.auth = c.auth
+		}
+		return reply(zkwire.OK, nil)
+	case zkwire.OpSync:
+		path := r.String()
+		s.catchUp(time.Now(), e.history.zxid)
+		return reply(zkwire.OK, func(b []byte) []byte { return zkwire.AppendString(b, path) })
+	case zkwire.OpExists, zkwire.OpGetData, zkwire.OpGetChildren, zkwire.OpGetChildren2, zkwire.OpGetACL:
+		s.reads.Add(1)
+		return c.read(r, op, reply)
+	case zkwire.OpSetWatches, zkwire.OpSetWatches2:
+		if op == zkwire.OpSetWatches2 && e.opts.Old {
+			return reply(zkwire.Unimplemented, nil)
+		}
+		w := r.SetWatches(op == zkwire.OpSetWatches2)
+		if r.Err() != nil {
+			return false
+		}
+		c.setWatches(&w)
+		return reply(zkwire.OK, nil)
+	case zkwire.OpAddWatch:
+		path, mode := r.String(), r.Int()
+		switch {
+		case e.opts.Old:
+			return reply(zkwire.Unimplemented, nil)
+		case r.Err() != nil || !valid(path) || mode != zkwire.WatchPersistent && mode != zkwire.WatchPersistentRecursive:
+			return reply(zkwire.BadArguments, nil)
+		}
+		s.persist.add(path, c, mode == zkwire.WatchPersistentRecursive)
+		return reply(zkwire.OK, func(b []byte) []byte { return zkwire.AppendInt(b, 0) })
+	}
+	if c.ro {
+		return reply(zkwire.NotReadOnly, nil)
+	}
+	if op == zkwire.OpMulti {
+		return c.multi(r, reply)
+	}
+	if op == zkwire.OpCreate2 && e.opts.Old {
+		return reply(zkwire.Unimplemented, nil)
+	}
+	w := &writing{c: c, t: e.history}
+	body, code := w.do(r, op)
+	if r.Err() != nil {
+		return false
+	}
+	if code == zkwire.OK && len(w.changes) > 0 {
+		s.catchUp(time.Now(), e.commit(w.changes))
+	}
+	return reply(code, body)
+}
+
+// read answers what reads one node.
+func (c *conn) read(r *zkwire.Reader, op zkwire.Op, reply func(zkwire.Code, func([]byte) []byte) bool) bool {
+	path := r.String()
+	watch := op != zkwire.OpGetACL && r.Bool()
+	if r.Err() != nil || !valid(path) {
+		return reply(zkwire.BadArguments, nil)
+	}
+	n := c.s.tree.nodes[path]
+	if n == nil {
+		if watch && op == zkwire.OpExists {
+			c.s.data.add(path, c, false)
+		}
+		return reply(zkwire.NoNode, nil)
+	}
+	if op != zkwire.OpExists && !may(n.acl, c.auth, zkwire.PermRead) {
+		return reply(zkwire.NoAuth, nil)
+	}
+	switch op {
+	case zkwire.OpExists, zkwire.OpGetData:
+		if watch {
+			c.s.data.add(path, c, false)
+		}
+	case zkwire.OpGetChildren, zkwire.OpGetChildren2:
+		if watch {
+			c.s.child.add(path, c, false)
+		}
+	}
+	return reply(zkwire.OK, func(b []byte) []byte {
+		switch op {
+		case zkwire.OpGetData:
+			b = zkwire.AppendBuffer(b, n.data)
+		case zkwire.OpGetChildren, zkwire.OpGetChildren2:
+			if b = zkwire.AppendStrings(b, n.names()); op == zkwire.OpGetChildren {
+				return b
+			}
+		case zkwire.OpGetACL:
+			b = zkwire.AppendACLs(b, n.acl)
+		}
+		return n.stat.Append(b)
+	})
+}
+
+// setWatches takes watches up again, and tells what has changed since at once.
+func (c *conn) setWatches(w *zkwire.SetWatches) {
+	t := c.s.tree
+	for _, p := range w.Data {
+		switch n := t.nodes[p]; {
+		case n == nil:
+			c.event(zkwire.NodeDeleted, p)
+		case n.stat.Mzxid > w.Zxid:
+			c.event(zkwire.NodeDataChanged, p)
+		default:
+			c.s.data.add(p, c, false)
+		}
+	}
+	for _, p := range w.Exist {
+		if t.nodes[p] != nil {
+			c.event(zkwire.NodeCreated, p)
+		} else {
+			c.s.data.add(p, c, false)
+		}
+	}
+	for _, p := range w.Child {
+		switch n := t.nodes[p]; {
+		case n == nil:
+			c.event(zkwire.NodeDeleted, p)
+		case n.stat.Pzxid > w.Zxid:
+			c.event(zkwire.NodeChildrenChanged, p)
+		default:
+			c.s.child.add(p, c, false)
+		}
+	}
+	for _, p := range w.Persistent {
+		c.s.persist.add(p, c, false)
+	}
+	for _, p := range w.Recursive {
+		c.s.persist.add(p, c, true)
+	}
+}
+
+// writing checks operations on a tree and notes what they change. Of several the later see what the
+// earlier do.
+type writing struct {
+	c       *conn
+	t       *tree
+	changes []change
+}
+
+func (w *writing) do(r *zkwire.Reader, op zkwire.Op) (func([]byte) []byte, zkwire.Code) {
+	path := r.String()
+	if !valid(path) {
+		return nil, zkwire.BadArguments
+	}
+	may := func(path string, perm int32) bool { return may(w.t.nodes[path].acl, w.c.auth, perm) }
+	switch op {
+	case zkwire.OpCreate, zkwire.OpCreate2:
+		data, acl, flags := append([]byte{}, r.Buffer()...), r.ACLs(), r.Int()
+		up := w.t.nodes[parent(path)]
+		switch {
+		case r.Err() != nil:
+			return nil, zkwire.MarshallingError
+		case len(acl) == 0:
+			return nil, zkwire.InvalidACL
+		case up == nil:
+			return nil, zkwire.NoNode
+		case up.stat.Owner != 0:
+			return nil, zkwire.EphemeralChildren
+		case !may(parent(path), zkwire.PermCreate):
+			return nil, zkwire.NoAuth
+		}
+		for i := range acl {
+			if acl[i].Scheme == "auth" {
+				if len(w.c.auth) == 0 {
+					return nil, zkwire.InvalidACL
+				}
+				acl[i].Scheme, acl[i].ID = "digest", w.c.auth[0]
+			}
+		}
+		if flags&zkwire.FlagSequential != 0 {
+			path = sequence(path, up.next)
+		}
+		if w.t.nodes[path] != nil {
+			return nil, zkwire.NodeExists
+		}
+		own := int64(0)
+		if flags&zkwire.FlagEphemeral != 0 {
+			own = w.c.session.id
+		}
+		w.note(change{kind: created, path: path, data: data, acl: acl, own: own})
+		return func(b []byte) []byte {
+			if b = zkwire.AppendString(b, path); op == zkwire.OpCreate2 {
+				b = w.c.s.tree.nodes[path].stat.Append(b)
+			}
+			return b
+		}, zkwire.OK
+	case zkwire.OpDelete, zkwire.OpSetData, zkwire.OpCheck, zkwire.OpSetACL:
+		var data []byte
+		var acl []zkwire.ACL
+		switch op {
+		case zkwire.OpSetData:
+			data = append([]byte{}, r.Buffer()...)
+		case zkwire.OpSetACL:
+			acl = r.ACLs()
+		}
+		version := r.Int()
+		n := w.t.nodes[path]
+		switch {
+		case r.Err() != nil:
+			return nil, zkwire.MarshallingError
+		case n == nil:
+			return nil, zkwire.NoNode
+		case version != -1 && version != n.stat.Version && op != zkwire.OpSetACL:
+			return nil, zkwire.BadVersion
+		}
+		switch op {
+		case zkwire.OpDelete:
+			if !may(parent(path), zkwire.PermDelete) {
+				return nil, zkwire.NoAuth
+			}
+			if len(n.children) > 0 {
+				return nil, zkwire.NotEmpty
+			}
+			w.note(change{kind: deleted, path: path})
+			return nil, zkwire.OK
+		case zkwire.OpCheck:
+			return nil, zkwire.OK
+		}
+		perm, k := int32(zkwire.PermWrite), changed
+		if op == zkwire.OpSetACL {
+			perm, k = zkwire.PermAdmin, aclSet
+		}
+		if !may(path, perm) {
+			return nil, zkwire.NoAuth
+		}
+		w.note(change{kind: k, path: path, data: data, acl: acl})
+		return func(b []byte) []byte { return w.c.s.tree.nodes[path].stat.Append(b) }, zkwire.OK
+	}
+	return nil, zkwire.Unimplemented
+}
+
+func (w *writing) note(c change) { w.changes = append(w.changes, c) }
+
+// multi carries out all of several operations, or none.
+func (c *conn) multi(r *zkwire.Reader, reply func(zkwire.Code, func([]byte) []byte) bool) bool {
+	trial := c.s.e.history.copyOf()
+	w := &writing{c: c, t: trial}
+	type result struct {
+		op   zkwire.Op
+		body func([]byte) []byte
+		code zkwire.Code
+	}
+	var results []result
+	failed := -1
+	for {
+		h := r.MultiHeader()
+		if r.Err() != nil {
+			return false
+		}
+		if h.Done {
+			break
+		}
+		before := len(w.changes)
+		body, code := w.do(r, h.Type)
+		if code != zkwire.OK && failed < 0 {
+			failed = len(results)
+		}
+		results = append(results, result{h.Type, body, code})
+		trial.apply(&txn{zxid: trial.zxid + 1, ms: time.Now().UnixMilli(), changes: w.changes[before:]})
+	}
+	if failed < 0 && len(w.changes) > 0 {
+		c.s.catchUp(time.Now(), c.s.e.commit(w.changes))
+	}
+	return reply(zkwire.OK, func(b []byte) []byte {
+		for i, x := range results {
+			if failed >= 0 {
+				code := zkwire.OK
+				switch {
+				case i == failed:
+					code = x.code
+				case i > failed:
+					code = zkwire.RolledBack
+				}
+				b = zkwire.AppendInt(zkwire.MultiHeader{Type: zkwire.OpError, Err: code}.Append(b), int32(code))
+				continue
+			}
+			if b = (zkwire.MultiHeader{Type: x.op}).Append(b); x.body != nil {
+				b = x.body(b)
+			}
+		}
+		return zkwire.MultiHeader{Type: zkwire.OpError, Done: true, Err: -1}.Append(b)
+	})
+}
--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -19,7 +19,7 @@
 			s.Tell("roster", float64(i), &l)
 			last := ""
 			for _, e := range s.Entries() {
-				if e.ID <= last || e.State == Removed || e.State == Up && check(&e) != nil {
+				if e.ID <= last || e.State == Removed || e.State == Up && e.Check() != nil {
 					t.Errorf("keeps %+v after %q", e, last)
 				}
 				last = e.ID
--- /dev/null
+++ b/internal/membership/merge.go
@@ -0,0 +1,518 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Node is a node of a registry whose presence says that a process runs.
+type Node struct {
+	Name  string // unique in the registry, at a time
+	Entry Entry  // what its data says; ID "" where it does not say: the roster's entry of that address is it
+	Czxid int64  // the change that made it: another one is another node
+	// CtimeMs is when it was made, by the registry's clock, Unix ms.
+	CtimeMs float64
+	Owner   int64 // the session that holds it
+}
+
+// MergeConfig are the bounds of a Merge. All times are in ms.
+type MergeConfig struct {
+	// All says that each server has a node, so that one without does not run. Else only a server that
+	// was seen to have one is judged by it.
+	All bool
+	// StaleAfterMs is how long a source may be silent before it is said to be stale; what it told stays.
+	// LapseMs is how long the nodes' source may be lost before their absence no longer keeps away a
+	// server that the roster, heard since, says is up.
+	StaleAfterMs, LapseMs float64
+	// A node's end is not believed where more than VanishShare of the servers with a node lost theirs
+	// within VanishWindowMs, and VanishLeast at least: not until the roster says so too, or VanishWaitMs
+	// are over. What was believed before stays believed.
+	VanishShare                  float64
+	VanishLeast                  int
+	VanishWindowMs, VanishWaitMs float64
+	// A server whose node returns again and again is up only once the node has stayed for SettleMs,
+	// twice that the next time, SettleMostMs at the most; one return in FlapWindowMs is free.
+	SettleMs, SettleMostMs, FlapWindowMs float64
+	// MemoryMs is how long a server that nobody lists is remembered, for how cold it is.
+	MemoryMs float64
+}
+
+// DefaultMerge is what operators get who set nothing.
+func DefaultMerge() MergeConfig {
+	return MergeConfig{StaleAfterMs: 15_000, LapseMs: 60_000, VanishShare: 0.5, VanishLeast: 4, VanishWindowMs: 2000,
+		VanishWaitMs: 10_000, SettleMs: 250, SettleMostMs: 5000, FlapWindowMs: 30_000, MemoryMs: 900_000}
+}
+
+// Merge decides from two sources what is told of each server: the roster, which says what a server is and
+// whether it drains, and the nodes of a registry, which say whether its process runs. The worse word counts
+// at once. It does no I/O and reads no clock: times are Unix ms that only advance. It belongs to one
+// goroutine.
+type Merge struct {
+	cfg    MergeConfig
+	rows   map[string]*row
+	byAddr map[string]*row // the roster's entries
+	byNode map[string]*row
+	gone   []vanished // of late, oldest first
+	dirty  map[string]*row
+	timed  map[string]*row // that have something to wait for
+	synced bool
+	due    float64 // of what passes for all rows; 0: none
+
+	rosterMs, nodesMs float64 // when each was last heard; -1: never
+	rosterLost        string
+	nodesLost         string
+	lostMs            float64 // since when the nodes' source is lost; 0: it is well
+	lapsed            bool
+	emptyMs           float64
+	problems          []string
+	tells             int
+}
+
+type vanished struct {
+	ms float64
+	r  *row
+}
+
+// row is what is known of one server.
+type row struct {
+	id     string
+	roster *Entry // nil: not listed
+	struck bool   // the roster listed it once and took it out; a node made since counts again
+	nodes  map[string]*Node
+	seen   bool // had a node once
+	// absentMs is since when it has had no node, heldMs until when that is not believed.
+	absentMs, heldMs float64
+	flaps            int
+	returnMs         float64
+	settleMs         float64 // until when its node has to stay to count
+	// What is remembered of its process.
+	started float64
+	owner   int64
+	czxid   int64
+
+	told   Entry
+	listed bool    // told as being there
+	idleMs float64 // since when nobody lists it
+}
+
+// NewMerge returns a merge that has heard nothing.
+func NewMerge(cfg MergeConfig) *Merge {
+	return &Merge{cfg: cfg, rows: map[string]*row{}, byAddr: map[string]*row{}, byNode: map[string]*row{},
+		dirty: map[string]*row{}, timed: map[string]*row{}, rosterMs: -1, nodesMs: -1}
+}
+
+func (m *Merge) row(id string) *row {
+	r := m.rows[id]
+	if r == nil {
+		r = &row{id: id, nodes: map[string]*Node{}}
+		m.rows[id] = r
+	}
+	return r
+}
+
+func (m *Merge) touch(r *row) { m.dirty[r.id] = r }
+
+// ---- the roster ----
+
+// Roster takes what the roster has told. As in Set, a whole list of nothing is not believed.
+func (m *Merge) Roster(now float64, l *List) {
+	m.rosterMs, m.rosterLost = now, ""
+	m.problems = nil
+	if l.Full && len(l.Entries) == 0 {
+		if m.emptyMs == 0 {
+			m.emptyMs = now
+		}
+		return
+	}
+	m.emptyMs = 0
+	named := make(map[string]bool, len(l.Entries))
+	for i := range l.Entries {
+		e := l.Entries[i]
+		if err := e.Check(); err != nil {
+			m.problem(err)
+			if r := m.rows[e.ID]; r != nil && r.roster != nil {
+				named[e.ID] = true
+				if e.State != Up {
+					r.roster.State = Draining
+					m.touch(r)
+				}
+			}
+			continue
+		}
+		if e.State == Removed {
+			m.strike(now, m.rows[e.ID])
+			continue
+		}
+		if m.rows[e.ID] == nil && len(m.rows) >= MaxEntries {
+			m.problem(fmt.Errorf("%s: left out, more than %d entries", e.ID, MaxEntries))
+			continue
+		}
+		named[e.ID] = true
+		r := m.row(e.ID)
+		if r.roster != nil && m.byAddr[r.roster.Addr] == r {
+			delete(m.byAddr, r.roster.Addr)
+		}
+		r.roster, r.struck = &e, false
+		m.byAddr[e.Addr] = r
+		m.adopt(r, e.Addr)
+		m.touch(r)
+	}
+	if l.Full {
+		for id, r := range m.rows {
+			if !named[id] {
+				m.strike(now, r)
+			}
+		}
+	}
+}
+
+// strike takes the roster's word of a server back.
+func (m *Merge) strike(now float64, r *row) {
+	if r == nil || r.roster == nil {
+		return
+	}
+	if m.byAddr[r.roster.Addr] == r {
+		delete(m.byAddr, r.roster.Addr)
+	}
+	r.roster, r.struck = nil, true
+	m.touch(r)
+}
+
+// adopt moves nodes that only named an address to the server that the roster lists there.
+func (m *Merge) adopt(r *row, addr string) {
+	other := m.rows["addr:"+addr]
+	if other == nil || other == r {
+		return
+	}
+	for name, n := range other.nodes {
+		r.nodes[name], m.byNode[name] = n, r
+	}
+	r.seen, r.started, r.owner, r.czxid = true, max(r.started, other.started), other.owner, other.czxid
+	clear(other.nodes)
+	m.touch(other)
+}
+
+// ---- the nodes ----
+
+// NodeUp takes a node that is there, as it is now.
+func (m *Merge) NodeUp(now float64, n Node) {
+	m.heard(now)
+	r := m.rowOf(&n)
+	if r == nil {
+		m.problem(fmt.Errorf("node %s: left out, more than %d entries", n.Name, MaxEntries))
+		return
+	}
+	if old := m.byNode[n.Name]; old != nil && old != r {
+		m.drop(now, old, n.Name) // its data names another server now
+	}
+	m.byNode[n.Name] = r
+	had := len(r.nodes) > 0
+	anew := r.czxid != n.Czxid
+	r.nodes[n.Name] = &n
+	m.touch(r)
+	if anew {
+		r.struck = false
+		m.date(now, r, &n)
+		r.czxid, r.owner = n.Czxid, n.Owner
+	} else if n.Entry.StartedMs > 0 {
+		r.started = min(n.Entry.StartedMs, now)
+	}
+	if had {
+		return
+	}
+	if back := r.seen && r.absentMs > 0 && r.heldMs == 0; back {
+		if now-r.returnMs > m.cfg.FlapWindowMs {
+			r.flaps = 0
+		}
+		if r.flaps++; r.flaps > 1 {
+			r.settleMs = now + min(m.cfg.SettleMs*math.Pow(2, float64(min(r.flaps, 32)-2)), m.cfg.SettleMostMs)
+			m.timed[r.id] = r
+		}
+		r.returnMs = now
+	}
+	r.seen, r.absentMs, r.heldMs = true, 0, 0
+}
+
+// rowOf finds the server that a node is of.
+func (m *Merge) rowOf(n *Node) *row {
+	id := n.Entry.ID
+	if id == "" && n.Entry.Addr != "" {
+		if r := m.byAddr[n.Entry.Addr]; r != nil {
+			return r
+		}
+		id = "addr:" + n.Entry.Addr
+	}
+	if id == "" {
+		id = n.Name
+	}
+	if m.rows[id] == nil && len(m.rows) >= MaxEntries {
+		return nil
+	}
+	return m.row(id)
+}
+
+// date settles when the process of a new node started. What is not sure counts as now: cold.
+func (m *Merge) date(now float64, r *row, n *Node) {
+	switch {
+	case n.Entry.StartedMs > 0:
+		r.started = min(n.Entry.StartedMs, now)
+	case r.czxid != 0 && n.Owner != 0 && n.Owner == r.owner:
+		// A session is a process's: it made its node again.
+	case r.czxid == 0 && !m.synced:
+		// It was there before we were: as old as its node, by the registry's clock.
+		r.started = min(n.CtimeMs, now)
+	default:
+		r.started = now
+	}
+}
+
+// NodeGone takes the end of a node.
+func (m *Merge) NodeGone(now float64, name string) {
+	m.heard(now)
+	if r := m.byNode[name]; r != nil {
+		delete(m.byNode, name)
+		m.drop(now, r, name)
+	}
+}
+
+func (m *Merge) drop(now float64, r *row, name string) {
+	delete(r.nodes, name)
+	m.touch(r)
+	if len(r.nodes) > 0 {
+		return
+	}
+	r.absentMs = now
+	i := 0
+	for i < len(m.gone) && now-m.gone[i].ms > m.cfg.VanishWindowMs {
+		i++
+	}
+	m.gone = append(slices.Delete(m.gone, 0, i), vanished{now, r})
+	away := map[*row]bool{}
+	for _, v := range m.gone {
+		if v.r.absentMs > 0 {
+			away[v.r] = true
+		}
+	}
+	there := len(away)
+	if len(away) > m.cfg.VanishLeast { // counting all is seldom
+		there = 0
+		for _, x := range m.rows {
+			if len(x.nodes) > 0 || away[x] {
+				there++
+			}
+		}
+		if float64(len(away)) > m.cfg.VanishShare*float64(there) {
+			r.heldMs = now + m.cfg.VanishWaitMs
+			m.timed[r.id] = r
+		}
+	}
+}
+
+// NodesSynced tells that all nodes there are have been told.
+func (m *Merge) NodesSynced(now float64) {
+	m.heard(now)
+	if !m.synced {
+		m.synced = true
+		m.all()
+	}
+}
+
+// NodesAlive notes that the registry showed it lives.
+func (m *Merge) NodesAlive(now float64) { m.heard(now) }
+
+func (m *Merge) heard(now float64) {
+	m.nodesMs, m.nodesLost, m.lostMs = now, "", 0
+	if m.lapsed {
+		m.lapsed = false
+		m.all()
+	}
+}
+
+// NodesLost notes that the registry can't be reached. Nothing that it told changes but, in time, its weight.
+func (m *Merge) NodesLost(now float64, err error) {
+	m.nodesLost = err.Error()
+	if m.lostMs == 0 {
+		m.lostMs = now
+	}
+}
+
+// RosterLost notes that a call to the roster failed, RosterAlive that it showed it lives.
+func (m *Merge) RosterLost(err error) { m.rosterLost = err.Error() }
+
+// RosterAlive notes that the roster showed it lives.
+func (m *Merge) RosterAlive(now float64) { m.rosterMs, m.rosterLost = now, "" }
+
+func (m *Merge) all() {
+	for _, r := range m.rows {
+		m.touch(r)
+	}
+}
+
+func (m *Merge) problem(err error) {
+	if len(m.problems) < maxProblems {
+		m.problems = append(m.problems, err.Error())
+	}
+}
+
+// ---- what is told ----
+
+// judge is what is to be told of a server now; false: it is not to be listed.
+func (m *Merge) judge(now float64, r *row) (Entry, bool) {
+	var e Entry
+	var first *Node
+	for _, n := range r.nodes {
+		if first == nil || n.Czxid > first.Czxid {
+			first = n // the newest, where one process has left another's node behind
+		}
+	}
+	switch {
+	case r.roster != nil:
+		e = *r.roster
+	case first != nil && first.Entry.Addr != "" && !r.struck:
+		e = first.Entry
+	case r.listed && r.absentMs > 0 && r.heldMs > now && !r.struck:
+		return r.told, true // not believed yet: as it was
+	default:
+		return e, false
+	}
+	e.ID = r.id
+	e.StartedMs = max(e.StartedMs, r.started)
+	if first != nil && first.Entry.State != Up && first.Entry.State != "" && e.State == Up {
+		e.State = Draining
+	}
+	judged := r.seen || m.cfg.All && m.synced
+	if e.State != Up || !judged {
+		return e, true
+	}
+	switch {
+	case len(r.nodes) > 0 && r.settleMs > now:
+		e.State = Draining // it came and went of late
+	case len(r.nodes) > 0, r.heldMs > now:
+	case m.lapsed && m.rosterMs > m.lostMs:
+		// Nobody can say any more whether its process runs, and the roster says that it is up.
+	default:
+		e.State = Draining
+	}
+	return e, true
+}
+
+// pass notes what time alone has changed.
+func (m *Merge) pass(now float64) {
+	for id, r := range m.timed {
+		if r.settleMs > 0 && r.settleMs <= now {
+			r.settleMs = 0
+			m.touch(r)
+		}
+		if r.heldMs > 0 && r.heldMs <= now {
+			r.heldMs = 0
+			m.touch(r)
+		}
+		if r.settleMs == 0 && r.heldMs == 0 {
+			delete(m.timed, id)
+		}
+	}
+	if m.lostMs > 0 && !m.lapsed && now-m.lostMs >= m.cfg.LapseMs {
+		m.lapsed = true
+		m.all()
+	}
+}
+
+// Take returns what is to be told anew since the last call: entries with their state, Removed for those
+// that are no longer listed.
+func (m *Merge) Take(now float64) []Entry {
+	m.pass(now)
+	var out []Entry
+	for id, r := range m.dirty {
+		delete(m.dirty, id)
+		e, listed := m.judge(now, r)
+		switch {
+		case listed && (!r.listed || e != r.told):
+			r.told = e
+			out = append(out, e)
+		case !listed && r.listed:
+			out = append(out, Entry{ID: id, State: Removed})
+		}
+		r.listed = listed
+		if r.idleMs = 0; r.roster == nil && len(r.nodes) == 0 && !listed {
+			r.idleMs = now
+		}
+	}
+	m.age(now)
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	m.tells += len(out)
+	return out
+}
+
+// age forgets servers that nobody has listed for long; it looks seldom.
+func (m *Merge) age(now float64) {
+	if m.due > now {
+		return
+	}
+	m.due = now + m.cfg.MemoryMs/8
+	for id, r := range m.rows {
+		if r.idleMs > 0 && now-r.idleMs > m.cfg.MemoryMs {
+			delete(m.rows, id)
+			delete(m.timed, id)
+		}
+	}
+}
+
+// NextMs is when Take has to be called again though nothing is told; +Inf: there is no such time.
+func (m *Merge) NextMs() float64 {
+	next := math.Inf(1)
+	for _, r := range m.timed {
+		for _, at := range []float64{r.settleMs, r.heldMs} {
+			if at > 0 {
+				next = min(next, at)
+			}
+		}
+	}
+	if m.lostMs > 0 && !m.lapsed {
+		next = min(next, m.lostMs+m.cfg.LapseMs)
+	}
+	return next
+}
+
+// Entries returns all servers that are listed, in the order of their ids, as Take told them.
+func (m *Merge) Entries() []Entry {
+	out := make([]Entry, 0, len(m.rows))
+	for _, r := range m.rows {
+		if r.listed {
+			out = append(out, r.told)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Tells is the number of entries told so far.
+func (m *Merge) Tells() int { return m.tells }
+
+// Status tells how each source does.
+func (m *Merge) Status(now float64) []Status {
+	roster := Status{Source: "roster", AgeMs: -1, Why: m.rosterLost, Problems: m.problems}
+	nodes := Status{Source: "nodes", AgeMs: -1, Why: m.nodesLost}
+	for _, r := range m.rows {
+		if r.roster != nil {
+			roster.Entries++
+		}
+		nodes.Entries += len(r.nodes)
+	}
+	for _, x := range []struct {
+		s     *Status
+		heard float64
+	}{{&roster, m.rosterMs}, {&nodes, m.nodesMs}} {
+		if x.heard >= 0 {
+			x.s.AgeMs = now - x.heard
+		}
+		if x.s.Stale = x.heard < 0 || x.s.AgeMs >= m.cfg.StaleAfterMs; x.s.Stale && x.s.Why == "" {
+			x.s.Why = "silent"
+		}
+	}
+	if m.emptyMs > 0 {
+		roster.Why, roster.Stale = "it lists nothing, which is not believed", now-m.emptyMs >= m.cfg.StaleAfterMs
+	}
+	return []Status{roster, nodes}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -918,14 +918,16 @@
 		}
 		return
 	}
-	b.follows = 0
+	if ev.List != ListOther {
+		b.follows = 0
+	}
 	b.epoch++
 	named := map[Addr]bool{}
 	for i := range ev.Entries {
 		named[ev.Entries[i].Server] = true
 		b.update(&ev.Entries[i])
 	}
-	if ev.List != ListDelta {
+	if ev.List == ListFull || ev.List == ListCached {
 		for _, s := range b.servers {
 			s.usable = s.usable && named[s.id]
 		}
--- a/policy/types.go
+++ b/policy/types.go
@@ -169,6 +169,7 @@
 	ListFull
 	ListCached
 	ListFailed
+	ListOther // changes told by other than discovery, of whose calls it says nothing
 )
 
 // Status is how an attempt or a probe ended.
