--- a/internal/lab/zk/ensemble.go
+++ b/internal/lab/zk/ensemble.go
@@ -39,7 +39,7 @@
 	nextID   int64
 	leader   bool
 	rng      *rand.Rand
-	deletes  func(path string, at time.Time)
+	changes  func(Change)
 	stop     chan struct{}
 	wg       sync.WaitGroup
 }
@@ -141,10 +141,11 @@
 	x := &txn{zxid: e.history.zxid + 1, ms: now.UnixMilli(), changes: changes}
 	e.history.apply(x)
 	e.log = append(e.log, x)
-	if e.deletes != nil {
+	if e.changes != nil {
 		for i := range changes {
-			if changes[i].kind == deleted {
-				e.deletes(changes[i].path, now)
+			if c := &changes[i]; c.kind != aclSet {
+				ev := map[kind]zkwire.Event{created: zkwire.NodeCreated, deleted: zkwire.NodeDeleted, changed: zkwire.NodeDataChanged}[c.kind]
+				e.changes(Change{ev, c.path, x.zxid, now})
 			}
 		}
 	}
@@ -173,11 +174,20 @@
 	}
 }
 
-// OnDelete is called, with the ensemble's lock held, for each node at the moment at which it is deleted.
-func (e *Ensemble) OnDelete(f func(path string, at time.Time)) {
+// Change is what was committed of one node.
+type Change struct {
+	Event zkwire.Event
+	Path  string
+	Zxid  int64
+	At    time.Time
+}
+
+// OnChange is called, with the ensemble's lock held, for each change at the moment at which it is
+// committed: before any server shows it.
+func (e *Ensemble) OnChange(f func(Change)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.deletes = f
+	e.changes = f
 }
 
 // Sessions are the ids of those that live.
--- a/internal/lab/zk/ops.go
+++ b/internal/lab/zk/ops.go
@@ -57,7 +57,9 @@
 		return reply(zkwire.OK, nil)
 	case zkwire.OpSync:
 		path := r.String()
-		s.catchUp(time.Now(), e.history.zxid)
+		if !s.trusts {
+			s.catchUp(time.Now(), e.history.zxid)
+		}
 		return reply(zkwire.OK, func(b []byte) []byte { return zkwire.AppendString(b, path) })
 	case zkwire.OpExists, zkwire.OpGetData, zkwire.OpGetChildren, zkwire.OpGetChildren2, zkwire.OpGetACL:
 		s.reads.Add(1)
--- a/internal/lab/zk/server.go
+++ b/internal/lab/zk/server.go
@@ -85,7 +85,8 @@
 // SetReadOnly makes the server one that lost the others: it serves reads to clients that allow it.
 func (s *Server) SetReadOnly(ro bool) { s.locked(func() { s.ro = ro; s.cut() }) }
 
-// SetTrusting makes the server take clients that have seen more than it has, which a sound one refuses.
+// SetTrusting makes the server take clients that have seen more than it has, which a sound one refuses, and
+// answer a sync without having caught up.
 func (s *Server) SetTrusting(on bool) { s.locked(func() { s.trusts = on }) }
 
 // SetHang makes connections half-open: nothing more is read or written, and none is closed.
@@ -240,7 +241,7 @@
 				}
 			}
 			if c.s.corrupt.Load() > 0 && c.s.corrupt.Add(-1) >= 0 {
-				for i := 4 + len(b)/2; i < len(b); i++ {
+				for i := 4 + 16; i < len(b); i++ { // all behind a reply's header
 					b[i] = 0x7f
 				}
 			}
--- a/internal/membership/ephemeral/config.go
+++ b/internal/membership/ephemeral/config.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -60,6 +61,8 @@
 	} `toml:"flap"`
 	MemoryMs float64  `toml:"memory_ms"`
 	Register Register `toml:"register"`
+
+	forget, pause time.Duration // for tests; 0: forgetAfter, mostPause
 }
 
 // Default is a Config with all that has a default.
--- a/internal/membership/ephemeral/follow/follow.go
+++ b/internal/membership/ephemeral/follow/follow.go
@@ -98,7 +98,9 @@
 // that watches are taken up and only what has changed since zxid is read; else all is read again. Either
 // way what was seen stays until the registry says otherwise.
 func (f *Follower) Connected(renewed bool, zxid int64) {
-	f.queue, f.out, f.synced = nil, 0, false
+	// First the server is to catch up with its leader: an event does not say how new it is, so that what
+	// one server told may be more than another has, though the number that we know is in order.
+	f.queue, f.out, f.synced = []Request{{Op: zkwire.OpSync, Path: f.cfg.Root}}, 0, false
 	f.denied = map[string]zkwire.Code{}
 	var late []Request // reads that the last connection did not live to bring
 	for _, m := range []map[string]*node{f.dirs, f.nodes} {
--- a/internal/membership/ephemeral/session.go
+++ b/internal/membership/ephemeral/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -22,7 +23,7 @@
 	leastPause, mostPause = 20 * time.Millisecond, 2 * time.Second
 	// deniedPause is how long one waits whose authentication was not taken.
 	deniedPause = 5 * time.Second
-	// forgetAfter is after how long of servers that refuse us, as they have seen less than we have, the
+	// forgetAfter is, by default, after how long of servers that refuse us, as they have seen less than we have, the
 	// registry is taken for one that began anew.
 	forgetAfter = 30 * time.Second
 	// retryEvery is how often what was denied is asked for again.
@@ -64,6 +65,9 @@
 	frame    int // bound, in bytes
 	h        handler
 
+	forget time.Duration // 0: forgetAfter
+	pause  time.Duration // 0: mostPause
+
 	id       int64
 	password []byte
 	zxid     int64 // last change that a server let us see
@@ -94,7 +98,7 @@
 			continue
 		case failed%len(s.hosts) == 0:
 			wait = pause/2 + rand.N(pause/2+1)
-			pause = min(2*pause, mostPause)
+			pause = min(2*pause, cmp.Or(s.pause, mostPause))
 		}
 		select {
 		case <-time.After(wait):
@@ -154,7 +158,7 @@
 func (s *session) refused(err error) error {
 	if s.behind.IsZero() {
 		s.behind = time.Now()
-	} else if time.Since(s.behind) > forgetAfter {
+	} else if time.Since(s.behind) > cmp.Or(s.forget, forgetAfter) {
 		s.zxid, s.id, s.password, s.behind = 0, 0, nil, time.Time{}
 	}
 	return err
@@ -170,6 +174,7 @@
 	out     []request // in the order in which replies come
 	authed  bool
 	fresh   bool // nothing has come on it
+	events  bool // an event came in this batch
 }
 
 func (c *connection) serve(ctx context.Context, br *bufio.Reader, renewed bool) (served bool, err error) {
@@ -242,6 +247,11 @@
 				}
 			}
 			c.s.h.flush()
+			if c.events && len(c.out) == 0 {
+				// Events do not say how far the server has come; the next reply does.
+				c.send(request{op: zkwire.OpPing, xid: zkwire.XidPing})
+			}
+			c.events = false
 		case <-ping.C:
 			c.send(request{op: zkwire.OpPing, xid: zkwire.XidPing})
 		case <-retry.C:
@@ -322,6 +332,7 @@
 		if r.Err() != nil {
 			return fmt.Errorf("%w: %w", errSpoilt, r.Err())
 		}
+		c.events = true
 		c.s.h.event(e)
 		return nil
 	}
--- a/internal/membership/ephemeral/source.go
+++ b/internal/membership/ephemeral/source.go
@@ -63,7 +63,7 @@
 // session is one by this configuration.
 func (c *Config) session(h handler) *session {
 	return &session{hosts: append([]string(nil), c.Ensemble...), timeout: time.Duration(c.SessionMs) * time.Millisecond,
-		auth: c.Auth, readOnly: c.ReadOnly, frame: c.FrameLimit, h: h}
+		forget: c.forget, pause: c.pause, auth: c.Auth, readOnly: c.ReadOnly, frame: c.FrameLimit, h: h}
 }
 
 // watcher is the session's handler that follows a directory.
@@ -107,6 +107,8 @@
 		r.body = func(b []byte) []byte {
 			return zkwire.AppendInt(zkwire.AppendString(b, q.Path), zkwire.WatchPersistentRecursive)
 		}
+	case zkwire.OpSync:
+		r.body = func(b []byte) []byte { return zkwire.AppendString(b, q.Path) }
 	default:
 		r.body = func(b []byte) []byte { return zkwire.AppendBool(zkwire.AppendString(b, q.Path), q.Watch) }
 	}
