--- /dev/null
+++ b/internal/membership/ephemeral/config_test.go
@@ -0,0 +1,73 @@
+package ephemeral
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ringtrack.example/ringtrack/internal/membership/ephemeral/follow"
+)
+
+func TestConfigNamesTheKey(t *testing.T) {
+	dir := t.TempDir()
+	load := func(text string) error {
+		file := filepath.Join(dir, "ephemeral.toml")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Load(file)
+		return err
+	}
+	const good = "ensemble = [\"127.0.0.1:2181\"]\n"
+	if err := load(good); err != nil {
+		t.Fatal(err)
+	}
+	for text, key := range map[string]string{
+		"": "ensemble", `ensemble = ["h"]`: "ensemble[0]", good + `path = "orders"`: "path", good + `path = "/a//b"`: "path", good + `chroot = "/a/"`: "chroot",
+		good + "depth = 3": "depth", good + "session_ms = 0": "session_ms", good + "session_ms = -5": "session_ms", good + "session_ms = 3600000": "session_ms",
+		good + `form = "xml"`: "form", good + `watch = "all"`: "watch", good + `covers = "most"`: "covers", good + "most = 0": "most",
+		good + "frame_limit = 10": "frame_limit", good + `auth = "user"`: "auth", good + "speed = 1": "speed", good + "[vanish]\nshare = 0": "vanish.share",
+		good + "[vanish]\nshare = nan": "vanish.share", good + "[vanish]\nwait_ms = -1": "vanish.wait_ms", good + "[stale]\nlapse_ms = 1": "stale.lapse_ms",
+		good + "[flap]\nsettle_ms = 9000\nmost_ms = 10": "flap.most_ms", good + "memory_ms = 5": "memory_ms", good + `auth_file = "none"`: "auth_file",
+		good + "auth_file = \"x\"\nauth = \"a:b\"": "auth_file", good + "[register]\nid = \"a/b\"": "register.id", good + "[register]\nid = \"a\"": "register",
+		good + "depth = 2\n[register]\nid = \"a\"\naddr = \"h:1\"": "register.id", good + "[register]\nid = \"a\"\naddr = \"h:1\"\nweight = -1": "weight",
+		"ensemble = [": "toml",
+	} {
+		if err := load(text); err == nil || !strings.Contains(err.Error(), key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want it to name %s", text, err, key)
+		}
+	}
+	if _, err := Load("../../../deploy/ephemeral.toml"); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestParse(t *testing.T) {
+	for _, test := range []struct{ form, data, want string }{
+		{FormAuto, ``, "s-1   0"}, // presence alone
+		{FormAuto, `{"id":"a","addr":"h:1","zone":"east","state":"up","weight":2,"started_ms":5}`, "a h:1 up 2"},
+		{FormAuto, `{"addr":"h:1"}`, "s-1 h:1 up 1"},
+		{FormAuto, `{"addr":"h:1","state":"draining"}`, "s-1 h:1 draining 1"},
+		{FormAuto, `{"addr":"h:1","state":"removed"}`, "s-1 h:1 draining 1"},
+		{FormAuto, `{"addr":"h:1","state":"odd"}`, "s-1 h:1 odd 1"}, // what is none counts as draining
+		{FormAuto, `{"serviceEndpoint":{"host":"h","port":7},"additionalEndpoints":{},"status":"ALIVE","shard":3}`, " h:7 up 1"},
+		{FormServerSet, `{"serviceEndpoint":{"host":"::1","port":7},"status":"STOPPING"}`, " [::1]:7 draining 1"},
+		{FormServerSet, `{"addr":"h:1"}`, "error: no serviceEndpoint"},
+		{FormRoster, `{"serviceEndpoint":{"host":"h","port":7},"addr":"h:1"}`, "s-1 h:1 up 1"},
+		{FormAuto, `{"serviceEndpoint":{"host":"h","port":0},"status":"ALIVE"}`, "error: serviceEndpoint"},
+		{FormAuto, `{"addr":"h"}`, "error: "}, {FormAuto, `{"addr":"h:1","weight":-1}`, "error: "}, {FormAuto, `[1]`, "error: "},
+	} {
+		n, err := parse(test.form, &follow.Change{Name: "dir/s-1", Data: []byte(test.data)})
+		got := fmt.Sprintf("%s %s %s %v", n.Entry.ID, n.Entry.Addr, n.Entry.State, n.Entry.Weight)
+		if err != nil {
+			if got = "error: " + strings.TrimPrefix(err.Error(), "node dir/s-1: "); n.Entry.ID != "s-1" || n.Entry.Addr != "" {
+				t.Errorf("%s: a bad node is %+v", test.data, n)
+			}
+		}
+		if !strings.HasPrefix(got, test.want) {
+			t.Errorf("%s %s: %q, want %q", test.form, test.data, got, test.want)
+		}
+	}
+}
--- a/internal/membership/ephemeral/follow/follow.go
+++ b/internal/membership/ephemeral/follow/follow.go
@@ -74,6 +74,7 @@
 	cfg     Config
 	oneShot bool // what the server can
 	missing bool // the root is not there
+	asking  bool // whether it is, is being asked
 	nodes   map[string]*node
 	dirs    map[string]*node // which are read: known, reading, out, again
 	queue   []Request
@@ -101,7 +102,7 @@
 	// First the server is to catch up with its leader: an event does not say how new it is, so that what
 	// one server told may be more than another has, though the number that we know is in order.
 	f.queue, f.out, f.synced = []Request{{Op: zkwire.OpSync, Path: f.cfg.Root}}, 0, false
-	f.denied = map[string]zkwire.Code{}
+	f.denied, f.asking = map[string]zkwire.Code{}, false
 	var late []Request // reads that the last connection did not live to bring
 	for _, m := range []map[string]*node{f.dirs, f.nodes} {
 		for path, n := range m {
@@ -288,7 +289,8 @@
 	if d := f.dirs[f.cfg.Root]; d != nil && !d.out {
 		delete(f.dirs, f.cfg.Root)
 	}
-	if f.oneShot {
+	if f.oneShot && !f.asking {
+		f.asking = true
 		f.queue = append(f.queue, Request{Op: zkwire.OpExists, Path: f.cfg.Root, Watch: true})
 	}
 }
@@ -304,6 +306,7 @@
 			f.again()
 		}
 	case zkwire.OpExists:
+		f.asking = false
 		switch r.Code {
 		case zkwire.OK:
 			f.missing = false
@@ -324,7 +327,7 @@
 
 // again reads all once more, on this connection.
 func (f *Follower) again() {
-	f.queue = nil
+	f.queue, f.asking = nil, false
 	for _, m := range []map[string]*node{f.dirs, f.nodes} {
 		for _, n := range m {
 			n.stale = true
--- /dev/null
+++ b/internal/membership/ephemeral/follow/follow_test.go
@@ -0,0 +1,202 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+
+	"ringtrack.example/ringtrack/internal/zkwire"
+)
+
+// asked takes all requests that may be out.
+func asked(f *Follower) (out []Request) {
+	for {
+		r, ok := f.Next()
+		if !ok {
+			return out
+		}
+		out = append(out, r)
+	}
+}
+
+// answer replies as a server with these nodes would, until nothing more is asked for.
+func answer(f *Follower, nodes map[string]int64) (n int) {
+	for {
+		q := asked(f)
+		if len(q) == 0 {
+			return n
+		}
+		for _, r := range q {
+			n++
+			reply := Reply{Request: r}
+			switch r.Op {
+			case zkwire.OpGetChildren2:
+				for path := range nodes {
+					reply.Children = append(reply.Children, path[len("/fleet/"):])
+				}
+			case zkwire.OpGetData:
+				if reply.Stat.Czxid = nodes[r.Path]; reply.Stat.Czxid == 0 {
+					reply.Code = zkwire.NoNode
+				}
+			}
+			f.Reply(reply)
+		}
+	}
+}
+
+// A connection begins with the server's catching up, and never has more than a window out.
+func TestFirstThings(t *testing.T) {
+	f := New(Config{Root: "/fleet"})
+	nodes := map[string]int64{}
+	for i := range 1000 {
+		nodes[fmt.Sprintf("/fleet/s-%d", i)] = int64(i + 1)
+	}
+	for _, renewed := range []bool{false, true} {
+		f.Connected(renewed, 7)
+		q := asked(f)
+		if q[0].Op != zkwire.OpSync {
+			t.Errorf("begins with %+v", q[0])
+		}
+		for _, r := range q {
+			f.Reply(Reply{Request: r, Children: map[bool][]string{true: names(nodes)}[r.Op == zkwire.OpGetChildren2]})
+		}
+		if n := len(asked(f)); n > Window {
+			t.Errorf("%d requests out", n)
+		}
+		f.Connected(false, 7)
+		answer(f, nodes)
+		if !f.Synced() || f.Size() != 1000 {
+			t.Errorf("synced %v, %d nodes", f.Synced(), f.Size())
+		}
+	}
+}
+
+func names(nodes map[string]int64) (out []string) {
+	for path := range nodes {
+		out = append(out, path[len("/fleet/"):])
+	}
+	return out
+}
+
+// A session that was taken up asks for its watches anew, in parts that a server takes, and reads nothing
+// that has not changed; what was on its way when the connection broke is read.
+func TestWatchesAreTakenUp(t *testing.T) {
+	for _, oneShot := range []bool{false, true} {
+		f := New(Config{Root: "/fleet", OneShot: oneShot})
+		nodes := map[string]int64{}
+		for i := range 10_000 {
+			nodes[fmt.Sprintf("/fleet/member_%010d", i)] = int64(i + 1)
+		}
+		f.Connected(false, 0)
+		answer(f, nodes)
+		f.Changes()
+		f.Event(zkwire.WatchEvent{Type: zkwire.NodeDataChanged, Path: "/fleet/member_0000000007"})
+		asked(f) // its read is out, and is lost
+		f.Connected(true, 20_000)
+		watched, chunks, reads := map[string]bool{}, 0, 0
+		for _, r := range asked(f) {
+			switch r.Op {
+			case zkwire.OpSetWatches, zkwire.OpSetWatches2:
+				chunks++
+				size := 0
+				for _, p := range r.Watches.Data {
+					watched[p] = true
+					size += len(p) + 4
+				}
+				if size > watchesChunk || r.Watches.Zxid != 20_000 {
+					t.Errorf("a chunk of %d bytes since %d", size, r.Watches.Zxid)
+				}
+				if len(r.Watches.Child) > 0 {
+					watched[r.Watches.Child[0]] = true
+				}
+			case zkwire.OpGetData:
+				reads++
+				if r.Path != "/fleet/member_0000000007" {
+					t.Errorf("reads %s", r.Path)
+				}
+			}
+			f.Reply(Reply{Request: r, Stat: zkwire.Stat{Czxid: 8, Mzxid: 20_001}})
+		}
+		if len(watched) != 10_000 || chunks < 2 || reads != 1 {
+			t.Errorf("one-shot %v: %d watched, %d chunks, %d reads", oneShot, len(watched), chunks, reads)
+		}
+		if c := f.Changes(); len(c) != 1 || c[0].Stat.Mzxid != 20_001 || !f.Synced() {
+			t.Errorf("changes %v", c)
+		}
+	}
+}
+
+// What is said while a read is out has it read again, should the reply be from before; an end that is told
+// twice is told once.
+func TestEventsDuringReads(t *testing.T) {
+	f := New(Config{Root: "/fleet", OneShot: true})
+	f.Connected(false, 0)
+	answer(f, map[string]int64{"/fleet/a": 1})
+	f.Changes()
+	changed := zkwire.WatchEvent{Type: zkwire.NodeDataChanged, Path: "/fleet/a"}
+	f.Event(changed)
+	q := asked(f)
+	f.Event(changed)
+	f.Event(changed)
+	if len(q) != 1 || len(asked(f)) != 0 {
+		t.Errorf("%d reads out", len(q))
+	}
+	f.Reply(Reply{Request: q[0], Stat: zkwire.Stat{Czxid: 1}})
+	if q = asked(f); len(q) != 1 {
+		t.Errorf("%d reads after the reply, want one", len(q))
+	}
+	f.Reply(Reply{Request: q[0], Stat: zkwire.Stat{Czxid: 1, Mzxid: 5}})
+	gone := zkwire.WatchEvent{Type: zkwire.NodeDeleted, Path: "/fleet/a"}
+	f.Event(gone)
+	f.Event(gone)
+	var told []bool
+	for _, c := range f.Changes() {
+		told = append(told, c.Gone)
+	}
+	if fmt.Sprint(told) != "[false true]" {
+		t.Errorf("told %v", told)
+	}
+}
+
+// Whatever comes, in whatever order, the follower neither panics nor asks without end.
+func FuzzFollower(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11})
+	f.Fuzz(func(t *testing.T, in []byte) {
+		in = in[:min(len(in), 2000)]
+		for _, oneShot := range []bool{false, true} {
+			x := New(Config{Root: "/fleet", Depth: 1 + len(in)%2, OneShot: oneShot, Most: 5})
+			x.Connected(false, 0)
+			var out []Request
+			paths := []string{"/fleet", "/fleet/a", "/fleet/b", "/fleet/a/x", "/other", "/", ""}
+			for _, b := range in {
+				path := paths[int(b>>4)%len(paths)]
+				switch b % 8 {
+				case 0, 1:
+					out = append(out, asked(x)...)
+				case 2, 3:
+					if len(out) > 0 {
+						x.Reply(Reply{Request: out[0], Code: []zkwire.Code{0, zkwire.NoNode, zkwire.NoAuth, zkwire.Unimplemented}[b>>4%4&3],
+							Children: []string{"a", "b", "c", "d", "e", "f", "g"}[:b>>5], Stat: zkwire.Stat{Czxid: int64(b)}})
+						out = out[1:]
+					}
+				case 4:
+					x.Connected(b&16 > 0, int64(b))
+					out = nil
+				case 5:
+					x.Retry()
+				default:
+					x.Event(zkwire.WatchEvent{Type: zkwire.Event(b >> 4 & 7), Path: path})
+				}
+				if len(x.nodes) > 5+1 || len(x.queue) > 100 {
+					t.Fatalf("%d nodes, %d queued", len(x.nodes), len(x.queue))
+				}
+			}
+			there := map[string]bool{}
+			for _, c := range x.Changes() {
+				if c.Gone && !there[c.Name] {
+					t.Fatalf("%s is told gone and was not there", c.Name)
+				}
+				there[c.Name] = !c.Gone
+			}
+		}
+	})
+}
--- a/internal/membership/ephemeral/register.go
+++ b/internal/membership/ephemeral/register.go
@@ -206,7 +206,8 @@
 }
 
 // look sees whose the node is that is there: of this session (its reply was lost), of an older one of this
-// process (it is put in its place in one transaction, so that it never seems gone), or of another process.
+// process (it is put in its place in one transaction, so that nobody else takes the name meanwhile), or of
+// another process.
 func (k *keeper) look(data []byte, change uint64) {
 	session := k.s.id
 	k.ask(zkwire.OpGetData, func(b []byte) []byte { return zkwire.AppendBool(zkwire.AppendString(b, k.r.path), false) },
