--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -154,19 +153,8 @@
 func (c *Config) core() core.Config {
 	out := core.Config{Discovery: c.Discovery, Known: c.Known, Settings: c.Settings, Seed: c.Seed, Zones: c.Zones, Kinds: c.Kinds}
 	if c.Ephemeral != nil {
-		source := ephemeral.NewSource(c.Ephemeral)
 		out.Merge = c.Ephemeral.Merge()
-		out.Nodes = func(ctx context.Context, told func(func(*membership.Merge, float64))) {
-			source.Run(ctx, func(u ephemeral.Update) {
-				if u.Err != nil {
-					slog.Warn("registry", "err", u.Err)
-				}
-				for _, p := range u.Problems {
-					slog.Warn("registry", "problem", p)
-				}
-				told(u.Apply)
-			})
-		}
+		out.Nodes = ephemeral.NewSource(c.Ephemeral).Nodes(func(problem string) { slog.Warn("registry", "problem", problem) })
 	}
 	return out
 }
--- a/internal/lab/prove/drains.go
+++ b/internal/lab/prove/drains.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/control"
 	"ringtrack.example/ringtrack/internal/lab"
 	"ringtrack.example/ringtrack/internal/lab/service"
 	"ringtrack.example/ringtrack/internal/lab/xdsproxy"
@@ -15,6 +16,8 @@
 
 const (
 	drainEvery = 30 * time.Millisecond
+	// drainServers are enough that those away at a time are no large part of them.
+	drainServers = 60
 	// drainFor is how long a server stays away: long enough to see what comes late.
 	drainFor = 500 * time.Millisecond
 )
@@ -23,7 +26,16 @@
 // other changes pushed meanwhile. Counted at the servers: requests that began later than 250 ms after
 // the roster was told. The seeded defect is a proxy that uses what it is told 400 ms late.
 func Drains(ctx context.Context, o *Options) (*Report, error) {
-	r := &Report{Proof: "drains", Seed: o.Seed, Scale: o.Scale}
+	return drains(ctx, o, &Report{Proof: "drains", Seed: o.Seed, Scale: o.Scale}, false)
+}
+
+// EphemeralControl is Drains with a registry: a server is told away by the end of its node, which the
+// roster knows nothing of.
+func EphemeralControl(ctx context.Context, o *Options) (*Report, error) {
+	return drains(ctx, o, &Report{Proof: "ephemeral-control", Seed: o.Seed, Scale: o.Scale}, true)
+}
+
+func drains(ctx context.Context, o *Options, r *Report, nodes bool) (*Report, error) {
 	rng := o.rng()
 	ledger := lab.NewLedger(lab.DefaultRules())
 	var servers []*lab.OrderServer
@@ -33,7 +45,7 @@
 			s.Close()
 		}
 	}()
-	for i := range 30 {
+	for i := range drainServers {
 		s, err := lab.NewOrderServer(fmt.Sprintf("s-%02d", i), zones[i%3], time.Millisecond, ledger)
 		if err != nil {
 			return nil, err
@@ -45,7 +57,28 @@
 		return nil, err
 	}
 	defer roster.Close()
-	svc, err := service.StartWith(roster, nil)
+	// away and back tell of a server in the one way or in the other.
+	away := func(s *lab.OrderServer) {
+		e := s.Entry
+		e.State = membership.Draining
+		roster.Set(e)
+	}
+	back := func(s *lab.OrderServer) { roster.Set(s.Entry) }
+	change := func(*control.Config) {}
+	if nodes {
+		reg, err := newRegistry(3, o.Seed, "[flap]\nsettle_ms = 0\nmost_ms = 0\n")
+		if err != nil {
+			return nil, err
+		}
+		defer reg.close()
+		for _, s := range servers {
+			reg.put(&s.Entry)
+		}
+		away = func(s *lab.OrderServer) { reg.remove(s.ID) }
+		back = func(s *lab.OrderServer) { reg.put(&s.Entry) }
+		change = func(c *control.Config) { c.Ephemeral = reg.file }
+	}
+	svc, err := service.StartWith(roster, change)
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +115,7 @@
 	drains := o.scaled(1000, 20)
 	var mu sync.Mutex
 	var lag []time.Duration
-	var away sync.WaitGroup
+	var gone sync.WaitGroup
 	busy := map[int]bool{}
 	free := make(chan int, len(servers))
 	tick := time.NewTicker(drainEvery)
@@ -108,10 +141,8 @@
 		}
 		told := time.Now()
 		ledger.Told(s.ID, told)
-		e := s.Entry
-		e.State = membership.Draining
-		roster.Set(e)
-		away.Go(func() {
+		away(s)
+		gone.Go(func() {
 			var each sync.WaitGroup
 			for _, p := range proxies {
 				each.Go(func() {
@@ -128,20 +159,20 @@
 			each.Wait()
 			time.Sleep(time.Until(told.Add(drainFor)))
 			ledger.Up(s.ID)
-			roster.Set(s.Entry)
+			back(s)
 			free <- i
 		})
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			away.Wait()
+			gone.Wait()
 			return nil, ctx.Err()
 		}
 		if n%100 == 99 {
 			o.logf("%d drains", n+1)
 		}
 	}
-	away.Wait()
+	gone.Wait()
 	cancel()
 	running.Wait()
 	broken, words := ledger.Breaches(time.Now())
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -20,6 +20,7 @@
 	"ringtrack.example/ringtrack/internal/lab"
 	"ringtrack.example/ringtrack/internal/lab/thriftlab"
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/membership/ephemeral"
 	"ringtrack.example/ringtrack/internal/thriftwire"
 	"ringtrack.example/ringtrack/internal/upstream/conns"
 	httpup "ringtrack.example/ringtrack/internal/upstream/http"
@@ -89,6 +90,8 @@
 	Zones    []string           // nil: "east"
 	Seed     uint64
 	Refuse   bool // Thrift: methods that are not listed
+	// Registry is the file of a registry of what runs, as the agent is given it; "": there is none.
+	Registry string
 }
 
 // World is one.
@@ -137,7 +140,15 @@
 	if zones == nil {
 		zones = []string{"east"}
 	}
-	return w, w.start(core.Config{Discovery: w.Roster.Addr, Known: w.Roster.List(), Settings: settings, Seed: o.Seed, Zones: zones}, o.Refuse)
+	cfg := core.Config{Discovery: w.Roster.Addr, Known: w.Roster.List(), Settings: settings, Seed: o.Seed, Zones: zones}
+	if o.Registry != "" {
+		c, err := ephemeral.Load(o.Registry)
+		if err != nil {
+			return w, err
+		}
+		cfg.Merge, cfg.Nodes = c.Merge(), ephemeral.NewSource(c).Nodes(nil)
+	}
+	return w, w.start(cfg, o.Refuse)
 }
 
 // start starts core and front.
--- a/internal/membership/ephemeral/source.go
+++ b/internal/membership/ephemeral/source.go
@@ -60,6 +60,24 @@
 	s.cfg.session(w).run(ctx)
 }
 
+// Nodes is Run in the form in which a merge takes it. log is called with what a person should know; it may
+// be nil.
+func (s *Source) Nodes(log func(problem string)) func(context.Context, func(func(*membership.Merge, float64))) {
+	return func(ctx context.Context, told func(func(*membership.Merge, float64))) {
+		s.Run(ctx, func(u Update) {
+			if log != nil {
+				if u.Err != nil {
+					log(u.Err.Error())
+				}
+				for _, p := range u.Problems {
+					log(p)
+				}
+			}
+			told(u.Apply)
+		})
+	}
+}
+
 // session is one by this configuration.
 func (c *Config) session(h handler) *session {
 	return &session{hosts: append([]string(nil), c.Ensemble...), timeout: time.Duration(c.SessionMs) * time.Millisecond,
