--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -48,6 +48,16 @@
 			t.Errorf("%s: error %v, want one line with %q", bad.to, err, bad.want)
 		}
 	}
+	file := filepath.Join(t.TempDir(), "bad.toml")
+	if err := os.WriteFile(file, []byte("ensemble = [\"here\"]"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for env, want := range map[string]string{"PROXY_THRIFT": "thrift", "PROXY_EPHEMERAL": "ensemble[0]"} {
+		_, err := load(good, map[string]string{env: file})
+		if err == nil || !strings.Contains(err.Error(), env) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", env, err)
+		}
+	}
 	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
 		t.Error("no configuration is accepted")
 	}
--- /dev/null
+++ b/internal/agent/ephemeral_test.go
@@ -0,0 +1,71 @@
+package agent
+
+import (
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/lab/zk"
+	"ringtrack.example/ringtrack/internal/membership/ephemeral"
+)
+
+// The agent stops sending to a backend whose node ends, whatever the roster says, and takes it up again when
+// it returns; with its registry dead it serves on.
+func TestEphemeralNodes(t *testing.T) {
+	e, err := zk.New(zk.Options{Servers: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	one, two := newBackend(t, serving), newBackend(t, serving)
+	node := []byte(`{"started_ms":1000}`)
+	e.Put("/fleet/s-1", node, 0)
+	e.Put("/fleet/s-2", node, 0)
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", one.addr), target("s-2", two.addr)), func(c *Config) {
+		c.Ephemeral = ephemeral.Default()
+		c.Ephemeral.Ensemble, c.Ephemeral.Path, c.Ephemeral.SessionMs = e.Addrs(), "/fleet", 1000
+	})
+	serve := func(n int) {
+		t.Helper()
+		for range n {
+			status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+			wantStatus(t, status, 200)
+		}
+	}
+	// Both are followed once the end of one is seen.
+	for end := time.Now().Add(patience); e.Servers[0].Reads()+e.Servers[1].Reads() < 3; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the registry is not read")
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	e.Remove("/fleet/s-1")
+	time.Sleep(250 * time.Millisecond)
+	before := one.count()
+	serve(10)
+	if one.count() != before || two.count() < 10 {
+		t.Errorf("%d arrivals at a backend whose node is gone, %d elsewhere", one.count()-before, two.count())
+	}
+	e.Put("/fleet/s-1", node, 0)
+	e.Remove("/fleet/s-2")
+	time.Sleep(250 * time.Millisecond)
+	before = two.count()
+	serve(10)
+	if two.count() != before || one.count() < 10 {
+		t.Errorf("%d arrivals at a backend whose node is gone, %d elsewhere", two.count()-before, one.count())
+	}
+	for _, s := range e.Servers {
+		s.SetDown(true)
+	}
+	serve(10)
+}
+
+// Without a registry nothing of it runs.
+func TestNoRegistryNoGoroutine(t *testing.T) {
+	one(t, serving)
+	buf := make([]byte, 1<<20)
+	if stacks := string(buf[:runtime.Stack(buf, true)]); strings.Contains(stacks, "membership/ephemeral") {
+		t.Error("the registry's source runs")
+	}
+}
--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -106,6 +106,7 @@
 	{"storm", "1,000 proxies lose the service at once; it comes back empty: all are served again", 0.3, Storm},
 	{"ephemeral", "1,000 nodes deleted: nothing new later than 250 ms; servers that die, told by the registry and by the roster alone", 0.4, Ephemeral},
 	{"ephemeral-control", "drains, told by the end of a node: proxies of the control service follow within 250 ms", 0.4, EphemeralControl},
+	{"ephemeral-faults", "a random walk of faults on the registry, of drains and of restarts: the four rules hold", 0.4, EphemeralFaults},
 	{"ephemeral-flap", "600 flaps of a node: warm where it never restarted, never over the cold budget where it did", 0.25, Flap},
 	{"ephemeral-size", "10,000 nodes and 1,000 watchers: time, bytes, memory and what one change costs, beside the go-zookeeper library", 0.3, EphemeralSize},
 	{"latency", "what the agent adds to a call at 500 calls a second, Thrift beside HTTP", 0.5, Latency},
--- a/internal/membership/ephemeral/follow/follow_test.go
+++ b/internal/membership/ephemeral/follow/follow_test.go
@@ -157,6 +157,44 @@
 	}
 }
 
+// A child that is deleted before its data is read was never there; one that vanishes and returns between the
+// event and the read is told as another node.
+func TestBetweenEventAndRead(t *testing.T) {
+	f := New(Config{Root: "/fleet", OneShot: true})
+	f.Connected(false, 0)
+	q := asked(f)
+	f.Reply(Reply{Request: q[0]})
+	f.Reply(Reply{Request: q[1], Children: []string{"a", "b"}})
+	for _, r := range asked(f) {
+		if r.Path == "/fleet/b" {
+			f.Reply(Reply{Request: r, Code: zkwire.NoNode})
+		} else {
+			f.Reply(Reply{Request: r, Stat: zkwire.Stat{Czxid: 1}})
+		}
+	}
+	if c := f.Changes(); len(c) != 1 || c[0].Name != "a" || c[0].Gone || !f.Synced() {
+		t.Fatalf("changes %+v", c)
+	}
+	for _, named := range []bool{true, false} { // the parent's event comes too, or does not
+		f.Event(zkwire.WatchEvent{Type: zkwire.NodeDeleted, Path: "/fleet/a"})
+		if c := f.Changes(); len(c) != 1 || !c[0].Gone {
+			t.Fatalf("the end is told as %+v", c)
+		}
+		f.Event(zkwire.WatchEvent{Type: zkwire.NodeChildrenChanged, Path: "/fleet"})
+		if !named {
+			f.Event(zkwire.WatchEvent{Type: zkwire.NodeCreated, Path: "/fleet/a"})
+		}
+		for q := asked(f); len(q) > 0; q = asked(f) {
+			for _, r := range q {
+				f.Reply(Reply{Request: r, Children: []string{"a"}, Stat: zkwire.Stat{Czxid: 7}})
+			}
+		}
+		if c := f.Changes(); len(c) != 1 || c[0].Gone || c[0].Stat.Czxid != 7 {
+			t.Fatalf("the next one is told as %+v", c)
+		}
+	}
+}
+
 // Whatever comes, in whatever order, the follower neither panics nor asks without end.
 func FuzzFollower(f *testing.F) {
 	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11})
--- a/internal/membership/ephemeral/session.go
+++ b/internal/membership/ephemeral/session.go
@@ -26,6 +26,9 @@
 	// forgetAfter is, by default, after how long of servers that refuse us, as they have seen less than we have, the
 	// registry is taken for one that began anew.
 	forgetAfter = 30 * time.Second
+	// leastTimeout bounds from below what a server may make of a session's time; a longer one than was asked
+	// for is good for the server, and not waited for here.
+	leastTimeout = 30 * time.Millisecond
 	// retryEvery is how often what was denied is asked for again.
 	retryEvery = time.Second
 )
@@ -149,7 +152,7 @@
 	if s.id, s.password = answer.Session, answer.Password; answer.ReadOnly {
 		s.id, s.password = 0, nil // nobody else knows it
 	}
-	c := &connection{s: s, nc: nc, w: bufio.NewWriterSize(nc, 16<<10), timeout: max(time.Duration(answer.TimeOut)*time.Millisecond, 30*time.Millisecond)}
+	c := &connection{s: s, nc: nc, w: bufio.NewWriterSize(nc, 16<<10), timeout: min(max(time.Duration(answer.TimeOut)*time.Millisecond, leastTimeout), max(s.timeout, leastTimeout))}
 	return c.serve(ctx, br, renewed)
 }
 
