An emulator of what the product serves, and six peers; one book of the four rules

Need: each proof drives one fault on stand-ins; nobody could say how the decisions fare beside others'. Change: internal/emu plays servers, network, roster, clients and agents in virtual time, by seed, with the product's own module behind core's own guard (core/guard.go, which the loop uses as well); internal/emu/peers has random, round robin, least request, ring hash with bounded loads, weighted round robin and peak EWMA. The ledger's rules are a package without names and locks (internal/lab/book), used by both. A module that answers each forbidden attempt with another can no longer hold the loop for ever.

--- /dev/null
+++ b/internal/core/guard.go
@@ -0,0 +1,67 @@
+package core
+
+import (
+	"time"
+
+	"ringtrack.example/ringtrack/policy"
+)
+
+const (
+	// moduleMargin is taken off the time that the module is told a request has: what
+	// its last attempt's end takes to become an answer at the client.
+	moduleMargin = 8 * time.Millisecond
+	// backstopMargin is how long before the client's deadline the backstop answers,
+	// well after the module should have.
+	backstopMargin = 4 * time.Millisecond
+)
+
+// Times are what becomes of the time that a request has: what the module is told of it, and after how long
+// the backstop answers. Of a very short time each margin is a part.
+func Times(left time.Duration) (module, backstop time.Duration) {
+	return left - min(moduleMargin, left/8), left - min(backstopMargin, left/16)
+}
+
+// Guard is what the contract asks of an attempt that the module wants, whatever the module says. The loop
+// and the emulator use the same.
+type Guard struct {
+	Answered bool // the request is over
+	Listed   bool // the backend is known, with an address
+	Closed   bool // it drains or is gone
+	Timely   bool // there is time left
+	Out      int  // attempts of the request that are out
+	MayRun   int  // those that are out or may have run
+	Made     int  // attempts so far, with this one
+	Most     int
+	Effect   policy.Effect
+}
+
+// Forbids says why the attempt is not to be made; "" allows it.
+func (g *Guard) Forbids() string {
+	switch {
+	case g.Answered:
+		return "attempt for a request that is over"
+	case !g.Listed:
+		return "attempt to a backend that is not listed"
+	case g.Closed:
+		return "attempt to a backend that drains or is gone"
+	case g.Out > 0:
+		return "second attempt while one is out"
+	case g.Made > g.Most:
+		return "more attempts than allowed"
+	case g.MayRun > 0 && g.Effect == policy.SingleShot:
+		return "repeat of an unsafe request that may have run"
+	case !g.Timely:
+		return "attempt without time"
+	}
+	return ""
+}
+
+// MostSends is how many attempts a module may want for one request, forbidden ones with them, before the
+// request has failed: one that answers each forbidden attempt with another would never end.
+func MostSends(most int) int { return 4*most + 4 }
+
+// MayRefuse tells whether a request may be answered that a retry is harmless, after so many attempts that
+// may have run.
+func MayRefuse(c *policy.Class, mayRun int) bool {
+	return mayRun == 0 || c.Effect != policy.SingleShot && (c.Effect != policy.Guarded || c.Group == policy.GroupAll)
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -16,12 +16,6 @@
 )
 
 const (
-	// moduleMargin is taken off the time that the module is told a request has: what
-	// its last attempt's end takes to become an answer at the client.
-	moduleMargin = 8 * time.Millisecond
-	// backstopMargin is how long before the client's deadline the backstop answers,
-	// well after the module should have.
-	backstopMargin = 4 * time.Millisecond
 	// sweepEvery is how often connections that idle too long are closed.
 	sweepEvery = time.Second
 )
@@ -278,10 +272,10 @@
 		return r
 	}
 	l.requests[r.id], l.ids[c.ID] = r, r
-	r.backstop = time.AfterFunc(left-min(backstopMargin, left/16), func() {
+	left, backstop := Times(left)
+	r.backstop = time.AfterFunc(backstop, func() {
 		l.Post(func() { l.late(r) })
 	})
-	left -= min(moduleMargin, left/8)
 	l.handle(&policy.Event{Kind: policy.EvRequest, Request: r.id, Class: c.Class, Tenant: c.Tenant,
 		Key: c.Key, LeftMs: float64(left.Microseconds()) / 1000, HintMs: c.HintMs,
 		HasHint: c.HasHint, Retry: c.Retry})
@@ -329,8 +323,7 @@
 // refuse answers that a retry is harmless, unless an attempt may have run that
 // makes it harmful: then the request has failed.
 func (l *Loop) refuse(r *Request, afterMs float64) {
-	c := &l.cfg.Settings.Classes[r.call.Class]
-	if r.mayRun > 0 && (c.Effect == policy.SingleShot || c.Effect == policy.Guarded && c.Group != policy.GroupAll) {
+	if !MayRefuse(&l.cfg.Settings.Classes[r.call.Class], r.mayRun) {
 		l.guard("refusal after an attempt that may have run")
 		l.finish(r, Answer{Verdict: Failed})
 		return
@@ -396,6 +389,10 @@
 	if why := l.forbidden(r, b, now, until); why != "" {
 		l.guard(why)
 		t.done = true
+		if len(r.attempts) > MostSends(l.cfg.Settings.Limits.MaxAttempts) {
+			l.finish(r, Answer{Verdict: Failed})
+			return
+		}
 		l.pending = append(l.pending, policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index,
 			Server: a.Server, Status: policy.Moot, Final: r.answered})
 		return
@@ -415,24 +412,10 @@
 
 // forbidden guards the contract whatever the module says; "" allows the attempt.
 func (l *Loop) forbidden(r *Request, b *Backend, now, until time.Time) string {
-	c := &l.cfg.Settings.Classes[r.call.Class]
-	switch {
-	case r.answered:
-		return "attempt for a request that is over"
-	case b == nil || b.addr == "":
-		return "attempt to a backend that is not listed"
-	case b.closed.Load():
-		return "attempt to a backend that drains or is gone"
-	case r.out > 0:
-		return "second attempt while one is out"
-	case len(r.attempts) > l.cfg.Settings.Limits.MaxAttempts:
-		return "more attempts than allowed"
-	case r.mayRun > 0 && c.Effect == policy.SingleShot:
-		return "repeat of an unsafe request that may have run"
-	case !until.After(now):
-		return "attempt without time"
-	}
-	return ""
+	g := Guard{Answered: r.answered, Listed: b != nil && b.addr != "", Timely: until.After(now), Out: r.out, MayRun: r.mayRun,
+		Made: len(r.attempts), Most: l.cfg.Settings.Limits.MaxAttempts, Effect: l.cfg.Settings.Classes[r.call.Class].Effect}
+	g.Closed = g.Listed && b.closed.Load()
+	return g.Forbids()
 }
 
 // ended takes the end of an attempt.
--- /dev/null
+++ b/internal/emu/emu_test.go
@@ -0,0 +1,360 @@
+package emu
+
+import (
+	"encoding/json"
+	"flag"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"ringtrack.example/ringtrack/policy"
+)
+
+var long = flag.Bool("long", false, "known results within 1 %, which takes a minute of CPU")
+
+// direct sends each request to a server at once, without a time-out of its own: to the only one, to a random
+// one, or to the one of d random ones that has least of its requests.
+type direct struct {
+	rng    *rand.Rand
+	all    []policy.Addr
+	active map[policy.Addr]int
+	d      int
+}
+
+func (b *direct) Start(float64, []policy.Action) []policy.Action { return nil }
+
+func (b *direct) Handle(_ float64, ev *policy.Event, out []policy.Action) []policy.Action {
+	switch ev.Kind {
+	case policy.EvList:
+		for _, e := range ev.Entries {
+			b.all = append(b.all, e.Server)
+		}
+	case policy.EvRequest:
+		best := b.all[b.rng.IntN(len(b.all))]
+		for range b.d - 1 {
+			if x := b.all[b.rng.IntN(len(b.all))]; b.active[x] < b.active[best] {
+				best = x
+			}
+		}
+		b.active[best]++
+		out = append(out, policy.Action{Kind: policy.ActSend, Request: ev.Request, Server: best})
+	case policy.EvOutcome:
+		b.active[ev.Server]--
+		if !ev.Final {
+			out = append(out, policy.Action{Kind: policy.ActFail, Request: ev.Request})
+		}
+	}
+	return out
+}
+
+func choices(d int) *Policy {
+	return &Policy{Name: "direct", Freely: true, New: func(_ policy.Settings, seed uint64) (Balancer, error) {
+		return &direct{rng: rand.New(rand.NewPCG(seed, 1)), active: map[policy.Addr]int{}, d: d}, nil
+	}}
+}
+
+// queue is a scenario of one station and no network.
+func queue(servers, workers int, service Dist, perS, seconds float64) *Scenario {
+	return &Scenario{Seconds: seconds, WarmSeconds: seconds / 20, Zones: 1, Agents: 1, Net: Net{LocalMs: 1e-9},
+		Servers: []ServerGroup{{Count: servers, Workers: workers, Queue: 1_000_000, Service: service, Weight: 1, ColdFrom: 1}},
+		Classes: []ClassLoad{{Name: "read", Effect: "safe", Share: 1, AimMs: 60_000, GiveUpMs: 60_000, Work: 1}}, Load: Load{PerS: perS}}
+}
+
+// erlangC is the probability of waiting in M/M/k with a offered Erlangs.
+func erlangC(k int, a float64) float64 {
+	sum, term := 0.0, 1.0
+	for i := range k {
+		sum += term
+		term *= a / float64(i+1)
+	}
+	last := term * float64(k) / (float64(k) - a)
+	return last / (sum + last)
+}
+
+// Mean times in the system as queueing theory has them: M/M/1 and M/M/k (Kleinrock, "Queueing Systems" I,
+// 3.2 and 3.5: Erlang C), M/G/1 (5.6: Pollaczek and Khinchine).
+func TestQueueingTheory(t *testing.T) {
+	const mean = 1.0 // ms
+	for name, test := range map[string]struct {
+		k       int
+		service Dist
+		rho     float64
+		want    float64 // ms in the system
+	}{
+		"M/M/1 at 0.5":  {1, Dist{Kind: "exponential", MeanMs: mean}, 0.5, mean / (1 - 0.5)},
+		"M/M/1 at 0.7":  {1, Dist{Kind: "exponential", MeanMs: mean}, 0.7, mean / (1 - 0.7)},
+		"M/M/4 at 0.75": {4, Dist{Kind: "exponential", MeanMs: mean}, 0.75, mean + erlangC(4, 3)*mean/(4*(1-0.75))},
+		"M/D/1 at 0.7":  {1, Dist{Kind: "fixed", MeanMs: mean}, 0.7, mean + 0.7*mean/(2*(1-0.7))},
+		// Of a lognormal the squared coefficient of variation is exp(sigma^2)-1.
+		"M/G/1 lognormal at 0.6": {1, Dist{Kind: "lognormal", MeanMs: mean, Shape: 0.8}, 0.6, mean + 0.6*mean*math.Exp(0.64)/(2*(1-0.6))},
+		"M/G/1 bimodal at 0.6":   {1, Dist{Kind: "bimodal", MeanMs: mean, Shape: 0.1, Times: 10}, 0.6, mean + 0.6*(0.9+0.1*100)/math.Pow(0.9+0.1*10, 2)*mean/(2*(1-0.6))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			perS := test.rho * float64(test.k) * 1000 / mean
+			got, n, ops, within := 0.0, 1, 60_000.0, 0.06 // as chance may have it with so few
+			if *long {
+				n, ops, within = 6, 400_000, 0.01
+			}
+			for seed := range uint64(n) {
+				r, err := Run(queue(1, test.k, test.service, perS, ops/perS), choices(1), seed+3)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got += r.MeanMs / float64(n)
+			}
+			if math.Abs(got/test.want-1) > within {
+				t.Errorf("%.4f ms, theory has %.4f: %+.2f %%", got, test.want, 100*(got/test.want-1))
+			}
+		})
+	}
+}
+
+// n balls into n bins that never empty: with one choice the fullest has about ln n / ln ln n, with two
+// ln ln n / ln 2 and a constant (Azar, Broder, Karlin and Upfal, "Balanced Allocations"; Mitzenmacher's
+// thesis has 4 for two choices at n = 2^13 in nearly all of 100 runs, and 7 or 8, seldom 6 or 9, for one).
+func TestTwoChoices(t *testing.T) {
+	const n = 1 << 13
+	most := func(d int, seed uint64) (worst int) {
+		sc := queue(n, 1000, Dist{Kind: "fixed", MeanMs: 86_400_000}, 1e5, 60)
+		w, err := newWorld(sc, choices(d), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for w.nextOp < n {
+			w.run(w.now + Millisecond)
+		}
+		for _, s := range w.servers {
+			worst = max(worst, s.busy)
+		}
+		return worst
+	}
+	for seed := range uint64(5) {
+		if one, two := most(1, seed), most(2, seed); one < 6 || one > 10 || two < 3 || two > 4 {
+			t.Errorf("seed %d: the fullest has %d with one choice, %d with two", seed, one, two)
+		}
+	}
+}
+
+func TestDist(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, d := range []Dist{{Kind: "exponential", MeanMs: 3}, {Kind: "lognormal", MeanMs: 3, Shape: 1}, {Kind: "pareto", MeanMs: 3, Shape: 3},
+		{Kind: "bimodal", MeanMs: 3, Shape: 0.05, Times: 20}, {Kind: "fixed", MeanMs: 3}, {MeanMs: 3}} {
+		if err := d.Check("service"); err != nil {
+			t.Error(err)
+		}
+		sum := 0.0
+		for range 400_000 {
+			sum += d.draw(rng)
+		}
+		if got := sum / 400_000; math.Abs(got/3-1) > 0.02 {
+			t.Errorf("%+v has a mean of %v", d, got)
+		}
+	}
+	z, count := newZipf(1000, 1), make([]int, 1000)
+	for range 100_000 {
+		count[z.draw(rng)]++
+	}
+	if r := float64(count[0]) / float64(count[9]); r < 8 || r > 12 {
+		t.Errorf("the first key is %v times as frequent as the tenth", r)
+	}
+}
+
+// typhoon is a scenario with something of all.
+func typhoon() *Scenario {
+	return &Scenario{Name: "typhoon", Seconds: 20, WarmSeconds: 2, Zones: 3, Agents: 6,
+		Servers: []ServerGroup{{Count: 9, Workers: 2, Queue: 8, Service: Dist{Kind: "lognormal", MeanMs: 20, Shape: 0.5}, FallMultiple: 2.5},
+			{Count: 3, Workers: 2, Queue: 8, Service: Dist{Kind: "exponential", MeanMs: 40}}},
+		Load: Load{PerS: 500, Burst: 3, BurstMs: 200, Swing: 0.3, Keys: 500, Zipf: 0.9, Rude: 0.1}, Net: Net{LocalMs: 0.2, CrossMs: 1, JitterMs: 0.1, Resets: 0.002},
+		Roster: Roster{LagMs: 50}, Faults: []Fault{{Kind: "drain", AtS: 4, ForS: 4, Count: 2}, {Kind: "dark", AtS: 6, ForS: 3, Count: 1},
+			{Kind: "stop", AtS: 8, ForS: 2, Count: 2}, {Kind: "restart", AtS: 10, Count: 4, EveryS: 1}, {Kind: "slow", AtS: 12, ForS: 3, Count: 2, Times: 8},
+			{Kind: "errors", AtS: 13, ForS: 2, Count: 3, Part: 0.3, Class: "order"}, {Kind: "partition", AtS: 15, ForS: 1, Zone: 1},
+			{Kind: "roster_down", AtS: 3, ForS: 2}, {Kind: "turn_away", AtS: 16, ForS: 2, Count: 4, Part: 0.5}, {Kind: "one_way", AtS: 17, ForS: 2, Zone: 2, Ms: 100}}}
+}
+
+func played(t *testing.T, sc *Scenario, p *Policy, seed uint64) *Result {
+	t.Helper()
+	if err := sc.Check(); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(sc, p, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// The same seed gives the same bytes, another one others; the product keeps the four rules through all
+// faults, no guard had to act, and no backstop ended a request.
+func TestSameSeedSameBytes(t *testing.T) {
+	var last string
+	for seed := range uint64(3) {
+		r := played(t, typhoon(), &Product, seed)
+		a, _ := json.Marshal(r)
+		b, _ := json.Marshal(played(t, typhoon(), &Product, seed))
+		if string(a) != string(b) {
+			t.Errorf("seed %d: two runs differ", seed)
+		}
+		if string(a) == last {
+			t.Error("two seeds give one result")
+		}
+		last = string(a)
+		t.Logf("seed %d: goodput %.4f, p99 %.1f ms, %d ops, %d events, breaches %v, guarded %v, falls %d", seed, r.Goodput, r.P99Ms, r.Ops, r.Events, r.Breaches, r.Guards, r.Falls)
+		if len(r.Breaches) > 0 || r.Guarded > 0 || r.Backstop > 0 || r.Falls > 0 {
+			t.Errorf("seed %d: breaches %v %v, guarded %d, backstop %d, falls %d", seed, r.Breaches, r.Words, r.Guarded, r.Backstop, r.Falls)
+		}
+	}
+}
+
+// Two events at one instant happen in the order in which they were scheduled.
+type note struct {
+	to *[]int
+	n  int
+}
+
+func (x *note) fire(uint8) { *x.to = append(*x.to, x.n) }
+
+func TestOrder(t *testing.T) {
+	var e engine
+	var got []int
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 1000 {
+		e.at(Time(rng.IntN(5)), &note{&got, i}, 0)
+	}
+	e.run(Second)
+	if len(got) != 1000 || e.now != Second {
+		t.Fatalf("%d happened, now %d", len(got), e.now)
+	}
+	var f engine
+	var one []int
+	for i := range 1000 {
+		f.at(7, &note{&one, i}, 0)
+	}
+	f.run(7)
+	for i, n := range one {
+		if i != n {
+			t.Fatalf("number %d happened as %d", n, i)
+		}
+	}
+}
+
+// What is odd: policies that answer nothing or name what is not there, no server, all cold, all draining,
+// service times of 0 and of a day, an hour with one request, 50 times the capacity.
+func TestOddWorlds(t *testing.T) {
+	small := func(change func(*Scenario)) *Scenario {
+		sc := &Scenario{Name: "odd", Seconds: 5, Servers: []ServerGroup{{Count: 2, Workers: 2, Queue: 4, Service: Dist{Kind: "exponential", MeanMs: 5}}}, Load: Load{PerS: 100}}
+		change(sc)
+		return sc
+	}
+	mute := Policy{Name: "mute", New: func(policy.Settings, uint64) (Balancer, error) { return balancerFunc(nil), nil }}
+	stray := Policy{Name: "stray", New: func(policy.Settings, uint64) (Balancer, error) {
+		return balancerFunc(func(ev *policy.Event) []policy.Action {
+			switch ev.Kind {
+			case policy.EvRequest:
+				return []policy.Action{{Kind: policy.ActSend, Request: ev.Request, Server: policy.Addr{9}}, {Kind: policy.ActSend, Request: 1 << 30}}
+			case policy.EvOutcome:
+				return []policy.Action{{Kind: policy.ActSend, Request: ev.Request, Server: policy.Addr{9}}}
+			}
+			return nil
+		}), nil
+	}}
+	r := played(t, small(func(*Scenario) {}), &mute, 1)
+	if r.Served != 0 || r.Backstop == 0 || r.Failed == 0 || len(r.Breaches) > 0 {
+		t.Errorf("mute: %+v", r)
+	}
+	r = played(t, small(func(sc *Scenario) { sc.Seconds = 1 }), &stray, 1)
+	if r.Served != 0 || r.Guarded == 0 || len(r.Breaches) > 0 {
+		t.Errorf("stray: %+v", r)
+	}
+	for name, change := range map[string]func(*Scenario){
+		"all draining":  func(sc *Scenario) { sc.Faults = []Fault{{Kind: "drain", Share: 1}} },
+		"all stopped":   func(sc *Scenario) { sc.Faults = []Fault{{Kind: "stop", Share: 1}} },
+		"all cold":      func(sc *Scenario) { sc.Faults = []Fault{{Kind: "restart", Share: 1}}; sc.Servers[0].FallMultiple = 2.5 },
+		"no time":       func(sc *Scenario) { sc.Servers[0].Service = Dist{} },
+		"a day":         func(sc *Scenario) { sc.Servers[0].Service = Dist{MeanMs: 86_400_000} },
+		"one an hour":   func(sc *Scenario) { sc.Load.PerS, sc.Seconds = 1.0/3600, 3600*3 },
+		"50 times":      func(sc *Scenario) { sc.Load.PerS, sc.Seconds = 50*sc.Capacity(), 0.25 },
+		"nothing comes": func(sc *Scenario) { sc.Load.PerS = 0 },
+	} {
+		r := played(t, small(change), &Product, 1)
+		if len(r.Breaches) > 0 || r.Guarded > 0 || r.Falls > 0 {
+			t.Errorf("%s: breaches %v %v, guarded %d, falls %d", name, r.Breaches, r.Words, r.Guarded, r.Falls)
+		}
+		switch name {
+		case "no time", "one an hour":
+			if r.Goodput < 1 {
+				t.Errorf("%s: goodput %v", name, r.Goodput)
+			}
+		case "all draining", "a day":
+			if r.Served > r.Ops/10 {
+				t.Errorf("%s: %d served of %d", name, r.Served, r.Ops)
+			}
+		}
+	}
+	sc := small(func(sc *Scenario) { sc.Load.PerS, sc.Seconds = 50*sc.Capacity(), 3 })
+	if err := sc.Check(); err != nil {
+		t.Fatal(err)
+	}
+	w, err := newWorld(sc, &Product, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	most := 0
+	for w.now < 4*Second/10 {
+		w.run(w.now + 10*Millisecond)
+		most = max(most, len(w.heap))
+	}
+	// What is open at once: what came within the longest deadline, and a few events each.
+	if bound := int(6 * 1.2 * sc.Load.PerS); most > bound {
+		t.Errorf("%d events wait at once, bound %d", most, bound)
+	}
+}
+
+type balancerFunc func(*policy.Event) []policy.Action
+
+func (f balancerFunc) Start(float64, []policy.Action) []policy.Action { return nil }
+func (f balancerFunc) Handle(_ float64, ev *policy.Event, out []policy.Action) []policy.Action {
+	if f == nil {
+		return nil
+	}
+	return append(out, f(ev)...)
+}
+
+func TestScenarioNamesTheKey(t *testing.T) {
+	for key, change := range map[string]func(*Scenario){
+		"seconds": func(s *Scenario) { s.Seconds = 0 }, "load.per_s": func(s *Scenario) { s.Load.PerS = -1 }, "load.zipf": func(s *Scenario) { s.Load.Zipf = math.NaN() },
+		"servers: none": func(s *Scenario) { s.Servers = nil }, "servers[0].workers": func(s *Scenario) { s.Servers[0].Workers = 0 },
+		"servers[0].service.kind": func(s *Scenario) { s.Servers[0].Service.Kind = "odd" }, "servers[0].service.mean_ms": func(s *Scenario) { s.Servers[0].Service.MeanMs = -1 },
+		"servers[0].service.shape": func(s *Scenario) { s.Servers[0].Service = Dist{Kind: "pareto", MeanMs: 1, Shape: 1} }, "fault[0].kind": func(s *Scenario) { s.Faults[0].Kind = "typhoon" },
+		"fault[0].part": func(s *Scenario) { s.Faults[0].Part = 2 }, "fault[5].class": func(s *Scenario) { s.Faults[5].Class = "none" }, "fault[0].zone": func(s *Scenario) { s.Faults[0].Zone = 9 },
+		"class: the shares": func(s *Scenario) {
+			s.Classes = []ClassLoad{{Name: "a", Effect: "safe", Share: 0.5, AimMs: 1, GiveUpMs: 1}}
+		},
+		"class[0].effect": func(s *Scenario) {
+			s.Classes = []ClassLoad{{Name: "a", Effect: "odd", Share: 1, AimMs: 1, GiveUpMs: 1}}
+		}, "agents": func(s *Scenario) { s.Agents = -1 },
+	} {
+		sc := typhoon()
+		change(sc)
+		if err := sc.Check(); err == nil || len(err.Error()) < len(key) || err.Error()[:len(key)] != key {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
+
+func BenchmarkRun(b *testing.B) {
+	sc := &Scenario{Name: "calm", Seconds: 10, Zones: 3, Agents: 4, Servers: []ServerGroup{{Count: 12, Workers: 8, Queue: 32, Service: Dist{Kind: "exponential", MeanMs: 10}}},
+		Load: Load{PerS: 5000, Keys: 1000, Zipf: 0.9}}
+	if err := sc.Check(); err != nil {
+		b.Fatal(err)
+	}
+	n := 0
+	for i := range b.N {
+		r, err := Run(sc, &Product, uint64(i))
+		if err != nil {
+			b.Fatal(err)
+		}
+		n += r.Ops
+	}
+	b.ReportMetric(float64(n)/b.Elapsed().Seconds(), "requests/s")
+}
--- /dev/null
+++ b/internal/emu/world.go
@@ -0,0 +1,428 @@
+package emu
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ringtrack.example/ringtrack/internal/lab/book"
+	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/policy"
+)
+
+// epochMs is the Unix time at which runs begin, in ms.
+const epochMs = 1.7e12
+
+// Policy makes the balancer of one agent.
+type Policy struct {
+	Name string
+	// Freely: it may break the contract, and the book says so. The product's module runs behind core's
+	// guard, as it does in life; a peer's own system has none.
+	Freely bool
+	New    func(policy.Settings, uint64) (Balancer, error)
+}
+
+// Product is the module as the agent runs it.
+var Product = Policy{Name: "ringtrack", New: func(s policy.Settings, seed uint64) (Balancer, error) { return policy.New(s, seed) }}
+
+// World is one run.
+type World struct {
+	engine
+	sc       *Scenario
+	settings policy.Settings // of the first agent; the others' differ in index and zone
+	seed     uint64
+	servers  []*server
+	agents   []*agent
+	byAddr   map[policy.Addr]*server
+	book     book.Book
+	freely   bool
+	guards   map[string]int
+
+	netRng, clientRng, rosterRng *rand.Rand
+	keys                         *zipf
+	burst                        bool
+	cut                          []bool // zones that are cut off
+	late                         []Time // by zone: what its answers are late
+	rosterDown                   Time   // until then nobody is told anything
+
+	nextOp uint64
+	res    Result
+	hist   *hdrhistogram.Histogram
+}
+
+// Result is what a run found. Figures leave out the warm-up.
+type Result struct {
+	Scenario string  `json:"scenario"`
+	Policy   string  `json:"policy"`
+	Seed     uint64  `json:"seed"`
+	Ops      int     `json:"ops"`
+	Served   int     `json:"served"`  // within the client's time
+	InAim    int     `json:"in_aim"`  // within the class's aim
+	Refused  int     `json:"refused"` // at last
+	Failed   int     `json:"failed"`
+	Tries    int     `json:"tries"`
+	Attempts int     `json:"attempts"`
+	Goodput  float64 `json:"goodput"` // served of all
+	MeanMs   float64 `json:"mean_ms"`
+	P50Ms    float64 `json:"p50_ms"`
+	P99Ms    float64 `json:"p99_ms"`
+	P999Ms   float64 `json:"p999_ms"`
+	// Timeline is the goodput of the operations that began in each second.
+	Timeline []float64   `json:"timeline"`
+	ByServer []int       `json:"by_server"`
+	Falls    int         `json:"falls"` // cold servers that were pushed over
+	Breaches map[int]int `json:"breaches,omitempty"`
+	Words    []string    `json:"words,omitempty"`
+	Guarded  int         `json:"guarded"`
+	// Guards are the reasons.
+	Guards   map[string]int `json:"guards,omitempty"`
+	Backstop int            `json:"backstop"`
+	Events   uint64         `json:"events"`
+}
+
+// stream is a source of chance of its own, so that one part's draws do not shift another's.
+func stream(seed uint64, name string, i int) *rand.Rand {
+	h := fnv.New64a()
+	fmt.Fprint(h, name, i)
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
+}
+
+// Run plays a scenario, which was checked, under a policy.
+func Run(sc *Scenario, p *Policy, seed uint64) (*Result, error) {
+	w, err := newWorld(sc, p, seed)
+	if err != nil {
+		return nil, err
+	}
+	w.run(Time(sc.Seconds * float64(Second)))
+	return w.result(), nil
+}
+
+func newWorld(sc *Scenario, p *Policy, seed uint64) (*World, error) {
+	w := &World{sc: sc, seed: seed, byAddr: map[policy.Addr]*server{}, book: book.Book{Rules: book.DefaultRules()}, freely: p.Freely, guards: map[string]int{},
+		netRng: stream(seed, "net", 0), clientRng: stream(seed, "clients", 0), rosterRng: stream(seed, "roster", 0),
+		cut: make([]bool, sc.Zones), late: make([]Time, sc.Zones), settings: sc.settings(0, 0),
+		hist: hdrhistogram.New(1, 120_000_000, 3)}
+	w.res = Result{Scenario: sc.Name, Policy: p.Name, Seed: seed}
+	if sc.Load.Keys > 0 {
+		w.keys = newZipf(sc.Load.Keys, sc.Load.Zipf)
+	}
+	for i := range sc.Servers {
+		for range sc.Servers[i].Count {
+			n := len(w.servers)
+			id := fmt.Sprintf("s-%04d", n)
+			s := &server{w: w, index: n, zone: n % sc.Zones, group: &sc.Servers[i], rng: stream(seed, "server", n), errClass: -1,
+				acct: book.Account{Name: id}, addr: membership.Addr(id, func(a policy.Addr) bool { return w.byAddr[a] != nil })}
+			w.servers = append(w.servers, s)
+			w.byAddr[s.addr] = s
+		}
+	}
+	entries := make([]policy.Entry, len(w.servers))
+	for i, s := range w.servers {
+		entries[i] = s.entry()
+	}
+	for i := range sc.Agents {
+		g := &agent{w: w, index: i, zone: i % sc.Zones, requests: map[policy.RequestID]*request{}, closed: make([]bool, len(w.servers)),
+			listed: make([]bool, len(w.servers)), idle: make([]int32, len(w.servers)), life: make([]uint32, len(w.servers))}
+		var err error
+		if g.b, err = p.New(sc.settings(i, g.zone), seed^uint64(i+1)*0x9e3779b97f4a7c15); err != nil {
+			return nil, fmt.Errorf("%s: %w", p.Name, err)
+		}
+		for k := range g.listed {
+			g.listed[k] = true
+		}
+		w.agents = append(w.agents, g)
+		g.carryOut(g.b.Start(g.now(), nil))
+		g.event(&policy.Event{Kind: policy.EvList, List: policy.ListCached, Entries: entries})
+	}
+	for i := range sc.Faults {
+		w.plan(&sc.Faults[i])
+	}
+	if sc.Load.PerS > 0 {
+		w.after(w.untilNext(), (*arrivals)(w), 0)
+	}
+	if sc.Load.Burst > 1 {
+		w.toggle()
+	}
+	return w, nil
+}
+
+// unixMs is the clock as the module is told it, time the same as the book is.
+func (w *World) unixMs() float64 { return epochMs + float64(w.now)/float64(Millisecond) }
+func (w *World) time() time.Time { return time.Unix(0, int64(epochMs)*1e6+w.now) }
+
+// delay is one way through the network; false: it is lost.
+func (w *World) delay(from, to int, answer bool) (Time, bool) {
+	ms := w.sc.Net.LocalMs
+	if from != to {
+		if w.cut[from] || w.cut[to] {
+			return 0, false
+		}
+		ms = w.sc.Net.CrossMs
+	}
+	if w.sc.Net.JitterMs > 0 {
+		ms += w.sc.Net.JitterMs * w.netRng.ExpFloat64()
+	}
+	d := ns(ms)
+	if answer {
+		d += w.late[from]
+	}
+	return d, true
+}
+
+// ---- the roster ----
+
+func (s *server) entry() policy.Entry {
+	e := policy.Entry{Server: s.addr, Zone: s.zone, Weight: s.group.Weight, Health: policy.Ready}
+	if s.life > 0 {
+		e.SinceMs = epochMs + float64(s.started)/float64(Millisecond)
+	}
+	if s.draining {
+		e.Health = policy.Draining
+	}
+	return e
+}
+
+// telling is a change on its way to one agent.
+type telling struct {
+	g *agent
+	e policy.Entry
+	s *server
+}
+
+func (t *telling) fire(uint8) {
+	t.g.closed[t.s.index] = t.e.Health != policy.Ready
+	if t.e.Health != policy.Ready {
+		t.g.idle[t.s.index] = 0
+	}
+	t.g.event(&policy.Event{Kind: policy.EvList, List: policy.ListDelta, Entries: []policy.Entry{t.e}})
+}
+
+// tell has the roster tell what a server is now, later, to each agent at another moment.
+func (w *World) tell(s *server) {
+	lag := w.sc.Roster.LagMs
+	for _, g := range w.agents {
+		d := ns(lag + lag*w.rosterRng.Float64())
+		g.toldAt = max(g.toldAt, max(w.now, w.rosterDown)+d) // in the order in which it happened
+		w.at(g.toldAt, &telling{g, s.entry(), s}, 0)
+	}
+}
+
+// call is an agent's call of the roster, on its way back.
+type call struct {
+	g     *agent
+	fetch bool
+}
+
+func (c *call) fire(uint8) {
+	g := c.g
+	ev := policy.Event{Kind: policy.EvList, List: policy.ListDelta}
+	g.fetching = g.fetching && !c.fetch
+	switch {
+	case g.w.now < g.w.rosterDown:
+		ev.List = policy.ListFailed
+		g.watching = g.watching && c.fetch
+	case c.fetch:
+		ev.List = policy.ListFull
+		for _, s := range g.w.servers {
+			ev.Entries = append(ev.Entries, s.entry())
+			g.closed[s.index] = s.draining
+		}
+	}
+	g.event(&ev)
+}
+
+// asked answers an agent's call.
+func (w *World) asked(g *agent, fetch bool) {
+	d := ns(2 * w.sc.Net.LocalMs)
+	if w.now < w.rosterDown {
+		d = Second
+	}
+	w.after(d, &call{g, fetch}, 0)
+}
+
+// ---- clients ----
+
+// op is a client's operation over its tries.
+type op struct {
+	book.Op
+	w        *World
+	agent    *agent
+	class    int
+	effect   book.Effect
+	key      uint64
+	began    Time
+	until    Time
+	tries    int
+	attempts int
+	runs     bool
+	rude     bool
+	counts   bool // it began after the warm-up
+}
+
+// arrivals is the world as what makes clients send.
+type arrivals World
+
+func (a *arrivals) fire(uint8) {
+	w := (*World)(a)
+	w.after(w.untilNext(), a, 0)
+	rng := w.clientRng
+	if w.sc.Load.Swing > 0 {
+		// Thinning: arrivals are drawn at the peak's rate.
+		part := 1 - w.sc.Load.Swing*math.Cos(2*math.Pi*float64(w.now)/float64(Second)/w.sc.Seconds)
+		if rng.Float64()*(1+w.sc.Load.Swing) > part {
+			return
+		}
+	}
+	w.nextOp++
+	o := &op{w: w, agent: w.agents[rng.IntN(len(w.agents))], began: w.now, counts: float64(w.now) >= w.sc.WarmSeconds*float64(Second)}
+	x := rng.Float64()
+	for o.class < len(w.sc.Classes)-1 && x >= w.sc.Classes[o.class].Share {
+		x -= w.sc.Classes[o.class].Share
+		o.class++
+	}
+	c := &w.sc.Classes[o.class]
+	o.effect = book.Effect(c.Effect)
+	o.Op = book.Op{Effect: o.effect}
+	if w.keys != nil {
+		o.key = uint64(w.keys.draw(rng))*0x9e3779b97f4a7c15 + 1
+	}
+	o.rude = w.sc.Load.Rude > 0 && rng.Float64() < w.sc.Load.Rude
+	o.until = w.now + ns(c.GiveUpMs)
+	if o.counts {
+		w.res.Ops++
+	}
+	o.try()
+}
+
+// untilNext is the time to the next arrival.
+func (w *World) untilNext() Time {
+	rate := w.sc.Load.PerS * (1 + w.sc.Load.Swing)
+	if w.sc.Load.Burst > 1 {
+		// On for a tenth of the time.
+		if off := (1 - 0.1*w.sc.Load.Burst) / 0.9; w.burst {
+			rate *= w.sc.Load.Burst
+		} else {
+			rate *= max(off, 0.01)
+		}
+	}
+	return Time(w.clientRng.ExpFloat64() / rate * float64(Second))
+}
+
+// bursts is the world as what begins and ends bursts.
+type bursts World
+
+func (b *bursts) fire(uint8) {
+	w := (*World)(b)
+	w.burst = !w.burst
+	w.toggle()
+}
+
+func (w *World) toggle() {
+	mean := max(w.sc.Load.BurstMs, 1)
+	if !w.burst {
+		mean *= 9
+	}
+	w.after(ns(mean*w.clientRng.ExpFloat64()), (*bursts)(w), 0)
+}
+
+// fire is the client that comes back.
+func (o *op) fire(uint8) { o.try() }
+
+func (o *op) try() {
+	o.tries++
+	if o.Name == "" {
+		o.Name = "op"
+	}
+	left := o.until - o.w.now
+	o.w.book.Asked(&o.Op, o.w.time().Add(time.Duration(left)))
+	if o.counts {
+		o.w.res.Tries++
+	}
+	o.agent.take(o, left)
+}
+
+// maxTries is how often a client sends an operation at the most; leastLeft what has to be left for that.
+const (
+	maxTries  = 3
+	leastLeft = 20 * Millisecond
+)
+
+// answered takes the answer to a try, and comes back where that is allowed.
+func (o *op) answered(v book.Verdict, afterMs float64) {
+	w := o.w
+	w.book.Answered(&o.Op, v, w.time())
+	wait := Time(-1)
+	switch {
+	case v == book.Served, v == book.Failed && o.effect == book.Unsafe:
+	case o.rude:
+		wait = 0
+	case v == book.Failed:
+		wait = 10 * Millisecond
+	default:
+		wait = ns(afterMs/2 + w.clientRng.Float64()*afterMs/2)
+	}
+	if wait >= 0 && o.tries < maxTries && w.now+wait+leastLeft < o.until {
+		w.after(wait, o, 0)
+		return
+	}
+	if !o.counts {
+		return
+	}
+	w.res.Attempts += o.attempts
+	second := int(o.began / Second)
+	for len(w.res.Timeline) <= 2*second+1 {
+		w.res.Timeline = append(w.res.Timeline, 0)
+	}
+	w.res.Timeline[2*second]++
+	switch {
+	case v == book.Served && w.now <= o.until:
+		w.res.Served++
+		w.res.Timeline[2*second+1]++
+		took := w.now - o.began
+		_ = w.hist.RecordValue(min(max(took/Microsecond, 1), 120_000_000))
+		if took <= ns(w.sc.Classes[o.class].AimMs) {
+			w.res.InAim++
+		}
+	case v == book.Refused:
+		w.res.Refused++
+	default:
+		w.res.Failed++
+	}
+}
+
+func (w *World) result() *Result {
+	r := &w.res
+	ended := r.Served + r.Refused + r.Failed // what is open at the end says nothing
+	r.Ops = ended
+	r.Goodput = float64(r.Served) / float64(max(ended, 1))
+	r.MeanMs = w.hist.Mean() / 1000
+	r.P50Ms = float64(w.hist.ValueAtQuantile(50)) / 1000
+	r.P99Ms = float64(w.hist.ValueAtQuantile(99)) / 1000
+	r.P999Ms = float64(w.hist.ValueAtQuantile(99.9)) / 1000
+	var line []float64
+	for i := 0; i+1 < len(r.Timeline); i += 2 {
+		v := 1.0
+		if r.Timeline[i] > 0 {
+			v = r.Timeline[i+1] / r.Timeline[i]
+		}
+		line = append(line, v)
+	}
+	r.Timeline = line
+	for _, s := range w.servers {
+		r.ByServer = append(r.ByServer, s.served)
+		r.Falls += s.falls
+		w.book.Cold(&s.acct)
+	}
+	for _, g := range w.agents {
+		r.Guarded += g.guarded
+		r.Backstop += g.backstop
+	}
+	r.Guards = w.guards
+	r.Breaches, r.Words = w.book.Breaches()
+	r.Events = w.fired
+	return r
+}
