Experiments on the emulator; a registry whose nodes all flap does not keep the fleet away

Need: many runs of many scenarios, that go on after a kill; and prove ephemeral-faults showed, at its full length, a fleet that refused most of what came: each time the registry's directory went and came back all servers had to stay for longer, up to 5 s. The merge lets all servers count again where more of them would have to stay than may vanish at once.

--- a/cmd/ringtrack-lab/main.go
+++ b/cmd/ringtrack-lab/main.go
@@ -1,29 +1,59 @@
-// Command ringtrack-lab runs the demo and the long proofs, all on loopback. It is no part of the
-// product.
+// Command ringtrack-lab shows the product at work beside stand-ins, proves what its pages claim, and runs
+// experiments on its decisions. It exits 0 where all is well, 1 where something fell short or failed, and 80
+// where the command line can't be used. `ringtrack-lab COMMAND --help` tells a command's flags.
 package main
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"ringtrack.example/ringtrack/internal/lab/demo"
+	"ringtrack.example/ringtrack/internal/lab/experiment"
 	"ringtrack.example/ringtrack/internal/lab/prove"
 )
 
-const usage = `usage:
-  ringtrack-lab demo                        a small fleet, a roster, the agent and clients; takes about 15 s
-  ringtrack-lab prove NAME [--quick] [--seed N] [--scale X] [--json] [--defect]
-  ringtrack-lab prove --list                all proofs, a line each
-`
+// cli is the command line.
+type cli struct {
+	Demo       struct{}      `cmd:"" help:"A small fleet, a roster, the agent and clients; takes about 15 s."`
+	Prove      proveCmd      `cmd:"" help:"Run a long proof and print its figures; exit 1 where one falls short."`
+	Experiment experimentCmd `cmd:"" help:"Run scenarios of the emulator under several policies."`
+}
+
+type proveCmd struct {
+	Name   string  `arg:"" optional:"" help:"Which proof; --list tells them."`
+	List   bool    `help:"All proofs, a line each."`
+	Quick  bool    `help:"The same, scaled to under 40 s on two cores."`
+	Seed   uint64  `help:"Of all that is drawn; 0: by the time."`
+	Scale  float64 `default:"1" help:"Of sizes and counts, above 0 and at most 10."`
+	JSON   bool    `help:"Print the report as JSON."`
+	Defect bool    `help:"Seed the lab's defect, which the proof is to find."`
+}
+
+type experimentCmd struct {
+	Check struct {
+		File string `arg:"" type:"existingfile"`
+	} `cmd:"" help:"Say whether an experiment's file can be used."`
+	List struct {
+		File string `arg:"" type:"existingfile"`
+	} `cmd:"" help:"The scenarios of a file, a line each, and all policies."`
+	Run struct {
+		File string `arg:"" type:"existingfile"`
+		Out  string `required:"" help:"Folder of the results. What it has of this experiment is not run again."`
+	} `cmd:"" help:"Run what the folder has no results of, and print the table."`
+}
 
 func main() {
 	prove.Child()
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "ringtrack-lab:", err)
+		if _, ok := err.(*kong.ParseError); ok {
+			os.Exit(80)
+		}
 		os.Exit(1)
 	}
 }
@@ -31,52 +61,86 @@
 func run(args []string) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
-	switch {
-	case len(args) == 1 && args[0] == "demo":
+	var c cli
+	parser, err := kong.New(&c, kong.Name("ringtrack-lab"), kong.Description("Stand-ins, proofs and experiments."))
+	if err != nil {
+		return err
+	}
+	k, err := parser.Parse(args)
+	if err != nil {
+		return err
+	}
+	switch k.Command() {
+	case "demo":
 		return demo.Run(ctx, os.Stdout)
-	case len(args) > 1 && args[0] == "prove":
-		return runProof(ctx, args[1:])
+	case "prove", "prove <name>":
+		return c.Prove.run(ctx)
+	case "experiment check <file>":
+		_, err := experiment.Load(c.Experiment.Check.File)
+		return err
+	case "experiment list <file>":
+		e, err := experiment.Load(c.Experiment.List.File)
+		if err != nil {
+			return err
+		}
+		for _, s := range e.Scenario {
+			fmt.Printf("%-24s %s\n", s.Name, s.About)
+		}
+		fmt.Print("policies:")
+		for _, p := range experiment.Policies() {
+			fmt.Print(" ", p.Name)
+		}
+		fmt.Println()
+		return nil
+	}
+	e, err := experiment.Load(c.Experiment.Run.File)
+	if err != nil {
+		return err
 	}
-	fmt.Fprint(os.Stderr, usage)
-	return fmt.Errorf("nothing to do")
+	began, last := time.Now(), time.Time{}
+	results, err := e.Run(ctx, c.Experiment.Run.Out, func(done, all int) {
+		if now := time.Now(); now.Sub(last) > 2*time.Second || done == all {
+			last = now
+			fmt.Fprintf(os.Stderr, "%d of %d runs, %.0f s\n", done, all, now.Sub(began).Seconds())
+		}
+	})
+	if err != nil {
+		return err
+	}
+	experiment.Print(os.Stdout, e.Table(results))
+	return nil
 }
 
-func runProof(ctx context.Context, args []string) error {
-	if args[0] == "--list" {
+func (c *proveCmd) run(ctx context.Context) error {
+	if c.List {
 		for _, p := range prove.All {
-			fmt.Printf("%-12s %s\n", p.Name, p.About)
+			fmt.Printf("%-18s %s\n", p.Name, p.About)
 		}
 		return nil
 	}
-	p, ok := prove.Find(args[0])
+	p, ok := prove.Find(c.Name)
 	if !ok {
-		return fmt.Errorf("prove %s: there is no such proof; --list tells them", args[0])
+		return fmt.Errorf("prove %s: there is no such proof; --list tells them", c.Name)
 	}
-	flags := flag.NewFlagSet("prove", flag.ContinueOnError)
-	quick := flags.Bool("quick", false, "the same, scaled to under 40 s on two cores")
-	seed := flags.Uint64("seed", uint64(time.Now().UnixNano()%1e6), "of all that is drawn")
-	scale := flags.Float64("scale", 1, "of sizes and counts")
-	asJSON := flags.Bool("json", false, "print the report as JSON")
-	defect := flags.Bool("defect", false, "seed the lab's defect, which the proof is to find")
-	if err := flags.Parse(args[1:]); err != nil {
-		return err
+	if !(c.Scale > 0 && c.Scale <= 10) {
+		return fmt.Errorf("--scale: must be above 0 and at most 10, is %v", c.Scale)
 	}
-	if !(*scale > 0 && *scale <= 10) {
-		return fmt.Errorf("--scale: must be above 0 and at most 10, is %v", *scale)
+	if c.Quick {
+		c.Scale *= p.Quick
 	}
-	if *quick {
-		*scale *= p.Quick
+	if c.Seed == 0 {
+		c.Seed = uint64(time.Now().UnixNano() % 1e6)
 	}
-	r, err := p.Run(ctx, &prove.Options{Seed: *seed, Scale: *scale, Defect: *defect, Log: os.Stderr})
+	r, err := p.Run(ctx, &prove.Options{Seed: c.Seed, Scale: c.Scale, Defect: c.Defect, Log: os.Stderr})
 	if err != nil {
-		return fmt.Errorf("prove %s: seed %d: %w", p.Name, *seed, err)
+		return fmt.Errorf("prove %s: seed %d: %w", p.Name, c.Seed, err)
 	}
-	if *asJSON {
+	if c.JSON {
 		fmt.Println(r.JSON())
 	}
 	fmt.Println(r.Line())
 	if len(r.Short) > 0 {
-		return fmt.Errorf("prove %s: seed %d: falls short", p.Name, *seed)
+		return fmt.Errorf("prove %s: seed %d: falls short", p.Name, c.Seed)
 	}
 	return nil
 }
--- a/cmd/ringtrack-lab/main_test.go
+++ b/cmd/ringtrack-lab/main_test.go
@@ -1,19 +1,28 @@
 package main
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
 
 // What is asked for wrongly is said, and nothing is run.
 func TestArguments(t *testing.T) {
-	for args, want := range map[string]string{"": "nothing to do", "prove": "nothing to do", "prove none": "no such proof",
-		"prove drains --scale 0": "--scale", "prove drains --what": "flag provided but not defined", "demo more": "nothing to do"} {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	if err := os.WriteFile(bad, []byte("seeds = 0\n[[scenario]]\nname = \"a\"\nseconds = 1\nservers = [{ count = 1, workers = 1 }]"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for args, want := range map[string]string{"": "expected one of", "prove": "no such proof", "prove none": "no such proof",
+		"prove drains --scale 0": "--scale", "prove drains --what": "--what", "demo more": "unexpected argument", "experiment": "expected one of",
+		"experiment run " + bad: "--out", "experiment check " + bad: "seeds", "experiment check none.toml": "none.toml", "fly": "unexpected argument"} {
 		if err := run(strings.Fields(args)); err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%q: %v", args, err)
+			t.Errorf("%q: %v, want %s", args, err, want)
 		}
 	}
-	if err := run([]string{"prove", "--list"}); err != nil {
-		t.Error(err)
+	for _, args := range []string{"prove --list", "experiment check ../../deploy/experiments/catalogue.toml", "experiment list ../../deploy/experiments/catalogue.toml"} {
+		if err := run(strings.Fields(args)); err != nil {
+			t.Errorf("%q: %v", args, err)
+		}
 	}
 }
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,135 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"ringtrack.example/ringtrack/internal/emu"
+)
+
+const small = `
+seeds = 3
+policies = ["ringtrack", "random"]
+[[scenario]]
+name = "a"
+seconds = 1
+servers = [{ count = 3, workers = 2, queue = 4, service = { kind = "exponential", mean_ms = 10 } }]
+load = { per_s = 300 }
+[[scenario]]
+name = "b"
+seconds = 1
+servers = [{ count = 3, workers = 2, queue = 4, service = { kind = "exponential", mean_ms = 10 } }]
+load = { per_s = 500 }
+`
+
+func load(t *testing.T, text string) (*Experiment, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "e.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(file)
+}
+
+// A run that was cut off at any byte goes on, runs each cell once, and has the results of one that ran
+// through.
+func TestResume(t *testing.T) {
+	e, err := load(t, small)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	whole, err := e.Run(t.Context(), dir, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, _ := json.Marshal(whole)
+	file := filepath.Join(dir, "results.jsonl")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, cut := range []int{0, 1, 20, len(text) / 3, len(text) / 2, len(text) - 1, len(text)} {
+		if err := os.WriteFile(file, text[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		again, err := e.Run(t.Context(), dir, nil)
+		if err != nil {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+		if got, _ := json.Marshal(again); string(got) != string(want) {
+			t.Errorf("cut at %d: other results", cut)
+		}
+		now, _ := os.ReadFile(file)
+		if n := strings.Count(string(now), "\n"); n != 1+len(e.cells()) {
+			t.Errorf("cut at %d: %d lines", cut, n)
+		}
+	}
+	// Stopped by its context, it goes on later.
+	os.Remove(file)
+	ctx, cancel := context.WithCancel(t.Context())
+	if _, err := e.Run(ctx, dir, func(done, _ int) {
+		if done == 3 {
+			cancel()
+		}
+	}); err == nil {
+		t.Error("a run that was stopped says that it is whole")
+	}
+	if again, err := e.Run(t.Context(), dir, nil); err != nil {
+		t.Error(err)
+	} else if got, _ := json.Marshal(again); string(got) != string(want) {
+		t.Error("other results after a stop")
+	}
+	for name, bad := range map[string]string{"another experiment": `{"version":1,"experiment":5}` + "\n", "version 9": `{"version":9}` + "\n", "no results": "hello\n"} {
+		if err := os.WriteFile(file, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := e.Run(t.Context(), dir, nil); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if now, _ := os.ReadFile(file); string(now) != bad {
+			t.Errorf("%s: what is there was changed", name)
+		}
+	}
+}
+
+func TestFileNamesTheKey(t *testing.T) {
+	for from, to := range map[string]string{"seeds = 3": "seeds = 0|seeds", `"random"`: `"rand"|policies[1]`, `"random"]`: `"ringtrack"]|policies[1]`,
+		`name = "b"`: `name = "a"|scenario[1].name`, "per_s = 300": "per_s = -1|scenario[0] (a).load.per_s", "per_s = 500": "per_s = nan|scenario[1] (b).load.per_s",
+		"count = 3": "counts = 3|count", "seconds = 1": "seconds = 0|seconds"} {
+		to, key, _ := strings.Cut(to, "|")
+		if _, err := load(t, strings.Replace(small, from, to, 1)); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", to, err)
+		}
+	}
+	if _, err := Load("../../../deploy/experiments/catalogue.toml"); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestTable(t *testing.T) {
+	e := &Experiment{Policies: []string{"x", "y"}, Scenario: []emu.Scenario{{Name: "s"}}}
+	var results []*emu.Result
+	for i := range 10 {
+		results = append(results, &emu.Result{Scenario: "s", Policy: "x", Goodput: 0.9 + float64(i)/1000},
+			&emu.Result{Scenario: "s", Policy: "y", Goodput: 0.8 + float64(i)/1000, Breaches: map[int]int{2: 1, 4: 1}, Falls: 1})
+	}
+	rows := e.Table(results)
+	if len(rows) != 2 || math.Abs(rows[0].Goodput-0.9045) > 1e-9 || rows[1].Breaches != 20 || rows[1].Falls != 10 {
+		t.Errorf("%+v", rows)
+	}
+	if r := rows[1]; math.Abs(r.Less-0.1) > 1e-9 || math.Abs(r.More-0.1) > 1e-9 {
+		t.Errorf("the lead of 0.1 in each pair is %v to %v", r.Less, r.More)
+	}
+	var b strings.Builder
+	Print(&b, rows)
+	if lines := slices.Collect(strings.Lines(b.String())); len(lines) != 4 {
+		t.Errorf("%q", b.String())
+	}
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -231,10 +231,40 @@
 			m.timed[r.id] = r
 		}
 		r.returnMs = now
+		m.calm(now)
 	}
 	r.seen, r.absentMs, r.heldMs = true, 0, 0
 }
 
+// calm lets all servers count again whose nodes have to stay, where there are more of those than may vanish at
+// once: then it is the registry that comes and goes, and to wait for them all would be an outage of our own.
+func (m *Merge) calm(now float64) {
+	settling := 0
+	for _, r := range m.timed {
+		if r.settleMs > now {
+			settling++
+		}
+	}
+	if settling <= m.cfg.VanishLeast {
+		return
+	}
+	there := 0
+	for _, r := range m.rows {
+		if len(r.nodes) > 0 {
+			there++
+		}
+	}
+	if float64(settling) <= m.cfg.VanishShare*float64(there) {
+		return
+	}
+	for _, r := range m.timed {
+		if r.settleMs > 0 {
+			r.settleMs, r.flaps = 0, 0
+			m.touch(r)
+		}
+	}
+}
+
 // rowOf finds the server that a node is of.
 func (m *Merge) rowOf(n *Node) *row {
 	id := n.Entry.ID
--- a/internal/membership/merge_test.go
+++ b/internal/membership/merge_test.go
@@ -286,6 +286,39 @@
 	}
 }
 
+// A registry whose nodes all come and go, again and again, does not keep the fleet away.
+func TestMergeAllFlap(t *testing.T) {
+	m := newMerging(t, nil)
+	var all []Entry
+	for i := range 12 {
+		all = append(all, listed(fmt.Sprint("s-", i), Up))
+	}
+	m.roster(true, all...)
+	for i := range 12 {
+		m.up(fmt.Sprint("s-", i), 1, 1e11)
+	}
+	rng, least := rand.New(rand.NewPCG(1, 1)), 12
+	for range 20 {
+		for _, i := range rng.Perm(12) {
+			m.down(fmt.Sprint("s-", i))
+		}
+		for i := range 12 {
+			m.up(fmt.Sprint("s-", i), 1, 1e11)
+		}
+		up := 0
+		for _, e := range m.state {
+			if e.State == Up {
+				up++
+			}
+		}
+		least = min(least, up)
+		m.pass(1200)
+	}
+	if least < 6 {
+		t.Errorf("%d of 12 are up", least)
+	}
+}
+
 // A registry that is lost changes nothing; after the lapse an absent node no longer keeps away what a
 // roster heard since says is up. Once it is back its word counts again.
 func TestMergeLost(t *testing.T) {
