--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -123,8 +123,8 @@
 }
 
 func (e *Experiment) cells() (out []cell) {
-	for i := range e.Scenario {
-		for k := range e.Seeds {
+	for k := range e.Seeds { // seed by seed, so that what a stop leaves says something of all
+		for i := range e.Scenario {
 			for _, p := range e.Policies {
 				out = append(out, cell{i, p, e.FirstSeed + uint64(k)})
 			}
