Rule test: a frame longer or shorter than its message

Need: one of the hard cases of Thrift had no test through the front. Change: a rule of the table, in the framed encodings. Result: the client is told that its call can't be read, the connection is closed, nothing goes out.

--- a/internal/front/rules_test.go
+++ b/internal/front/rules_test.go
@@ -3,6 +3,7 @@
 package front_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -345,6 +346,26 @@
 			t.Errorf("%d calls went out", w.Begun())
 		}
 	}},
+	{name: "a frame longer or shorter than its message", thrift: true, run: func(t *testing.T, w *world.World) {
+		if !w.Protocol.Encoding.Framed {
+			t.Skip("there are no frames")
+		}
+		for _, more := range []int{1, -1, -4} {
+			c, r := dial(t, w), w.Request("order", long)
+			b := append(w.Protocol.Encode(r), 0, 0)
+			binary.BigEndian.PutUint32(b, uint32(len(b)-2-4+more))
+			c.Write(b)
+			if a, err := c.Read(); err != nil || a.Code != thrift.Broken || a.Seq != r.Seq {
+				t.Errorf("%+d bytes: answered %+v, %v", more, a, err)
+			}
+			if _, err := c.Read(); err == nil {
+				t.Errorf("%+d bytes: the connection is kept", more)
+			}
+		}
+		if n := w.Begun(); n != 0 {
+			t.Errorf("%d calls went out", n)
+		}
+	}},
 	{name: "an unlisted method is unsafe", thrift: true, run: func(t *testing.T, w *world.World) {
 		w.Set(lab.Breaking)
 		if call(t, w, "nobody", long, lab.Failed); w.Begun() != 1 {
