One attempt for all protocols: conns.Exchange

Need: HTTP's and Thrift's upstreams each had the whole of an attempt: connect, withdrawal, the look at a drain just before the write, whether the last byte left, how an end is mapped. Change: Pool.Do makes an attempt; a protocol gives its bytes and reads its answer. Spoilt answers are one error. Without the look at the drain, or with a cut-off write taken for one that may have run, tests fail.

--- a/internal/upstream/http/answer.go
+++ b/internal/upstream/http/answer.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
-	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -12,6 +10,8 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+
+	"ringtrack.example/ringtrack/internal/upstream/conns"
 )
 
 const (
@@ -27,14 +27,6 @@
 	maxInterim = 8
 )
 
-// errSpoilt marks an answer that can't be read: its request may have run, and its
-// connection is of no further use.
-var errSpoilt = errors.New("spoilt answer")
-
-func spoilt(format string, args ...any) error {
-	return fmt.Errorf("%w: %s", errSpoilt, fmt.Sprintf(format, args...))
-}
-
 // reserve asks for memory for a body of n bytes.
 type reserve func(n int64) error
 
@@ -54,13 +46,13 @@
 		// would read past this answer.
 		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
 		if err != nil {
-			return nil, nil, spoilt("%v", err)
+			return nil, nil, conns.Spoilt("%v", err)
 		}
 		switch {
 		case resp.ProtoMajor != 1:
-			return nil, nil, spoilt("protocol %s", resp.Proto)
+			return nil, nil, conns.Spoilt("protocol %s", resp.Proto)
 		case resp.StatusCode == http.StatusSwitchingProtocols || resp.StatusCode < 100:
-			return nil, nil, spoilt("status %d", resp.StatusCode)
+			return nil, nil, conns.Spoilt("status %d", resp.StatusCode)
 		case resp.StatusCode < 200:
 			continue
 		}
@@ -70,7 +62,7 @@
 		}
 		return resp, body, nil
 	}
-	return nil, nil, spoilt("more than %d interim answers", maxInterim)
+	return nil, nil, conns.Spoilt("more than %d interim answers", maxInterim)
 }
 
 // readHead reads up to the empty line, and never more than maxHead.
@@ -81,7 +73,7 @@
 		if start, err := br.Peek(n); err != nil {
 			return nil, err
 		} else if string(start) != "HTTP/"[:n] {
-			return nil, spoilt("no status line")
+			return nil, conns.Spoilt("no status line")
 		}
 	}
 	for {
@@ -89,7 +81,7 @@
 		head = append(head, line...)
 		switch {
 		case len(head) > maxHead || err == bufio.ErrBufferFull:
-			return nil, spoilt("head too large")
+			return nil, conns.Spoilt("head too large")
 		case err != nil:
 			return nil, err
 		case len(line) <= 2 && (line[0] == '\n' || line[0] == '\r'):
@@ -104,11 +96,11 @@
 	_, fields, _ := bytes.Cut(head, []byte("\n"))
 	h, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
 	if err != nil {
-		return spoilt("%v", err)
+		return conns.Spoilt("%v", err)
 	}
 	lengths, codings := len(h["Content-Length"]), len(h["Transfer-Encoding"])
 	if lengths > 1 || codings > 1 || lengths+codings > 1 {
-		return spoilt("%d lengths and %d transfer encodings", lengths, codings)
+		return conns.Spoilt("%d lengths and %d transfer encodings", lengths, codings)
 	}
 	return nil
 }
@@ -130,9 +122,9 @@
 	case n < 0:
 		// It would end where the connection does, and nothing could tell a whole
 		// answer from one that was cut off.
-		return nil, spoilt("an answer without length")
+		return nil, conns.Spoilt("an answer without length")
 	case n > MaxAnswer:
-		return nil, spoilt("body of %d bytes", n)
+		return nil, conns.Spoilt("body of %d bytes", n)
 	}
 	if err := want(n); err != nil {
 		return nil, err
@@ -153,18 +145,18 @@
 		fields = append(fields, line...)
 		switch {
 		case err == bufio.ErrBufferFull || len(fields) > maxTrailers:
-			return spoilt("trailers too large")
+			return conns.Spoilt("trailers too large")
 		case err != nil:
 			return err
 		case !bytes.HasSuffix(line, []byte("\r\n")):
-			return spoilt("a trailer line that ends in no CR LF")
+			return conns.Spoilt("a trailer line that ends in no CR LF")
 		case len(line) > 2:
 			continue
 		case len(fields) == 2:
 			return nil // none, as nearly always
 		}
 		if _, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader(); err != nil {
-			return spoilt("trailers: %v", err)
+			return conns.Spoilt("trailers: %v", err)
 		}
 		return nil
 	}
@@ -189,9 +181,9 @@
 		case err == io.ErrUnexpectedEOF || err != nil && isNet(err):
 			return nil, err
 		case err != nil:
-			return nil, spoilt("%v", err)
+			return nil, conns.Spoilt("%v", err)
 		case len(body) > MaxAnswer:
-			return nil, spoilt("body over %d bytes", MaxAnswer)
+			return nil, conns.Spoilt("body over %d bytes", MaxAnswer)
 		}
 	}
 }
--- a/internal/upstream/http/attempt.go
+++ b/internal/upstream/http/attempt.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -55,82 +54,25 @@
 // Sweep closes connections that have idled too long.
 func (u *Upstream) Sweep() { u.Pool.Sweep() }
 
-// Do makes one attempt and returns how it ended, exactly once. Cancelling ctx withdraws the attempt and
-// closes its connection.
-func (u *Upstream) Do(ctx context.Context, b *core.Backend, addr string, c *core.Call, sent, deadline time.Time) core.Result {
-	r := u.attempt(ctx, b, addr, c.Payload.(*Call), deadline)
-	// A withdrawn attempt says nothing of its backend, also where the withdrawal cut
-	// off a connect; an answer that was already there stands, and what was never
-	// written never ran.
-	if ctx.Err() != nil && r.Reply == nil && r.Status != policy.Moot {
-		r.Status = policy.Cancelled
-	}
-	r.LatencyMs = float64(time.Since(sent).Microseconds()) / 1000
-	return r
-}
-
-func (u *Upstream) attempt(ctx context.Context, b *core.Backend, addr string, c *Call, deadline time.Time) core.Result {
-	connectBy := time.Now().Add(u.Pool.ConnectTimeout())
-	cn, err := u.Pool.Get(ctx, conns.Key{Backend: b}, addr, earliest(deadline, connectBy))
-	if err != nil {
-		// Refused or never came up: not a byte was sent. Only what the backend had the
-		// time for, or did, is its fault.
-		if conns.Ours(err) || deadline.Before(connectBy) && !errors.Is(err, syscall.ECONNREFUSED) {
-			return core.Result{Status: policy.Moot}
-		}
-		return core.Result{Status: policy.ConnectFailed}
-	}
-	reusable := false
-	// Withdrawing makes whatever reads or writes end at once.
-	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
-	defer func() {
-		// If the withdrawal has begun its deadline would hit the next user.
-		if stop() && reusable {
-			u.Pool.Put(cn)
-		} else {
-			u.Pool.Close(cn)
-		}
-	}()
-	cn.SetDeadline(deadline)
-	// The connect may have taken long: the drain grace runs from the telling, so
-	// nothing is begun on a backend that was told to drain meanwhile.
-	if ctx.Err() != nil || b.Closed() {
-		reusable = true
-		return core.Result{Status: policy.Moot}
-	}
-	head := c.Head(time.Until(deadline))
-	whole := int64(len(head) + len(c.Body))
-	out := net.Buffers{head, c.Body}
-	if n, err := out.WriteTo(cn.Conn); err != nil {
-		if n < whole {
-			// The last byte never left, and the connection is closed: it cannot run.
-			return core.Result{Status: policy.ConnectFailed}
-		}
-		return core.Result{Status: broken(err)}
-	}
-	held := int64(0)
-	resp, body, err := readAnswer(cn.BR, func(n int64) error {
-		if n <= freeBody {
-			return nil
-		}
-		within, cancel := context.WithDeadline(ctx, deadline)
-		defer cancel()
-		err := u.Budget.Acquire(within, n)
-		if err == nil {
-			held += n
-		}
-		return err
-	})
-	if err != nil {
-		u.Budget.Release(held)
-		u.Pool.Ended(cn, !errors.Is(err, errSpoilt) && broken(err) == policy.Reset)
-		return core.Result{Status: broken(err)}
-	}
-	u.Pool.Ended(cn, false)
-	reusable = !resp.Close
-	status := outcome(resp)
-	return core.Result{Status: status, Held: held, Report: parseReport(resp.Header["Server-Load"], u.Reports),
-		Reply: &Reply{resp.StatusCode, resp.Header, body}, Blamed: status == policy.Cancelled}
+// Do makes one attempt.
+func (u *Upstream) Do(ctx context.Context, b *core.Backend, addr string, cc *core.Call, sent, deadline time.Time) core.Result {
+	c := cc.Payload.(*Call)
+	return u.Pool.Do(ctx, &conns.Exchange{Key: conns.Key{Backend: b}, Addr: addr, Sent: sent, Deadline: deadline, Budget: u.Budget,
+		Request: func() net.Buffers { return net.Buffers{c.Head(time.Until(deadline)), c.Body} },
+		Answer: func(cn *conns.Conn, reserve func(int64) error) (core.Result, bool, error) {
+			resp, body, err := readAnswer(cn.BR, func(n int64) error {
+				if n <= freeBody {
+					return nil
+				}
+				return reserve(n)
+			})
+			if err != nil {
+				return core.Result{}, false, err
+			}
+			status := outcome(resp)
+			return core.Result{Status: status, Report: parseReport(resp.Header["Server-Load"], u.Reports),
+				Reply: &Reply{resp.StatusCode, resp.Header, body}, Blamed: status == policy.Cancelled}, !resp.Close, nil
+		}})
 }
 
 // isNet tells errors of the connection from those of what came on it.
@@ -139,18 +81,6 @@
 	return errors.As(err, &net)
 }
 
-// broken maps what ended an attempt whose last byte was written: it may have run.
-func broken(err error) policy.Status {
-	var timeout net.Error
-	switch {
-	case errors.Is(err, errSpoilt):
-		return policy.Error // an answer that can't be read
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return policy.Timeout
-	}
-	return policy.Reset
-}
-
 // outcome maps a whole answer. Only the backend's own word proves that a request
 // did not run: a bare 503 or 504 may come from half-way through. A 4xx is about the
 // request, and tells nothing of the backend.
@@ -181,10 +111,3 @@
 	out.WriteString("\r\n")
 	return out.Bytes()
 }
-
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/internal/upstream/thrift/thrift.go
+++ b/internal/upstream/thrift/thrift.go
@@ -14,7 +14,6 @@
 	"net"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -58,13 +57,6 @@
 // free is what a reply may take of memory without asking for it, and what is read at once.
 const free = 4 << 10
 
-// errSpoilt marks a reply that can't be read, or is another call's: the call may have run.
-var errSpoilt = errors.New("thrift: spoilt reply")
-
-func spoilt(format string, args ...any) error {
-	return fmt.Errorf("%w: %s", errSpoilt, fmt.Sprintf(format, args...))
-}
-
 // unreadable marks what Read could not take for a message, whoever sent it.
 type unreadable struct{ error }
 
@@ -85,78 +77,40 @@
 
 // Do makes one attempt.
 func (u *Upstream) Do(ctx context.Context, b *core.Backend, addr string, cc *core.Call, sent, deadline time.Time) core.Result {
-	r := u.attempt(ctx, b, addr, cc.Payload.(*Call), deadline)
-	// A withdrawn attempt says nothing of its backend; an answer that was there stands, and what was
-	// never written never ran.
-	if ctx.Err() != nil && r.Reply == nil && r.Status != policy.Moot {
-		r.Status = policy.Cancelled
+	c := cc.Payload.(*Call)
+	seq := u.seq.Add(1)
+	x := conns.Exchange{Key: conns.Key{Backend: b, Kind: kind(c)}, Addr: addr, Sent: sent, Deadline: deadline, Budget: u.Budget,
+		Request: func() net.Buffers { return c.bytes(seq) },
+		Answer: func(cn *conns.Conn, reserve func(int64) error) (core.Result, bool, error) {
+			reply, err := u.read(cn.BR, c, seq, reserve)
+			if err != nil {
+				return core.Result{}, false, err
+			}
+			return c.ending(reply), true, nil
+		}}
+	if c.Oneway {
+		x.Answer = nil
 	}
-	r.LatencyMs = float64(time.Since(sent).Microseconds()) / 1000
-	return r
+	return u.Pool.Do(ctx, &x)
 }
 
-func (u *Upstream) attempt(ctx context.Context, b *core.Backend, addr string, c *Call, deadline time.Time) core.Result {
-	connectBy := time.Now().Add(u.Pool.ConnectTimeout())
-	by := connectBy
-	if deadline.Before(by) {
-		by = deadline
-	}
-	cn, err := u.Pool.Get(ctx, conns.Key{Backend: b, Kind: kind(c)}, addr, by)
-	if err != nil {
-		if conns.Ours(err) || deadline.Before(connectBy) && !errors.Is(err, syscall.ECONNREFUSED) {
-			return core.Result{Status: policy.Moot}
-		}
-		return core.Result{Status: policy.ConnectFailed}
-	}
-	reusable := false
-	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
-	defer func() {
-		// If the withdrawal has begun its deadline would hit the next user.
-		if stop() && reusable {
-			u.Pool.Put(cn)
-		} else {
-			u.Pool.Close(cn)
-		}
-	}()
-	cn.SetDeadline(deadline)
-	// The connect may have taken long: nothing is begun on a backend that was told away meanwhile.
-	if ctx.Err() != nil || b.Closed() {
-		reusable = true
-		return core.Result{Status: policy.Moot}
-	}
-	seq := u.seq.Add(1)
+// bytes are the call as it goes out, under this sequence id.
+func (c *Call) bytes(seq int32) net.Buffers {
 	var head []byte
 	if c.Transport == thriftwire.Framed {
 		head = make([]byte, 4, 4+c.Head.Body)
 	}
 	head = c.Head.AppendHeadWithSeq(head, c.Message, seq)
 	rest := c.Head.Rest(c.Message)
-	whole := int64(len(head) + len(rest))
 	if c.Transport == thriftwire.Framed {
-		binary.BigEndian.PutUint32(head, uint32(whole-4))
+		binary.BigEndian.PutUint32(head, uint32(len(head)-4+len(rest)))
 	}
-	out := net.Buffers{head, rest}
-	if n, err := out.WriteTo(cn.Conn); err != nil {
-		if n < whole {
-			// The last byte never left, and the connection is closed: it cannot run.
-			return core.Result{Status: policy.ConnectFailed}
-		}
-		return core.Result{Status: broken(err)}
-	}
-	if c.Oneway {
-		// Nothing will come. It may have run, and nobody can know more.
-		reusable = true
-		return core.Result{Status: policy.Cancelled, Unanswered: true}
-	}
-	reply, held, err := u.read(ctx, cn.BR, c, seq, deadline)
-	if err != nil {
-		u.Budget.Release(held)
-		u.Pool.Ended(cn, !errors.Is(err, errSpoilt) && broken(err) == policy.Reset)
-		return core.Result{Status: broken(err)}
-	}
-	u.Pool.Ended(cn, false)
-	reusable = true // unless there is more behind the reply, which the pool looks for
-	res := core.Result{Status: policy.OK, Reply: reply, Held: held}
+	return net.Buffers{head, rest}
+}
+
+// ending is what a whole reply says of the call.
+func (c *Call) ending(reply *Reply) core.Result {
+	res := core.Result{Status: policy.OK, Reply: reply}
 	switch {
 	case reply.Head.Kind == thriftwire.Exception:
 		code := int32(reply.Head.Fields[0].Int)
@@ -176,34 +130,25 @@
 }
 
 // read reads one reply and checks that it is this call's.
-func (u *Upstream) read(ctx context.Context, br *bufio.Reader, c *Call, seq int32, deadline time.Time) (*Reply, int64, error) {
-	held := int64(0)
-	msg, head, err := Read(br, c.Transport, u.Limits, []thriftwire.Path{{2}}, func(n int64) error {
-		within, cancel := context.WithDeadline(ctx, deadline)
-		defer cancel()
-		err := u.Budget.Acquire(within, n)
-		if err == nil {
-			held += n
-		}
-		return err
-	})
+func (u *Upstream) read(br *bufio.Reader, c *Call, seq int32, reserve func(int64) error) (*Reply, error) {
+	msg, head, err := Read(br, c.Transport, u.Limits, []thriftwire.Path{{2}}, reserve)
 	if IsUnreadable(err) {
-		err = spoilt("%v", err)
+		err = conns.Spoilt("%v", err)
 	}
 	if err != nil {
-		return nil, held, err
+		return nil, err
 	}
 	switch {
 	case head.Protocol != c.Head.Protocol:
-		return nil, held, spoilt("a %v reply to a %v call", head.Protocol, c.Head.Protocol)
+		return nil, conns.Spoilt("a %v reply to a %v call", head.Protocol, c.Head.Protocol)
 	case head.Kind != thriftwire.Reply && head.Kind != thriftwire.Exception:
-		return nil, held, spoilt("a reply of kind %d", head.Kind)
+		return nil, conns.Spoilt("a reply of kind %d", head.Kind)
 	case head.Seq != seq:
-		return nil, held, spoilt("sequence id %d, asked with %d", head.Seq, seq)
+		return nil, conns.Spoilt("sequence id %d, asked with %d", head.Seq, seq)
 	case string(head.Name) != string(c.Head.Name) && string(head.Name) != unplexed(c.Head.Name):
-		return nil, held, spoilt("a reply to another method")
+		return nil, conns.Spoilt("a reply to another method")
 	}
-	return &Reply{msg, head}, held, nil
+	return &Reply{msg, head}, nil
 }
 
 // unplexed is a method's name without its service: some servers answer by that.
@@ -304,15 +249,3 @@
 	var u unreadable
 	return errors.As(err, &u)
 }
-
-// broken maps what ended an attempt whose last byte was written: it may have run.
-func broken(err error) policy.Status {
-	var timeout net.Error
-	switch {
-	case errors.Is(err, errSpoilt):
-		return policy.Error
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return policy.Timeout
-	}
-	return policy.Reset
-}
