Test: an attempt withdrawn as its answer comes never leaves its connection behind

Need: with the guard for that broken on purpose no test failed. Change: a test of conns.Exchange: the withdrawal comes inside the reading of the answer; memory of a spoilt answer is given back. Result: it passes three times under -race, and fails with the guard broken.

--- /dev/null
+++ b/internal/upstream/conns/exchange_test.go
@@ -0,0 +1,54 @@
+package conns
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/policy"
+)
+
+// An attempt that is withdrawn as its answer comes keeps the answer, and its connection is not used again:
+// the withdrawal's deadline would hit whoever has it next. Memory that a failed one asked for is given back.
+func TestWithdrawnAsTheAnswerComes(t *testing.T) {
+	addr := peer(t, func(c net.Conn) { io.WriteString(c, "answer") })
+	for _, withdrawn := range []bool{false, true} {
+		p, key := New(patience, time.Minute, 8), newKey()
+		budget := semaphore.NewWeighted(100)
+		ctx, cancel := context.WithCancel(t.Context())
+		x := Exchange{Key: key, Addr: addr, Sent: time.Now(), Deadline: time.Now().Add(patience), Budget: budget,
+			Request: func() net.Buffers { return net.Buffers{[]byte("ask"), []byte("ed")} },
+			Answer: func(cn *Conn, reserve func(int64) error) (core.Result, bool, error) {
+				if err := reserve(60); err != nil {
+					return core.Result{}, false, err
+				}
+				_, err := io.ReadFull(cn.BR, make([]byte, len("answer")))
+				if withdrawn {
+					cancel()
+				}
+				return core.Result{Status: policy.OK, Reply: "answer"}, true, err
+			}}
+		r := p.Do(ctx, &x)
+		idle := 1
+		if withdrawn {
+			idle = 0
+		}
+		if r.Status != policy.OK || r.Held != 60 || p.Idle(key) != idle || p.Open() != idle {
+			t.Errorf("withdrawn %v: %+v, %d idle, %d open", withdrawn, r, p.Idle(key), p.Open())
+		}
+		budget.Release(r.Held)
+		x.Answer = func(_ *Conn, reserve func(int64) error) (core.Result, bool, error) {
+			reserve(60)
+			return core.Result{}, true, Spoilt("it says nothing")
+		}
+		if r := p.Do(t.Context(), &x); r.Status != policy.Error || r.Held != 0 || p.Open() != 0 || !budget.TryAcquire(100) {
+			t.Errorf("spoilt: %+v, %d open", r, p.Open())
+		}
+		cancel()
+	}
+}
