--- a/internal/emu/server.go
+++ b/internal/emu/server.go
@@ -36,13 +36,12 @@
 	errClass int // -1: all
 	turnPart float64
 
-	report            [3]float32
-	reportAt          Time
-	done, failed      int
-	busyArea          float64 // of workers and ns, since reportAt
-	areaAt            Time
-	served, began     int
-	lostToFall, falls int
+	report        [3]float32
+	reportAt      Time
+	done, failed  int
+	busyArea      float64 // of workers and ns, since reportAt
+	areaAt        Time
+	served, falls int
 }
 
 // ramp is the part of its speed that the process has now.
@@ -75,7 +74,6 @@
 		s.reply(a, policy.Reset)
 		return
 	}
-	s.began++
 	s.w.book.Began(&s.acct, s.w.time())
 	if s.pushedOver() {
 		return
@@ -116,7 +114,6 @@
 		return false
 	}
 	s.falls++
-	s.lostToFall += s.busy + len(s.queue) - s.head + 1
 	s.restart()
 	return true
 }
--- a/internal/membership/ephemeral/session.go
+++ b/internal/membership/ephemeral/session.go
@@ -75,7 +75,6 @@
 	password []byte
 	zxid     int64 // last change that a server let us see
 	behind   time.Time
-	dials    int
 }
 
 // run keeps the session until ctx ends, or the handler has. It closes it then.
@@ -112,7 +111,6 @@
 
 // once is one connection. It returns how it ended, and whether the session was up on it.
 func (s *session) once(ctx context.Context, addr string) (served bool, err error) {
-	s.dials++
 	dialer := net.Dialer{Timeout: connectTime, KeepAlive: -1}
 	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -67,7 +67,6 @@
 	lapsed            bool
 	emptyMs           float64
 	problems          []string
-	tells             int
 }
 
 type vanished struct {
@@ -471,7 +470,6 @@
 	}
 	m.age(now)
 	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
-	m.tells += len(out)
 	return out
 }
 
@@ -517,9 +515,6 @@
 	return out
 }
 
-// Tells is the number of entries told so far.
-func (m *Merge) Tells() int { return m.tells }
-
 // Status tells how each source does.
 func (m *Merge) Status(now float64) []Status {
 	roster := Status{Source: "roster", AgeMs: -1, Why: m.rosterLost, Problems: m.problems}
--- a/internal/membership/merge_test.go
+++ b/internal/membership/merge_test.go
@@ -286,6 +286,29 @@
 	}
 }
 
+// A clock that jumps by an hour, as after a suspend, ends what was waited for, and nothing else.
+func TestMergeClockJumps(t *testing.T) {
+	m := newMerging(t, nil)
+	m.roster(true, listed("a", Up), listed("b", Up), listed("c", Up))
+	for _, id := range []string{"a", "b", "c"} {
+		m.up(id, 1, 1e11)
+	}
+	m.down("b")
+	for range 3 {
+		m.down("c")
+		m.up("c", 1, 1e11)
+	}
+	m.want("c", Draining) // it has to stay
+	m.now += 3_600_000
+	m.take()
+	m.want("a", Up)
+	m.want("b", Draining)
+	m.want("c", Up)
+	if m.state["a"].StartedMs != 1e11 {
+		t.Errorf("started %v", m.state["a"].StartedMs)
+	}
+}
+
 // A registry whose nodes all come and go, again and again, does not keep the fleet away.
 func TestMergeAllFlap(t *testing.T) {
 	m := newMerging(t, nil)
