Lists are followed where they are pushed, and probes are made where they are allowed

Ruled out: the rate of calls, the merge and the guard, which never saw a change. The log had 'probe asked for where none is allowed': probes are allowed there and the loop made none, so the module, which bounds probes that are out to two, validated nobody once two had gone unanswered. Change: where lists are pushed the loop follows the roster by itself (roster.Client.Follow, which the control service's source now uses too); HTTP's upstream makes probes (/-/load, /-/healthy) and the module gets exactly one answer to each; one that says nothing of its server blames nobody. Without either change the new tests fail (tried).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,7 +45,9 @@
 	if tf != nil {
 		upstreams = append(upstreams, tf.Upstream)
 	}
-	l, err := core.New(ctx, cfg.core(), budget, upstreams, f.Ready)
+	loop := cfg.core()
+	loop.Probe = upstream.Probe
+	l, err := core.New(ctx, loop, budget, upstreams, f.Ready)
 	if err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -226,10 +226,20 @@
 	}
 }
 
-func TestDrain(t *testing.T) {
+// byMode runs a test for each way in which lists come. Where they are pushed the module asks for nothing,
+// and the agent follows its roster all the same.
+func byMode(t *testing.T, test func(t *testing.T, change func(*Config))) {
+	for _, mode := range []string{"on_request", "pushed"} {
+		t.Run(mode, func(t *testing.T) { test(t, func(c *Config) { c.Settings.Membership = mode }) })
+	}
+}
+
+func TestDrain(t *testing.T) { byMode(t, testDrain) }
+
+func testDrain(t *testing.T, mode func(*Config)) {
 	old, other := newBackend(t, serving), newBackend(t, serving)
 	d := newDiscoveryServer(t, target("s-1", old.addr))
-	a := startAgent(t, d, nil)
+	a := startAgent(t, d, mode)
 	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
 	wantStatus(t, status, 200)
 	d.Set(target("s-2", other.addr))
@@ -267,10 +277,12 @@
 
 // While discovery is down the list at hand serves on and the calls are few; when
 // it is back the agent hears of what has changed.
-func TestDiscoveryDownAndBack(t *testing.T) {
+func TestDiscoveryDownAndBack(t *testing.T) { byMode(t, testDiscoveryDownAndBack) }
+
+func testDiscoveryDownAndBack(t *testing.T, mode func(*Config)) {
 	first, second := newBackend(t, serving), newBackend(t, serving)
 	d := newDiscoveryServer(t, target("s-1", first.addr))
-	a := startAgent(t, d, nil)
+	a := startAgent(t, d, mode)
 	d.wait(t, 1)
 	d.SetDown(true)
 	before := d.Calls()
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -18,6 +18,12 @@
 const (
 	// sweepEvery is how often connections that idle too long are closed.
 	sweepEvery = time.Second
+	// probeTimeout is how long the answer to a probe may take: it is given beside the queue, so that whoever
+	// is silent for longer stands still.
+	probeTimeout = 500 * time.Millisecond
+	// pushedLeast and pushedMost bound the pause after a call that failed, where lists are pushed: the roster
+	// is then on the agent's own machine, and a call costs nobody else anything.
+	pushedLeast, pushedMost = 100 * time.Millisecond, time.Second
 )
 
 // Loop owns the module and all state of requests. One goroutine runs it; all
@@ -98,6 +104,9 @@
 // dropped: it comes late, and its versions are not those of this one.
 func (l *Loop) discover(addr string) {
 	d := roster.NewClient(l.ctx, addr)
+	if l.pushed() {
+		d.Eager()
+	}
 	d.Told = func(list *membership.List, watch bool, err error) {
 		l.Post(func() {
 			if l.disc == d {
@@ -108,6 +117,21 @@
 	l.disc = d
 }
 
+// pushed tells whether lists come unasked, as the module has it. On sockets somebody has to ask all the same,
+// and the module, which never will, must not be left with the list that came with the start.
+func (l *Loop) pushed() bool { return l.cfg.Settings.Membership == "pushed" }
+
+// watch follows the discovery of now: until it fails, which the module is told, or for good where it counts
+// on being told.
+func (l *Loop) watch() {
+	l.watching = true
+	if l.pushed() {
+		go l.disc.Follow(pushedLeast, pushedMost)
+		return
+	}
+	go l.disc.Watch(l.version, l.unknown)
+}
+
 // Rediscover leaves the discovery for another and asks that for its whole list. Until
 // it comes the table stays as it is.
 func (l *Loop) Rediscover(addr string) {
@@ -116,8 +140,8 @@
 	}
 	l.disc.Close()
 	l.discover(addr)
-	l.version, l.unknown, l.fetching, l.watching = 0, true, false, true
-	go l.disc.Watch(0, true)
+	l.version, l.unknown, l.fetching = 0, true, false
+	l.watch()
 }
 
 // Post hands the loop something to do; it may wait, so the loop itself never calls it.
@@ -138,6 +162,9 @@
 	if l.table.usable() {
 		l.ready()
 	}
+	if l.pushed() && !l.watching {
+		l.watch()
+	}
 	if l.merge != nil {
 		followed := make(chan struct{})
 		go func() {
@@ -230,8 +257,7 @@
 			})
 		case policy.ActFollow:
 			if !l.watching { // one watch is enough; it tells what another would
-				l.watching = true
-				go l.disc.Watch(l.version, l.unknown)
+				l.watch()
 			}
 		case policy.ActFetch:
 			if !l.fetching {
@@ -245,8 +271,7 @@
 		case policy.ActLog:
 			l.log(slog.LevelInfo, "module", "text", a.Text)
 		case policy.ActProbe:
-			// Probes are forbidden here and the settings say so: never asked for.
-			l.log(slog.LevelError, "probe asked for where none is allowed")
+			l.probe(a.Server)
 		}
 	}
 }
@@ -446,6 +471,29 @@
 	l.table.forget(t.backend)
 }
 
+// ---- probes ----
+
+// probe asks a backend how it is. The module gets exactly one answer, whatever becomes of it: it bounds the
+// probes that are out, and one that it waits for for ever would be the last.
+func (l *Loop) probe(name policy.Addr) {
+	b := l.table.byAddr[name]
+	if b == nil || b.addr == "" || b.closed.Load() || l.cfg.Probe == nil || !l.cfg.Settings.Limits.Probing {
+		l.guard("probe of a backend that is not to be asked")
+		l.pending = append(l.pending, policy.Event{Kind: policy.EvProbed, Server: name, Status: policy.Moot})
+		return
+	}
+	b.out++
+	addr, now := b.addr, time.Now()
+	go func() {
+		res := l.cfg.Probe(l.ctx, b, addr, now, now.Add(probeTimeout))
+		l.Post(func() {
+			b.out--
+			l.handle(&policy.Event{Kind: policy.EvProbed, Server: name, Status: res.Status, LatencyMs: res.LatencyMs, Report: res.Report})
+			l.table.forget(b)
+		})
+	}()
+}
+
 // ---- discovery ----
 
 // onList takes an answer of discovery. A watch and a fetch may cross: what is
@@ -453,7 +501,7 @@
 // which is how a discovery that started again from nothing says so.
 func (l *Loop) onList(list *membership.List, watch bool, err error) {
 	if watch && err != nil {
-		l.watching = false
+		l.watching = l.pushed() // there it goes on by itself
 	} else if !watch {
 		l.fetching = false
 	}
@@ -462,7 +510,9 @@
 			l.merge.RosterLost(err)
 		}
 		l.log(slog.LevelWarn, "discovery call failed", "err", err)
-		l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+		if !watch || !l.pushed() { // it hears of what it asked for
+			l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+		}
 		return
 	}
 	if list.Revision < l.version && !(watch && list.Full) {
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -194,6 +194,29 @@
 }
 
 // What crosses on the way from discovery does not turn the list back.
+// A probe that is not to be made is answered to the module all the same: one that it waits for for ever would
+// be the last.
+func TestForbiddenProbeIsAnswered(t *testing.T) {
+	l := newTestLoop(t, stub{})
+	asked := false
+	l.cfg.Probe = func(context.Context, *Backend, string, time.Time, time.Time) Result { asked = true; return Result{} }
+	b := l.table.backend("s-1")
+	for name, spoil := range map[string]func(){
+		"not listed":  func() { b.addr = "" },
+		"drains":      func() { b.closed.Store(true) },
+		"not allowed": func() { l.cfg.Settings.Limits.Probing = false },
+	} {
+		b.addr, l.cfg.Settings.Limits.Probing = "127.0.0.1:1", true
+		b.closed.Store(false)
+		spoil()
+		l.carryOut([]policy.Action{{Kind: policy.ActProbe, Server: b.name}})
+		if len(l.pending) != 1 || l.pending[0].Kind != policy.EvProbed || l.pending[0].Server != b.name || l.pending[0].Status != policy.Moot || asked {
+			t.Errorf("%s: %+v", name, l.pending)
+		}
+		l.pending = nil
+	}
+}
+
 func TestOldListIsDropped(t *testing.T) {
 	l := running(t, stub{})
 	done := make(chan bool)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -106,6 +106,10 @@
 	Zones     []string
 	Kinds     []string
 
+	// Probe asks a backend how it is, beside its requests, and returns how that ended, exactly once. It is
+	// called only where the settings allow probes. What says nothing of the backend is Moot.
+	Probe func(ctx context.Context, b *Backend, addr string, sent, deadline time.Time) Result
+
 	// Nodes follows a registry of what runs, until ctx ends, and has each thing it learns applied to the
 	// merge, in the loop. nil: the roster alone says which backends there are.
 	Nodes func(ctx context.Context, told func(apply func(m *membership.Merge, now float64)))
--- a/internal/membership/roster/roster.go
+++ b/internal/membership/roster/roster.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -32,9 +33,9 @@
 	// callsPerS and callBurst bound the calls: a discovery that answers watches at
 	// once must not be asked in a tight loop. A watch outlives the gap.
 	callsPerS, callBurst = 10, 10
-	// sourceCallsPerS is the same for a Source: of these there are few, one a control service, and a
-	// drain that waited for its turn would come late to all their proxies.
-	sourceCallsPerS = 50
+	// eagerCallsPerS is the same for a roster that few ask, or that stands on the agent's own machine: a
+	// drain that waited for its turn would come late.
+	eagerCallsPerS = 50
 	// MaxList bounds an answer of the roster, in bytes.
 	MaxList = 8 << 20
 )
@@ -72,6 +73,10 @@
 	}
 }
 
+// Eager lets the client call more often: for a roster that few ask, or that stands on this very machine. It
+// is to be called before the first call.
+func (d *Client) Eager() { d.limit = rate.NewLimiter(eagerCallsPerS, eagerCallsPerS) }
+
 // Done is closed once the client has been closed.
 func (d *Client) Done() <-chan struct{} { return d.ctx.Done() }
 
@@ -84,17 +89,19 @@
 // Watch follows the changes from version on, until a call fails or the discovery is
 // left; where no list of this discovery is at hand yet it asks for the whole one
 // first. The next call goes out before the last answer is even handed on: a watch
-// lives for 200 ms without one, and a new watch loads discovery.
-func (d *Client) Watch(version uint64, whole bool) {
+// lives for 200 ms without one, and a new watch loads discovery. It returns whether
+// any call was answered.
+func (d *Client) Watch(version uint64, whole bool) (answered bool) {
 	if whole {
 		l, err := d.whole()
 		if d.ctx.Err() != nil {
-			return
+			return false
 		}
 		if err != nil {
 			d.Told(nil, true, err)
-			return
+			return false
 		}
+		answered = true
 		version = l.Revision
 		d.Told(l, true, nil)
 	}
@@ -115,12 +122,13 @@
 	for first := !whole; ; first = false {
 		r := <-next
 		if d.ctx.Err() != nil {
-			return
+			return answered
 		}
 		if r.err != nil {
 			d.Told(nil, true, r.err)
-			return
+			return answered
 		}
+		answered = true
 		next = call(r.list.Revision)
 		if d.Alive != nil {
 			d.Alive()
@@ -132,6 +140,21 @@
 	}
 }
 
+// Follow watches until the client is closed, for a caller that has nobody to say when to call again: the
+// whole list, then its changes; after a failure the same again. The pause before is least at first, doubled
+// with each failure in a row up to most, and drawn evenly from its upper half.
+func (d *Client) Follow(least, most time.Duration) {
+	for pause := least; d.ctx.Err() == nil; pause = min(2*pause, most) {
+		if d.Watch(0, true) {
+			pause = least
+		}
+		select {
+		case <-time.After(pause/2 + rand.N(pause/2+1)):
+		case <-d.ctx.Done():
+		}
+	}
+}
+
 // Fetch asks for the whole list once.
 func (d *Client) Fetch() {
 	l, err := d.get("", callGrace)
--- a/internal/membership/roster/source.go
+++ b/internal/membership/roster/source.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"ringtrack.example/ringtrack/internal/membership"
 )
 
@@ -29,21 +26,10 @@
 	if most <= 0 {
 		most = 5 * time.Second
 	}
-	for pause := least; ctx.Err() == nil; pause = min(2*pause, most) {
-		c := NewClient(ctx, s.Addr)
-		c.limit = rate.NewLimiter(sourceCallsPerS, sourceCallsPerS)
-		c.Told = func(l *membership.List, _ bool, err error) {
-			if err == nil {
-				pause = least / 2 // doubled before its next use
-			}
-			told(l, err)
-		}
-		c.Alive = func() { told(nil, nil) }
-		c.Watch(0, true)
-		c.Close()
-		select {
-		case <-time.After(pause/2 + rand.N(pause/2+1)):
-		case <-ctx.Done():
-		}
-	}
+	c := NewClient(ctx, s.Addr)
+	defer c.Close()
+	c.Eager()
+	c.Told = func(l *membership.List, _ bool, err error) { told(l, err) }
+	c.Alive = func() { told(nil, nil) }
+	c.Follow(least, most)
 }
--- a/internal/upstream/http/attempt.go
+++ b/internal/upstream/http/attempt.go
@@ -75,6 +75,42 @@
 		}})
 }
 
+// probeHead is how each probe begins.
+const probeHead = " HTTP/1.1\r\nHost: backend.local\r\n\r\n"
+
+// Probe asks a backend how it is, beside its requests: for its load report where there are any, else whether
+// it is healthy (protocol page, "Agents to backends"). A 503 says that it runs and takes nothing now; one
+// that knows no probes has said nothing.
+func (u *Upstream) Probe(ctx context.Context, b *core.Backend, addr string, sent, deadline time.Time) core.Result {
+	path := "/-/healthy"
+	if len(u.Reports) > 0 {
+		path = "/-/load"
+	}
+	return u.Pool.Do(ctx, &conns.Exchange{Key: conns.Key{Backend: b}, Addr: addr, Sent: sent, Deadline: deadline, Budget: u.Budget,
+		Request: func() net.Buffers { return net.Buffers{[]byte("GET " + path + probeHead)} },
+		Answer: func(cn *conns.Conn, _ func(int64) error) (core.Result, bool, error) {
+			resp, body, err := readAnswer(cn.BR, func(n int64) error {
+				if n > freeBody {
+					return conns.Spoilt("probe answered with %d bytes", n)
+				}
+				return nil
+			})
+			if err != nil {
+				return core.Result{}, false, err
+			}
+			res := core.Result{Status: policy.Error, Report: parseReport([]string{string(body)}, u.Reports)}
+			switch resp.StatusCode {
+			case http.StatusOK:
+				res.Status = policy.OK
+			case http.StatusServiceUnavailable:
+				res.Status = policy.Full
+			case http.StatusNotFound:
+				res.Status = policy.Moot
+			}
+			return res, !resp.Close, nil
+		}})
+}
+
 // isNet tells errors of the connection from those of what came on it.
 func isNet(err error) bool {
 	var net net.Error
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -831,7 +831,7 @@
 	case ev.Status == OK:
 		b.heardFrom(s)
 		b.enter(s, Connected)
-	case ev.Status != Full:
+	case ev.Status != Full && ev.Status != Moot:
 		b.demote(s, true)
 	}
 }
