A full answer costs a server no turn where the agent is soon back; the cap follows them

Each full answer made a server miss a turn (policy.go, judge, case Full: rest), which moved its keys to where they are cold and filled the next one. Change: an agent whose next turn at the server comes within the aim follows it by its window alone; one that sees it seldom rests it as before; the cap is 3/(1+60 x part turned away), 1.1 at the least.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,6 +14,9 @@
 	// CapFactor is c: how far above its even share of the agent's attempts a
 	// server may go before a key's request moves on to the next in hash order.
 	CapFactor = 3.0
+	// leastCap and turnedWeight bring the cap down where attempts are turned away: there is little room
+	// behind each server then, so that a key must move on before its server is full.
+	leastCap, turnedWeight = 1.1, 60.0
 	// crowdShare is the part of the aim that a server's mean answer time may
 	// take before the agent gives it less: the rest is for the spread.
 	crowdShare = 0.5
@@ -40,8 +43,9 @@
 	// for each part there may be, by which a key's share is known.
 	keyPart, keyMemory = 0.25, 2.0
 	// OwnLeast and OwnMost bound how much more a server of the agent's own zone weighs in a
-	// key's order: crossing takes time and may have a price. ownStep is how fast it moves.
-	OwnLeast, OwnMost, ownStep = 1.5, 8.0, 0.1
+	// key's order: crossing takes time and may have a price. ownStart is the weight of an agent
+	// that knows nothing yet but that crossing has a price, ownStep how fast it moves.
+	OwnLeast, OwnMost, ownStart, ownStep = 1.5, 8.0, 4.0, 0.1
 	// maxStrikes bounds the doubling of a bad server's hold.
 	maxStrikes = 5
 	// strayMost is the part of its attempts that a server may fail, beyond strayFactor times
@@ -88,6 +92,9 @@
 		own: OwnLeast, again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
 		usage:  make([]float64, len(set.Tenants)),
 		aimMin: math.Inf(1), lookedAt: math.Inf(-1)}
+	if set.Prices.CrossZone > 0 {
+		b.own = ownStart
+	}
 	for _, c := range set.Classes {
 		b.expect = append(b.expect, c.AimMs*crowdShare/2)
 		b.aimMin = min(b.aimMin, c.AimMs)
@@ -397,7 +404,8 @@
 // last pick and has room.
 func (b *Balancer) takes(s *server, r *request) bool {
 	share := s.weight * b.ramp(s) / r.tierWeight
-	return float64(len(s.out)) < math.Ceil(CapFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
+	c := max(CapFactor/(1+turnedWeight*b.turned), leastCap)
+	return float64(len(s.out)) < math.Ceil(c*float64(b.inflight+1)*share) && b.hasRoom(s, r)
 }
 
 // hasRoom bounds what a server holds of this agent: its window, one at a time
@@ -558,6 +566,11 @@
 		r.risky--
 	}
 	r.wrote = r.wrote || ev.Status != ConnectFailed && ev.Status != Moot
+	turned := 0.0
+	if ev.Status == Full {
+		turned = 1
+	}
+	b.turned += slowSmooth * (turned - b.turned)
 	b.judge(a, ev)
 	b.hangUp(s)
 	if r.closed || r.started || ev.Final || ev.Status == OK {
@@ -623,6 +636,7 @@
 	case Timeout:
 		// A server that answered others meanwhile is not to blame for a costly
 		// request; it counts as slow.
+		b.weighZone(s, true)
 		b.rest(s)
 		if s.heard > a.sentAt {
 			b.learnHint(a.r, ev.LatencyMs)
@@ -631,9 +645,14 @@
 			b.demote(s, true)
 		}
 	case Full:
+		// What it holds it still answers in time. An agent that is soon back follows it by its
+		// window: to let it rest would move its keys to where they are cold, and turn those away
+		// that are at home there (colombo-main: 31 % of attempts turned away, 21 % without).
 		s.heard = b.now
 		b.cut(s, 0.7, 1)
-		b.rest(s)
+		if b.weighZone(s, true); b.gap*float64(len(b.servers)) > b.aimMin {
+			b.rest(s)
+		}
 	}
 }
 
@@ -673,7 +692,6 @@
 // minute cannot follow its crowd by window; but all agents together send it less by the
 // part of them that met it crowded.
 func (b *Balancer) rest(s *server) {
-	b.weighZone(s, true)
 	s.restUntil = b.now + min(b.gap*float64(len(b.servers)), b.set.Contract.ColdMs)*(0.5+b.rng.Float64())
 }
 
@@ -709,6 +727,7 @@
 	}
 	b.learn(s, x)
 	if late := b.now > r.aimAt; b.crowded(s, ev.Report) || late {
+		b.weighZone(s, true)
 		b.rest(s)
 	}
 	limit := b.limit(s)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -870,6 +870,78 @@
 	}
 }
 
+// colombo-main: a server of few places turns attempts away while all it holds is in time. An agent that is
+// soon back goes on with it, by a smaller window, and its keys stay where they are warm.
+func TestFullServerKeepsItsKeysWhereTheAgentIsSoonBack(t *testing.T) {
+	r := newRig(t, testSettings(), 6)
+	for range 100 {
+		r.now += 5
+		id, s := r.sent(0, r.b.rng.Uint64())
+		r.outcome(id, 0, s, OK, 20)
+	}
+	id, s := r.sent(0, 7)
+	r.now++
+	r.do(Event{Kind: EvOutcome, Request: id, Server: s, Status: Full, LatencyMs: 1})
+	r.b.byAddr[s].window = 9
+	if _, again := r.sent(0, 7); again != s {
+		t.Errorf("the key's next request went to %v after %v", again, s)
+	}
+}
+
+// Where attempts are turned away there is little room behind a server: of a burst for one key less goes to
+// its nearest than where none are, and the cap comes back when they have ended.
+func TestCapFollowsWhatIsTurnedAway(t *testing.T) {
+	burst := func(r *rig) int {
+		r.now += 1000
+		r.b.tried, r.b.gained = 10, 10 // nothing is to be shed
+		n := map[Addr]int{}
+		var ids []RequestID
+		var at []Addr
+		for range 12 {
+			for _, s := range r.b.servers {
+				s.window = 100 // the cap alone is to bound it
+			}
+			id, actions := r.ask(0, 7)
+			if a := find(actions, ActSend); a != nil {
+				n[a.Server]++
+				ids, at = append(ids, id), append(at, a.Server)
+			}
+		}
+		most := 0
+		for _, k := range n {
+			most = max(most, k)
+		}
+		for i := range ids {
+			r.outcome(ids[i], 0, at[i], OK, 20)
+		}
+		return most
+	}
+	r := newRig(t, testSettings(), 6)
+	calm := burst(r)
+	for range 300 { // half of the attempts are turned away, as each goes again
+		r.now += 10
+		id, actions := r.ask(0, r.b.rng.Uint64())
+		for n, st := range []Status{Full, OK} {
+			if a := find(actions, ActSend); a != nil {
+				actions = r.outcome(id, n, a.Server, st, 1)
+			}
+		}
+		r.do(Event{Kind: EvDropped, Request: id})
+	}
+	turned := burst(r)
+	for range 3000 {
+		r.now += 10
+		id, actions := r.ask(0, r.b.rng.Uint64())
+		if a := find(actions, ActSend); a != nil {
+			r.outcome(id, 0, a.Server, OK, 20)
+		}
+		r.do(Event{Kind: EvDropped, Request: id})
+	}
+	if again := burst(r); turned >= calm || again != calm {
+		t.Errorf("at one server at most %d of 12 when calm, %d while attempts are turned away, %d after", calm, turned, again)
+	}
+}
+
 // Reports may be nonsense; none of it reaches a decision.
 func TestReportsOfNonsenseAreNoCrowd(t *testing.T) {
 	set := testSettings()
--- a/policy/state.go
+++ b/policy/state.go
@@ -105,6 +105,7 @@
 	epoch     uint64  // counts changes of tiers and list
 	own       float64 // how much more a server of the own zone weighs
 	inflight  int
+	turned    float64 // part of all attempts that were turned away
 	failing   float64 // part of all attempts that fail
 	load      float64 // mean reported requests for weight one
 	sentAt    float64 // last attempt
