After SIGTERM clients are served until shortly before SIGKILL may come

The log shows each agent gone 0.73 s after SIGTERM, the next process 3.8 s after that: the platform starts it when the time before SIGKILL is over (longest deadline, 3 s at most, and 0.7 s), however soon the old one ends. Front.Shutdown closed every client's connection with its next answer, and new ones come for 0.4 s only, so that clients had nobody for 3 s. Ruled out: the start (ready in 0.0 s), the exit code, requests lost. It ends sooner where nobody is connected. Thrift's front does the same.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,7 +51,8 @@
 	if err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
-	f.Loop, f.Linger = l, cfg.linger
+	serve, answer := cfg.ending()
+	f.Loop, f.Linger = l, serve
 	made(l, budget)
 	ended := make(chan struct{})
 	go func() {
@@ -61,7 +62,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- f.Serve(ln) }()
 	if tf != nil {
-		tf.Loop, tf.Linger = l, cfg.linger
+		tf.Loop, tf.Linger = l, serve
 		go func() {
 			if err := tf.Serve(tln); err != nil {
 				failed <- err
@@ -73,12 +74,9 @@
 		return err
 	case <-stop.Done():
 	}
-	// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM:
-	// what came last has its whole time, and the end is well before that.
-	held := 100 * time.Millisecond
-	for _, c := range cfg.Settings.Classes {
-		held = max(held, ms(c.GiveUpMs)+50*time.Millisecond)
-	}
+	by := time.Now().Add(answer)
+	l.Post(func() { l.EndBy(by) })
+	held := cfg.longest() + 50*time.Millisecond // for what had come before the signal
 	var others sync.WaitGroup
 	if tf != nil {
 		others.Go(func() { tf.Shutdown(tln, held) })
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -36,7 +36,7 @@
 	// Ephemeral says which registry tells what runs; nil: the roster alone says which backends there are.
 	Ephemeral *ephemeral.Config
 
-	linger time.Duration // how long connections still come after SIGTERM; 0: what fronts take for it
+	linger time.Duration // for how long clients are served as ever after SIGTERM; 0: as ending has it
 }
 
 // file is the form of $PROXY_CONFIG.
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -48,8 +48,9 @@
 	open     int                 // requests that have no answer yet
 	pending  []policy.Event
 	actions  []policy.Action
-	version  uint64 // of the list
-	unknown  bool   // of this discovery no whole list has come yet
+	version  uint64    // of the list
+	unknown  bool      // of this discovery no whole list has come yet
+	endBy    time.Time // the process ends: by then what is taken from now on has its answer
 	watching bool
 	fetching bool
 	ready    func()
@@ -210,6 +211,10 @@
 	}
 }
 
+// EndBy tells that the process ends: what is taken from now on has its answer by then, whatever time its
+// client would give it. It is called in the loop.
+func (l *Loop) EndBy(t time.Time) { l.endBy = t }
+
 // Figures are the counts so far. It is called in the loop, or after its end.
 func (l *Loop) Figures() Figures { return l.figures }
 
@@ -290,6 +295,9 @@
 		l.finish(r, Answer{Verdict: Failed, Fault: Duplicate})
 		return r
 	}
+	if !l.endBy.IsZero() {
+		c.Deadline = earliest(c.Deadline, l.endBy)
+	}
 	left := time.Until(c.Deadline)
 	most := l.cfg.Settings.Limits.OpenCap
 	if left <= 0 || most > 0 && l.open > most {
--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -124,6 +124,13 @@
 	}
 }
 
+// none tells whether nobody is connected.
+func (c *clientConns) none() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns) == 0
+}
+
 // hurry gives those that still have to bring a request until a time for it.
 func (c *clientConns) hurry(by time.Time) {
 	c.mu.Lock()
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -26,6 +26,10 @@
 	// linger is how long connections still come after SIGTERM: 0.4 s at most, and
 	// what stands in the accept queue by then.
 	linger = 500 * time.Millisecond
+	// lookEvery is how often the end of service looks whether there is anybody left to serve.
+	lookEvery = 20 * time.Millisecond
+	// hurried is what a client that has begun a request may still take to bring it whole.
+	hurried = 400 * time.Millisecond
 	// headTime and readTime bound how long a head and a whole request may take to
 	// come: a client that sends neither is to be told within 3 s.
 	headTime, readTime = 2 * time.Second, 2500 * time.Millisecond
@@ -38,7 +42,7 @@
 // Front serves clients on one listener.
 type Front struct {
 	Loop   *core.Loop    // set before Serve
-	Linger time.Duration // how long connections still come after Shutdown; 0: half a second
+	Linger time.Duration // for how long Shutdown still serves as ever; 0: half a second
 
 	settings *policy.Settings
 	upstream core.Upstream
@@ -89,29 +93,38 @@
 }
 
 // Shutdown ends service without losing a request. Connections still come for a
-// while after the signal, and an accept queue that is closed resets them, so
-// accepting goes on, with every answer closing its connection, before the
-// listener closes and the held requests are waited for. Those that have brought
-// none by then are not.
+// while after the signal, and an accept queue that is closed resets them; those there
+// are go on being used for as long as they stay open, and whoever finds his closed may
+// find nobody to take another. So for Linger all is served as ever, or until nobody is
+// connected; then every answer closes its connection, the listener closes and the held
+// requests are waited for. Those that have brought none by then are not.
 func (f *Front) Shutdown(held time.Duration) error {
-	f.server.SetKeepAlivesEnabled(false)
 	if f.Linger == 0 {
 		f.Linger = linger
 	}
-	time.Sleep(f.Linger)
+	every := time.NewTicker(lookEvery)
+	defer every.Stop()
+	for start := time.Now(); time.Since(start) < f.Linger; <-every.C {
+		if time.Since(start) >= linger && f.conns.none() {
+			break
+		}
+	}
+	f.server.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), held)
 	defer cancel()
-	by := time.Now().Add(held / 4)
+	by := time.Now().Add(min(held/4, hurried))
 	done := make(chan error, 1)
 	go func() { done <- f.server.Shutdown(ctx) }()
 	// More than once: what came last is known, and has its time, only after a moment.
-	for every := time.NewTicker(20 * time.Millisecond); ; {
+	for {
 		select {
 		case err := <-done:
-			every.Stop()
 			return err
 		case <-every.C:
 			f.conns.hurry(by)
+			if f.conns.none() { // the server itself looks every half second only
+				return nil
+			}
 		}
 	}
 }
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -48,7 +48,7 @@
 	Table    *Table
 	Limits   thriftwire.Limits
 	Most     int           // connections at once
-	Linger   time.Duration // how long connections still come after Shutdown; 0: half a second
+	Linger   time.Duration // for how long Shutdown still serves as ever; 0: half a second
 	AfterMs  float64       // when refused clients may come back, where the module says nothing
 
 	seq    atomic.Uint64
@@ -104,16 +104,23 @@
 	return false
 }
 
-// Shutdown ends service without losing a call: it accepts for a while more, lets open calls end, for held
-// at the most, and closes each connection after its reply.
+// Shutdown ends service without losing a call: it serves for Linger more, or until nobody is connected, lets
+// open calls end, for held at the most, and closes each connection after its reply.
 func (f *Front) Shutdown(ln net.Listener, held time.Duration) {
-	f.mu.Lock()
-	f.ending = true
-	f.mu.Unlock()
 	if f.Linger == 0 {
 		f.Linger = linger
 	}
-	time.Sleep(f.Linger)
+	for start := time.Now(); time.Since(start) < f.Linger; time.Sleep(10 * time.Millisecond) {
+		f.mu.Lock()
+		none := len(f.conns) == 0
+		f.mu.Unlock()
+		if none && time.Since(start) >= linger {
+			break
+		}
+	}
+	f.mu.Lock()
+	f.ending = true
+	f.mu.Unlock()
 	ln.Close()
 	over := time.Now().Add(held)
 	for time.Now().Before(over) {
