--- a/internal/membership/ephemeral/follow/follow_test.go
+++ b/internal/membership/ephemeral/follow/follow_test.go
@@ -90,7 +90,7 @@
 		answer(f, nodes)
 		f.Changes()
 		f.Event(zkwire.WatchEvent{Type: zkwire.NodeDataChanged, Path: "/fleet/member_0000000007"})
-		asked(f) // its read is out, and is lost
+		asked(f)      // its read is out, and is lost
 		f.Confirmed() // by the reply to a ping
 		f.Connected(true, 20_000)
 		watched, chunks, reads := map[string]bool{}, 0, 0
