--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -112,7 +112,8 @@
 	f.server.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), held)
 	defer cancel()
-	by := time.Now().Add(min(held/4, hurried))
+	closing := time.Now()
+	by := closing.Add(min(held/4, hurried))
 	done := make(chan error, 1)
 	go func() { done <- f.server.Shutdown(ctx) }()
 	// More than once: what came last is known, and has its time, only after a moment.
@@ -122,7 +123,8 @@
 			return err
 		case <-every.C:
 			f.conns.hurry(by)
-			if f.conns.none() { // the server itself looks every half second only
+			// The server itself looks every half second only. The listener is closed by the second look.
+			if f.conns.none() && time.Since(closing) >= lookEvery {
 				return nil
 			}
 		}
