The program ends by itself before SIGKILL again, by the test's old bound

Cause: read once more, the test of SIGTERM had been given 2 s beyond the 3.7 s in which the program is to end. It had failed under -race by up to 0.9 s, of which a second is the race detector's own sleep at exit (atexit_sleep_ms); the plan itself left 0.1 s. Ruled out: net/http's half second behind a closing answer, which it takes only where a request's body was not read whole. Change: the bound is 3.7 s as it was; the test's program exits without that sleep; what is taken after the signal has its answer 0.2 s before SIGKILL may come, not 0.1 s, and the test of that is 0.1 s stricter.

--- a/cmd/ringtrack/main_test.go
+++ b/cmd/ringtrack/main_test.go
@@ -38,7 +38,8 @@
 	}
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "RINGTRACK_AS_PROGRAM=1", "PROXY_CONFIG="+path,
-		"PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY=")
+		"PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY=",
+		"GORACE=atexit_sleep_ms=0") // or the race detector's second of sleep counts as the program's
 	return cmd
 }
 
@@ -63,7 +64,7 @@
 
 // SIGTERM under traffic: connections go on coming for a while and those there are
 // go on being used; each request on an accepted connection has its answer, and
-// all of them before the program could be killed; it ends by itself, without error.
+// the program ends by itself, without error, well before it would be killed.
 func TestSIGTERMUnderTraffic(t *testing.T) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/api/long" {
@@ -244,11 +245,10 @@
 	if lost.Load() > 0 || afterSignal.Load() == 0 {
 		t.Errorf("%d requests lost; %d answered, %d of them asked after the signal", lost.Load(), answered.Load(), afterSignal.Load())
 	}
-	if e := <-went; e.err != nil || e.served < 1900*time.Millisecond || e.status < 500 || e.at > 3700*time.Millisecond {
+	if e := <-went; e.err != nil || e.served < 1900*time.Millisecond || e.status < 500 || e.at > 3600*time.Millisecond {
 		t.Errorf("on a kept connection: served until %v, then %d at %v, %v", e.served, e.status, e.at, e.err)
 	}
-	// All is answered before SIGKILL may come; what was answered last has its connection closed a little later.
-	if took > 3700*time.Millisecond+patience/10 {
+	if took > 3700*time.Millisecond {
 		t.Errorf("ended %v after SIGTERM", took)
 	}
 }
--- a/internal/agent/ending.go
+++ b/internal/agent/ending.go
@@ -4,8 +4,9 @@
 
 const (
 	// killAfter and killLongest say when SIGKILL may follow SIGTERM: no sooner than the longest deadline,
-	// killLongest at the most, and killAfter more (protocol page, "Figures"). killMargin is left of it.
-	killAfter, killLongest, killMargin = 700 * time.Millisecond, 3 * time.Second, 100 * time.Millisecond
+	// killLongest at the most, and killAfter more (protocol page, "Figures"). killMargin is left of it: the
+	// program is to end by itself.
+	killAfter, killLongest, killMargin = 700 * time.Millisecond, 3 * time.Second, 200 * time.Millisecond
 	// lastPart of that time, lastMost at the most, is what the last requests that are taken have.
 	lastPart, lastMost = 4, 500 * time.Millisecond
 	// serveLeast is for how long new connections come all the same.
--- a/internal/agent/ending_test.go
+++ b/internal/agent/ending_test.go
@@ -11,10 +11,10 @@
 // least while new connections still come, and what is taken last has its answer before SIGKILL may come.
 func TestEnding(t *testing.T) {
 	for giveUpMs, want := range map[float64][2]time.Duration{
-		20:   {500 * time.Millisecond, 650 * time.Millisecond},
-		1200: {1325 * time.Millisecond, 1800 * time.Millisecond},
-		3000: {3100 * time.Millisecond, 3600 * time.Millisecond},
-		6000: {3100 * time.Millisecond, 3600 * time.Millisecond},
+		20:   {500 * time.Millisecond, 550 * time.Millisecond},
+		1200: {1225 * time.Millisecond, 1700 * time.Millisecond},
+		3000: {3000 * time.Millisecond, 3500 * time.Millisecond},
+		6000: {3000 * time.Millisecond, 3500 * time.Millisecond},
 	} {
 		c := &Config{Settings: policy.Settings{Classes: []policy.Class{{GiveUpMs: giveUpMs}, {GiveUpMs: 10}}}}
 		if serve, answer := c.ending(); serve != want[0] || answer != want[1] {
