A probe's answer is bounded as a whole, also where it comes in chunks

Cause: read once more, what a probe's answer says of its backend had no test of its own: 503 taken for a failure, or 404, would not have been seen. The table written for it found that a chunked body of 1 MiB was taken: its memory is asked for as it grows, and each step was bounded, not the sum. The table: status, report, path, no request's id, the connection kept or not, and no probe of a backend that drains.

--- a/internal/upstream/http/attempt.go
+++ b/internal/upstream/http/attempt.go
@@ -89,9 +89,10 @@
 	return u.Pool.Do(ctx, &conns.Exchange{Key: conns.Key{Backend: b}, Addr: addr, Sent: sent, Deadline: deadline, Budget: u.Budget,
 		Request: func() net.Buffers { return net.Buffers{[]byte("GET " + path + probeHead)} },
 		Answer: func(cn *conns.Conn, _ func(int64) error) (core.Result, bool, error) {
+			whole := int64(0) // a chunked body asks as it grows
 			resp, body, err := readAnswer(cn.BR, func(n int64) error {
-				if n > freeBody {
-					return conns.Spoilt("probe answered with %d bytes", n)
+				if whole += n; whole > freeBody {
+					return conns.Spoilt("probe answered with over %d bytes", freeBody)
 				}
 				return nil
 			})
--- a/internal/upstream/http/attempt_test.go
+++ b/internal/upstream/http/attempt_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -172,3 +173,46 @@
 		}
 	})
 }
+
+// What a probe's answer says of its backend: 503 that it runs and takes nothing now, 404 nothing at all; only
+// 200 is well. The report is that of the body, and the connection serves the next probe.
+func TestProbeEndings(t *testing.T) {
+	u := testUpstream(1)
+	for _, c := range []struct {
+		answer int
+		body   string
+		want   policy.Status
+		report int
+	}{
+		{200, "qps=3,util=0.5,eps=0", policy.OK, 3}, {200, "", policy.OK, 0}, {200, "qps=x", policy.OK, 0},
+		{503, "qps=3,util=1,eps=0", policy.Full, 3}, {404, "", policy.Moot, 0}, {500, "", policy.Error, 0},
+		{302, "", policy.Error, 0}, {200, strings.Repeat("x", freeBody+1), policy.Error, 0},
+	} {
+		for _, reports := range [][]string{u.Reports, nil} {
+			var path, id string
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				path, id = r.Method+" "+r.URL.Path, r.Header.Get("Request-Id")
+				w.WriteHeader(c.answer)
+				io.WriteString(w, c.body)
+			}))
+			probe, b := &Upstream{Pool: u.Pool, Budget: u.Budget, Reports: reports}, &core.Backend{}
+			res := probe.Probe(t.Context(), b, s.Listener.Addr().String(), time.Now(), time.Now().Add(patience))
+			asked, report := "GET /-/load", c.report
+			if reports == nil {
+				asked, report = "GET /-/healthy", 0
+			}
+			if res.Status != c.want || len(res.Report) != report || path != asked || id != "" {
+				t.Errorf("%s answered %d %.20q: %+v, id %q; want %v with %d values", path, c.answer, c.body, res, id, c.want, report)
+			}
+			if kept := probe.Pool.Idle(conns.Key{Backend: b}); (kept == 1) != (len(c.body) <= freeBody) {
+				t.Errorf("%d %.20q: %d connections kept", c.answer, c.body, kept)
+			}
+			b.Close()
+			if res := probe.Probe(t.Context(), b, s.Listener.Addr().String(), time.Now(), time.Now().Add(patience)); res.Status != policy.Moot {
+				t.Errorf("a backend that drains is probed: %+v", res)
+			}
+			probe.HangUp(b)
+			s.Close()
+		}
+	}
+}
