A herd no longer brings discovery down: turns for first calls, few whole lists

Ruled out: renewed watches (none failed), CPU (0.03 of 0.25), connection tables (60 of 390). At fault: policy.Start, refetch, roster.Fetch giving up after 1.2 s.

--- a/internal/membership/roster/roster.go
+++ b/internal/membership/roster/roster.go
@@ -23,12 +23,16 @@
 	// watchWait is how long one call of a watch may stand. Longer ones would only
 	// find out later that discovery has gone silent.
 	watchWait = 10 * time.Second
-	// callGrace is what a call may take beyond the wait: discovery gives up calls
-	// that stood in its queue for a second. A change that discovery does not bring
+	// answerWithin is what a call for the whole list may take. A roster that many ask has a line; it gives
+	// up by itself whoever stood there for too long, after 1 to 2 s as far as seen, and who leaves before
+	// has cost it the same work for nothing.
+	answerWithin = 3 * time.Second
+	// callGrace is what a call of a watch may take beyond the wait. A change that discovery does not bring
 	// counts as told 2 s after the wait: by then the next call is to be out.
 	callGrace = 1200 * time.Millisecond
 	// WholeTries and wholePause bound how the whole list of a new discovery is asked
-	// for before the module's own, slower, calls: the old one is no longer heard.
+	// for before the module's own, slower, calls: the old one is no longer heard. The pause
+	// is drawn, and wider each time: all agents may have been told of the new one at once.
 	WholeTries, wholePause = 3, 200 * time.Millisecond
 	// callsPerS and callBurst bound the calls: a discovery that answers watches at
 	// once must not be asked in a tight loop. A watch outlives the gap.
@@ -157,7 +161,7 @@
 
 // Fetch asks for the whole list once.
 func (d *Client) Fetch() {
-	l, err := d.get("", callGrace)
+	l, err := d.get("", answerWithin)
 	if d.ctx.Err() == nil {
 		d.Told(l, false, err)
 	}
@@ -168,11 +172,11 @@
 	for try := range WholeTries {
 		if try > 0 {
 			select {
-			case <-time.After(wholePause):
+			case <-time.After(wholePause/2 + rand.N(wholePause<<try)):
 			case <-d.ctx.Done():
 			}
 		}
-		if l, err = d.get("", callGrace); err == nil && l.Full {
+		if l, err = d.get("", answerWithin); err == nil && l.Full {
 			return l, nil
 		}
 		if err == nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -75,6 +75,12 @@
 	// coldMargin is what an even share may cost a cold server, in its present capacity: the
 	// warm ones save up to three quarters of the work by the keys they know.
 	coldMargin = 4.0
+	// askGapMs is the mean time between first calls of the agents to discovery, as far as the
+	// contract's time allows: all of them may start at once, and what comes faster than it
+	// is served waits in a line that nobody outlasts (docs/design/large-fleet.md).
+	askGapMs, askLeast, askMost, askAgain = 60.0, 1.0 / 8, 0.8, 0.4
+	// refetchAgents is how many agents may each fetch the list once in the contract's time.
+	refetchAgents = 8.0
 	// probeCap bounds the probes under way, probeShare those for each request.
 	probeCap, probeShare = 2, 0.1
 
@@ -107,9 +113,12 @@
 func (b *Balancer) Start(now float64, out []Action) []Action {
 	b.now, b.out = now, out
 	if b.set.Membership == "on_request" {
-		// Spread over a part of the contract's time: agents that start together
-		// must not all call at once.
-		b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * b.set.Contract.AskWithinMs / 8, Token: followToken})
+		// Agents that start together must not all call at once: each has a turn of its own.
+		turn := (float64(max(b.set.Index, 0)%b.agents()) + b.rng.Float64()) / float64(b.agents())
+		b.do(Action{Kind: ActTimer, Ms: turn * b.askSpread(), Token: followToken})
+	}
+	if float64(b.agents()) > refetchAgents {
+		b.lookedAt = now // the list is as fresh as the start
 	}
 	return b.out
 }
@@ -919,10 +928,20 @@
 
 // ---- the list ----
 
+// askSpread is the time over which all agents make their first calls.
+func (b *Balancer) askSpread() float64 {
+	within := b.set.Contract.AskWithinMs
+	return min(max(askGapMs*float64(b.agents()), askLeast*within), askMost*within)
+}
+
+// agents is the number of agents, as far as told, and at least this one.
+func (b *Balancer) agents() int { return max(b.set.Replicas, 1) }
+
 // refetch asks for the whole list, seldom: the stream of changes is as fresh,
-// and every call loads discovery.
+// and every call loads discovery, the more the more agents there are: failures that all
+// see are no reason for all to ask (herd+vast: 100 lists kept the changes from coming).
 func (b *Balancer) refetch() {
-	if b.now-b.lookedAt >= max(b.set.Contract.AskWithinMs, 1000) {
+	if b.now-b.lookedAt >= max(b.set.Contract.AskWithinMs, 1000)*max(float64(b.agents())/refetchAgents, 1) {
 		b.lookedAt = b.now
 		b.do(Action{Kind: ActFetch})
 	}
@@ -932,7 +951,7 @@
 	if ev.List == ListFailed {
 		b.follows++
 		if b.set.Membership == "on_request" {
-			wait := min(500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs)
+			wait := min(askAgain*b.askSpread()*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs)
 			b.do(Action{Kind: ActTimer, Ms: wait * (0.5 + 0.5*b.rng.Float64()), Token: followToken})
 		}
 		return
