--- a/internal/emu/agent.go
+++ b/internal/emu/agent.go
@@ -30,7 +30,8 @@
 	listed   []bool
 	idle     []int32 // kept connections, by server
 	life     []uint32
-	watching bool
+	watching bool // a call for changes is out, or stands
+	follows  bool // and was taken
 	fetching bool
 	toldAt   Time // when the last change that is under way comes
 	guarded  int
@@ -160,10 +161,16 @@
 // What happens to agents; timers have events of their own.
 type timer struct {
 	g     *agent
+	b     Balancer // that asked for it: a killed agent's timers end with it
 	token uint32
 }
 
-func (t *timer) fire(uint8) { t.g.event(&policy.Event{Kind: policy.EvTimer, Token: t.token}) }
+func (t *timer) fire(uint8) {
+	if t.b != t.g.b {
+		return
+	}
+	t.g.event(&policy.Event{Kind: policy.EvTimer, Token: t.token})
+}
 
 func (g *agent) carryOut(actions []policy.Action) {
 	g.actions = actions
@@ -187,7 +194,7 @@
 				g.finish(r, book.Failed, 0)
 			}
 		case policy.ActTimer:
-			g.w.after(ns(a.Ms), &timer{g, a.Token}, 0)
+			g.w.after(ns(a.Ms), &timer{g, g.b, a.Token}, 0)
 		case policy.ActFollow:
 			if !g.watching {
 				g.watching = true
@@ -308,6 +315,9 @@
 		return
 	}
 	g.idle[s.index], g.life[s.index] = 0, s.life
+	if r.op.counts {
+		g.w.res.Handshakes++
+	}
 	there, ok := g.w.delay(g.zone, s.zone, false)
 	back, ok2 := g.w.delay(s.zone, g.zone, false)
 	switch {
--- a/internal/emu/fault.go
+++ b/internal/emu/fault.go
@@ -19,11 +19,16 @@
 
 // plan schedules a fault.
 func (w *World) plan(f *Fault) {
-	n := f.Count
-	if n == 0 {
-		n = int(math.Ceil(f.Share * float64(len(w.servers))))
+	from := w.servers
+	if f.OfZone > 0 {
+		from = nil
+		for _, s := range w.servers {
+			if s.zone == f.OfZone-1 {
+				from = append(from, s)
+			}
+		}
 	}
-	hit := w.servers[:min(n, len(w.servers))]
+	hit := from[:f.many(len(from))]
 	at := func(s float64) Time { return Time(s * float64(Second)) }
 	each := [][]*server{hit}
 	if f.EveryS > 0 {
@@ -42,6 +47,15 @@
 	}
 }
 
+// many is how many of so many it hits.
+func (f *Fault) many(all int) int {
+	n := f.Count
+	if n == 0 {
+		n = int(math.Ceil(f.Share * float64(all)))
+	}
+	return min(n, all)
+}
+
 func (x *strike) fire(kind uint8) {
 	w, f, begins := x.w, x.f, kind == faultBegins
 	switch f.Kind {
@@ -51,6 +65,12 @@
 		if w.late[f.Zone] = 0; begins {
 			w.late[f.Zone] = ns(f.Ms)
 		}
+	case "kill_agents":
+		if begins {
+			for _, g := range w.agents[:f.many(len(w.agents))] {
+				g.kill()
+			}
+		}
 	case "roster_down":
 		if begins {
 			w.rosterDown = w.now + Time(f.ForS*float64(Second))
--- /dev/null
+++ b/internal/emu/roster_test.go
@@ -0,0 +1,82 @@
+package emu
+
+import "testing"
+
+// herdScenario is the catalogue's herd in small: 40 agents, 70 % of them killed at 6 s.
+func herdScenario(t *testing.T) *Scenario {
+	t.Helper()
+	sc := &Scenario{Name: "herd", Seconds: 14, WarmSeconds: 1, Zones: 3, Agents: 40,
+		Servers: []ServerGroup{{Count: 30, Workers: 3, Queue: 40, Service: Dist{Kind: "exponential", MeanMs: 50}, FallMultiple: 2.5}},
+		Load:    Load{PerS: 1000, Keys: 1000, Zipf: 0.9},
+		Roster:  Roster{LagMs: 50, Line: RosterLine{CallsPerS: 12, PatienceMs: 2000, LineMs: 4700}},
+		Faults:  []Fault{{Kind: "kill_agents", AtS: 6, Share: 0.7}}}
+	if err := sc.Check(); err != nil {
+		t.Fatal(err)
+	}
+	return sc
+}
+
+// Agents that are killed together and start again get the list again without a call that fails, though the
+// roster can take only so many calls a second; what they had taken is lost to nobody but its clients, and the
+// same seed gives the same run.
+func TestHerdAtTheRoster(t *testing.T) {
+	var first *Result
+	for range 2 {
+		r, err := Run(herdScenario(t), &Product, 5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d calls, %d failed, at most %d a second, the last followed at %.1f s, %d tries lost with their agents, goodput %.4f",
+			r.RosterCalls, r.RosterFailed, r.RosterPeak, r.LastFollowS, r.Killed, r.Goodput)
+		if r.RosterFailed > 0 || r.RosterPeak > 24 || r.RosterCalls > 40+28 || r.LastFollowS > 6+6 {
+			t.Errorf("%d calls, %d failed, peak %d, the last followed at %.1f s", r.RosterCalls, r.RosterFailed, r.RosterPeak, r.LastFollowS)
+		}
+		if r.Killed == 0 || r.Breaches[1]+r.Breaches[2]+r.Breaches[3] > 0 {
+			t.Errorf("%d tries lost with their agents, breaches %v %v", r.Killed, r.Breaches, r.Words)
+		}
+		if first == nil {
+			first = r
+		} else if r.Events != first.Events || r.Served != first.Served {
+			t.Errorf("the same seed gave %d and %d events", first.Events, r.Events)
+		}
+	}
+}
+
+// Who leaves the line has his work done all the same: that is what makes a roster collapse, and come back
+// only once there are fewer calls than it can take.
+func TestLineWorksForThoseWhoLeft(t *testing.T) {
+	l, res := line{RosterLine: RosterLine{CallsPerS: 10, PatienceMs: 1000, LineMs: 3000}}, &Result{}
+	ended := func(at Time) bool {
+		_, ok := l.take(at, false, res)
+		return ok
+	}
+	for i := range 35 {
+		if ok := ended(0); ok != (i < 10) {
+			t.Errorf("call %d of one moment: answered %v", i, ok)
+		}
+	}
+	if res.RosterFailed != 25 || res.RosterPeak != 35 {
+		t.Errorf("%d failed, peak %d", res.RosterFailed, res.RosterPeak)
+	}
+	if ended(2 * Second) {
+		t.Error("answered with 1.1 s of work ahead, for callers that have left")
+	}
+	if !ended(4 * Second) {
+		t.Error("not answered with the line worked off")
+	}
+}
+
+// What makes no sense is said by its key.
+func TestRosterLineThatMakesNoSense(t *testing.T) {
+	for key, spoil := range map[string]func(*Scenario){
+		"roster.line.calls_per_s": func(s *Scenario) { s.Roster.Line.CallsPerS = -1 },
+		"fault[0].every_s":        func(s *Scenario) { s.Faults[0].EveryS = 1 },
+		"fault[0].of_zone":        func(s *Scenario) { s.Faults[0].OfZone = 4 },
+	} {
+		sc := herdScenario(t)
+		spoil(sc)
+		if err := sc.Check(); err == nil || len(err.Error()) < len(key) || err.Error()[:len(key)] != key {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
--- a/internal/emu/scenario.go
+++ b/internal/emu/scenario.go
@@ -76,7 +76,8 @@
 
 // Roster tells agents of servers.
 type Roster struct {
-	LagMs float64 `toml:"lag_ms"` // from a change to its telling, and up to as much again for each agent
+	LagMs float64    `toml:"lag_ms"` // from a change to its telling, and up to as much again for each agent
+	Line  RosterLine `toml:"line"`   // none: it answers all calls at once
 }
 
 // Fault happens to some servers, or to the network, for a time.
@@ -84,12 +85,14 @@
 	// Kind is one of "drain" (told), "stop" (refuses connections), "dark" (says nothing), "restart" (cold,
 	// the same address), "slow" (Times slower), "slow_some" (Part of requests), "errors" (Part of requests of
 	// Class), "turn_away" (Part), "partition" (zone Zone from all others), "one_way" (what zone Zone answers is
-	// Ms late), "roster_down".
+	// Ms late), "roster_down", "kill_agents" (they start again at once, with the list of the run's start).
 	Kind  string  `toml:"kind"`
 	AtS   float64 `toml:"at_s"`
 	ForS  float64 `toml:"for_s"`
 	Share float64 `toml:"share"` // of the servers, from the first on
 	Count int     `toml:"count"` // in place of Share
+	// OfZone takes only servers of that zone, the first of which is 1; 0: of all.
+	OfZone int `toml:"of_zone"`
 	// EveryS: the servers are hit one after the other with that pause, as by a roll-out.
 	EveryS float64 `toml:"every_s"`
 	Times  float64 `toml:"times"`
@@ -106,7 +109,7 @@
 )
 
 var faultKinds = map[string]bool{"drain": true, "stop": true, "dark": true, "restart": true, "slow": true, "slow_some": true, "errors": true,
-	"turn_away": true, "partition": true, "one_way": true, "roster_down": true}
+	"turn_away": true, "partition": true, "one_way": true, "roster_down": true, "kill_agents": true}
 
 // Check fills what has a default and says what makes a scenario unusable; the error names the key.
 func (s *Scenario) Check() error {
@@ -135,7 +138,8 @@
 		{"net.jitter_ms", s.Net.JitterMs, 0, 60_000}, {"net.resets", s.Net.Resets, 0, 1}, {"load.per_s", s.Load.PerS, 0, 1e7},
 		{"load.burst", s.Load.Burst, 0, 1000}, {"load.burst_ms", s.Load.BurstMs, 0, 3.6e6}, {"load.swing", s.Load.Swing, 0, 1},
 		{"load.keys", float64(s.Load.Keys), 0, 1e6}, {"load.zipf", s.Load.Zipf, 0, 10}, {"load.rude", s.Load.Rude, 0, 1},
-		{"roster.lag_ms", s.Roster.LagMs, 0, 3.6e6}}
+		{"roster.lag_ms", s.Roster.LagMs, 0, 3.6e6}, {"roster.line.calls_per_s", s.Roster.Line.CallsPerS, 0, 1e6},
+		{"roster.line.patience_ms", s.Roster.Line.PatienceMs, 0, 3.6e6}, {"roster.line.line_ms", s.Roster.Line.LineMs, 0, 3.6e6}}
 	servers := 0
 	for i := range s.Servers {
 		g := &s.Servers[i]
@@ -180,12 +184,16 @@
 		if !faultKinds[f.Kind] {
 			return fmt.Errorf("%skind: %q is none that is known", at, f.Kind)
 		}
+		if f.Kind == "kill_agents" && f.EveryS > 0 {
+			return fmt.Errorf("%severy_s: agents are killed all at once", at)
+		}
 		if f.Class != "" && s.class(f.Class) < 0 {
 			return fmt.Errorf("%sclass: there is no class %q", at, f.Class)
 		}
 		bounds = append(bounds, bound{at + "at_s", f.AtS, 0, maxSeconds}, bound{at + "for_s", f.ForS, 0, maxSeconds}, bound{at + "share", f.Share, 0, 1},
 			bound{at + "count", float64(f.Count), 0, maxServers}, bound{at + "every_s", f.EveryS, 0, maxSeconds}, bound{at + "times", f.Times, 0, 1e6},
-			bound{at + "part", f.Part, 0, 1}, bound{at + "zone", float64(f.Zone), 0, float64(s.Zones - 1)}, bound{at + "ms", f.Ms, 0, 60_000})
+			bound{at + "part", f.Part, 0, 1}, bound{at + "zone", float64(f.Zone), 0, float64(s.Zones - 1)}, bound{at + "ms", f.Ms, 0, 60_000},
+			bound{at + "of_zone", float64(f.OfZone), 0, float64(s.Zones)})
 	}
 	for _, b := range bounds {
 		if !(b.v >= b.least && b.v <= b.most) { // also where it is no number
--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -48,6 +48,10 @@
 	cut                          []bool // zones that are cut off
 	late                         []Time // by zone: what its answers are late
 	rosterDown                   Time   // until then nobody is told anything
+	line                         line   // of callers at the roster
+	policy                       *Policy
+	atStart                      []policy.Entry // the list of the run's start
+	counted                      int            // servers, by the census
 
 	nextOp uint64
 	res    Result
@@ -82,6 +86,18 @@
 	Guards   map[string]int `json:"guards,omitempty"`
 	Backstop int            `json:"backstop"`
 	Events   uint64         `json:"events"`
+	// Of a roster that works through calls in turn: calls, those that failed, the most in a second, and when
+	// the last agent got through for changes.
+	RosterCalls  int     `json:"roster_calls,omitempty"`
+	RosterFailed int     `json:"roster_failed,omitempty"`
+	RosterPeak   int     `json:"roster_peak,omitempty"`
+	LastFollowS  float64 `json:"last_follow_s,omitempty"`
+	Killed       int     `json:"killed,omitempty"` // tries that were lost with their agents
+	Handshakes   int     `json:"handshakes"`       // connections that were opened, after the warm-up
+	// OpenMean and OpenMost are connections at a server, idle ones and those in use, over all agents: the mean
+	// over servers and seconds, and the most at any server.
+	OpenMean float64 `json:"open_mean"`
+	OpenMost int     `json:"open_most"`
 }
 
 // stream is a source of chance of its own, so that one part's draws do not shift another's.
@@ -104,7 +120,7 @@
 func newWorld(sc *Scenario, p *Policy, seed uint64) (*World, error) {
 	w := &World{sc: sc, seed: seed, byAddr: map[policy.Addr]*server{}, book: book.Book{Rules: book.DefaultRules()}, freely: p.Freely, guards: map[string]int{},
 		netRng: stream(seed, "net", 0), clientRng: stream(seed, "clients", 0), rosterRng: stream(seed, "roster", 0),
-		cut: make([]bool, sc.Zones), late: make([]Time, sc.Zones), settings: sc.settings(0, 0),
+		cut: make([]bool, sc.Zones), late: make([]Time, sc.Zones), settings: sc.settings(0, 0), line: line{RosterLine: sc.Roster.Line}, policy: p,
 		hist: hdrhistogram.New(1, 120_000_000, 3)}
 	w.res = Result{Scenario: sc.Name, Policy: p.Name, Seed: seed}
 	if sc.Load.Keys > 0 {
@@ -124,6 +140,7 @@
 	for i, s := range w.servers {
 		entries[i] = s.entry()
 	}
+	w.atStart = entries
 	for i := range sc.Agents {
 		g := &agent{w: w, index: i, zone: i % sc.Zones, requests: map[policy.RequestID]*request{}, closed: make([]bool, len(w.servers)),
 			listed: make([]bool, len(w.servers)), idle: make([]int32, len(w.servers)), life: make([]uint32, len(w.servers))}
@@ -141,6 +158,7 @@
 	for i := range sc.Faults {
 		w.plan(&sc.Faults[i])
 	}
+	w.after(Second, (*census)(w), 0)
 	if sc.Load.PerS > 0 {
 		w.after(w.untilNext(), (*arrivals)(w), 0)
 	}
@@ -150,6 +168,28 @@
 	return w, nil
 }
 
+// census is the world as what counts connections, once a second.
+type census World
+
+func (c *census) fire(uint8) {
+	w := (*World)(c)
+	w.after(Second, c, 0)
+	if float64(w.now) < w.sc.WarmSeconds*float64(Second) {
+		return
+	}
+	for _, s := range w.servers {
+		n := s.busy + len(s.queue) - s.head
+		for _, g := range w.agents {
+			if g.life[s.index] == s.life {
+				n += int(g.idle[s.index])
+			}
+		}
+		w.counted++
+		w.res.OpenMean += (float64(n) - w.res.OpenMean) / float64(w.counted)
+		w.res.OpenMost = max(w.res.OpenMost, n)
+	}
+}
+
 // unixMs is the clock as the module is told it, time the same as the book is.
 func (w *World) unixMs() float64 { return epochMs + float64(w.now)/float64(Millisecond) }
 func (w *World) time() time.Time { return time.Unix(0, int64(epochMs)*1e6+w.now) }
@@ -194,6 +234,9 @@
 }
 
 func (t *telling) fire(uint8) {
+	if t.g.w.line.CallsPerS > 0 && !t.g.follows {
+		return // it hears of it with the answer to its call
+	}
 	t.g.closed[t.s.index] = t.e.Health != policy.Ready
 	if t.e.Health != policy.Ready {
 		t.g.idle[t.s.index] = 0
@@ -211,39 +254,6 @@
 	}
 }
 
-// call is an agent's call of the roster, on its way back.
-type call struct {
-	g     *agent
-	fetch bool
-}
-
-func (c *call) fire(uint8) {
-	g := c.g
-	ev := policy.Event{Kind: policy.EvList, List: policy.ListDelta}
-	g.fetching = g.fetching && !c.fetch
-	switch {
-	case g.w.now < g.w.rosterDown:
-		ev.List = policy.ListFailed
-		g.watching = g.watching && c.fetch
-	case c.fetch:
-		ev.List = policy.ListFull
-		for _, s := range g.w.servers {
-			ev.Entries = append(ev.Entries, s.entry())
-			g.closed[s.index] = s.draining
-		}
-	}
-	g.event(&ev)
-}
-
-// asked answers an agent's call.
-func (w *World) asked(g *agent, fetch bool) {
-	d := ns(2 * w.sc.Net.LocalMs)
-	if w.now < w.rosterDown {
-		d = Second
-	}
-	w.after(d, &call{g, fetch}, 0)
-}
-
 // ---- clients ----
 
 // op is a client's operation over its tries.
