Agents that start where all servers are cold wake them by turns

Cause: the hard case 'all cold', as a test: an agent that starts where every server has just started refused 200 of 200 requests, and would have until the first was warm. Credit for cold servers is earned by what warm ones serve, and the way out in hasRoom goes by what the agent served before, which is nothing. Ruled out: that the list or the cap refuse them (a warm list of one serves 200).

Change: policy.wakes: all agents together send such a server one request in an answer's time, over its share, each agent at a moment of its own.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -270,3 +270,108 @@
 		t.Errorf("a cold server got %.2f of what may push it over", worst)
 	}
 }
+
+// Whatever the settings say of the agent's number and of how many there are, it asks within the contract's
+// time, and a negative count is said by its key.
+func TestTurnsByOddNumbers(t *testing.T) {
+	set := testSettings()
+	set.Membership = "on_request"
+	for _, x := range []struct{ replicas, index int }{{0, 0}, {0, 5}, {1, 0}, {1, 900}, {80, 79}, {80, 80}, {80, -3}, {1 << 40, 3}, {3, 1 << 40}} {
+		set.Replicas, set.Index = x.replicas, x.index
+		b, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := find(b.Start(0, nil), ActTimer)
+		if a == nil || !(a.Ms >= 0 && a.Ms <= askMost*set.Contract.AskWithinMs) {
+			t.Errorf("agent %d of %d: first call after %+v", x.index, x.replicas, a)
+		}
+	}
+	set.Replicas = -1
+	if _, err := New(set, 1); err == nil || !contains(err.Error(), "replicasOfMe") {
+		t.Errorf("-1 replicas: %v", err)
+	}
+}
+
+// Without a server requests are refused in time; one server gets them all, one at a time while it is
+// unknown; where all are cold each still gets some, so that they warm up.
+func TestFewServers(t *testing.T) {
+	for name, x := range map[string]struct {
+		servers int
+		cold    bool
+		served  int // at least, of 200
+	}{"none": {0, false, 0}, "one": {1, false, 190}, "all cold": {6, true, 15}} {
+		set := testSettings()
+		f := newFleet(t, set, 3)
+		f.now = 1e6
+		served, refused, at := 0, 0, map[Addr]int{}
+		f.did = func(i int, a *Action) {
+			switch a.Kind {
+			case ActSend:
+				at[a.Server]++
+				f.later(5, i, Event{Kind: EvOutcome, Request: a.Request, Server: a.Server, Status: OK, LatencyMs: 5, Final: true})
+				served++
+			case ActRefuse:
+				refused++
+			}
+		}
+		entries := ready(x.servers)
+		for k := range entries {
+			if x.cold {
+				entries[k].SinceMs = f.now - 10
+			}
+		}
+		f.start(0, entries)
+		for i := range 200 {
+			f.later(20*float64(i), 0, Event{Kind: EvRequest, Request: RequestID(i + 1), Class: 1, Key: uint64(i) * 7919, LeftMs: 600})
+		}
+		f.until(f.now + 8000)
+		if served < x.served || served+refused != 200 || len(at) != x.servers {
+			t.Errorf("%s: %d served, %d refused, of 200, at %d of %d servers", name, served, refused, len(at), x.servers)
+		}
+	}
+}
+
+// Eighty agents that start where all servers have just started wake them, and push none over, were it of
+// one core only.
+func TestAllColdOverManyAgents(t *testing.T) {
+	const agents, servers, perS = 80, 60, 1450.0
+	set := testSettings()
+	set.Contract.ColdFrom, set.Contract.ColdMs, set.Contract.FallMultiple = 0.31, 8600, 2.5
+	f := newFleet(t, set, agents)
+	f.now = 1e6
+	began := f.now
+	mean := f.agents[0].expect[1]
+	sent := map[Addr][]float64{}
+	f.did = func(i int, a *Action) {
+		if a.Kind == ActSend {
+			sent[a.Server] = append(sent[a.Server], f.now)
+			f.later(mean, i, Event{Kind: EvOutcome, Request: a.Request, Server: a.Server, Status: OK, LatencyMs: mean, Final: true})
+		}
+	}
+	entries := ready(servers)
+	for k := range entries {
+		entries[k].SinceMs = began
+	}
+	for i := range agents {
+		f.start(i, entries)
+	}
+	rng := rand.New(rand.NewPCG(3, 3))
+	for i, at := 0, 0.0; at < 6000; i, at = i+1, at+rng.ExpFloat64()*1000/perS {
+		f.later(at, rng.IntN(agents), Event{Kind: EvRequest, Request: RequestID(i + 1), Class: 1, Key: rng.Uint64(), LeftMs: 600})
+	}
+	f.until(began + 7000)
+	worst, total := 0.0, 0
+	for _, times := range sent {
+		total += len(times)
+		for i, from := range times {
+			n, _ := slices.BinarySearch(times[i:], from+1000)
+			k := 0.31 + 0.69*(from-began)/8600
+			worst = max(worst, float64(n)/(2.5*k*1000/mean))
+		}
+	}
+	t.Logf("%d of %.0f sent, to %d servers; the most in any second was %.2f of what a core may get", total, perS*6, len(sent), worst)
+	if len(sent) < servers || worst > 1 {
+		t.Errorf("%d of %d servers woken; the most in any second was %.2f of what a core may get", len(sent), servers, worst)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -437,9 +437,20 @@
 	if len(s.out) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
 		return false
 	}
-	return b.ramp(s) == 1 || s.credit >= b.cost(r) ||
-		b.warmWeight() == 0 && (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >=
-			b.cost(r)*b.set.Contract.ColdMs
+	return b.ramp(s) == 1 || s.credit >= b.cost(r) || b.warmWeight() == 0 && b.wakes(s, r)
+}
+
+// wakes tells, where all servers are cold, whether one may get the request: as much of this agent as a
+// warm one last got by its share, or, as one that has just started cannot know that, one at a time of all
+// agents, by an answer's time and the server's share, each at a moment of its own. Without it such an
+// agent refused all until the first server was warm.
+func (b *Balancer) wakes(s *server, r *request) bool {
+	share, cost := b.coldShare(s), b.cost(r)
+	if (b.now-s.sentAt)*b.flow*s.weight*share >= cost*b.set.Contract.ColdMs {
+		return true
+	}
+	gap := float64(b.agents()) * max(b.expected(r), 1) / share
+	return s.credit+(b.now-max(s.sentAt, s.since))/gap >= cost
 }
 
 // coldShare is the part of an even share that a server may be sent: of a cold one
