--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 
 	"ringtrack.example/ringtrack/internal/agent"
+	"ringtrack.example/ringtrack/internal/upgrade"
 )
 
 func main() {
@@ -41,11 +42,19 @@
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	// Another process of this agent may be there, which this one is to follow.
+	if tmp := os.Getenv("TMPDIR"); tmp != "" {
+		if cfg.Dir, err = upgrade.Join(tmp); err != nil {
+			slog.Warn("no other process of this agent can be known of", "err", err)
+		}
+	}
+	var ln net.Listener
+	if cfg.Dir == nil || cfg.Dir.First() {
+		if ln, err = upgrade.Listen(cfg.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		slog.Info("listening", "name", cfg.Name, "addr", ln.Addr().String())
 	}
-	slog.Info("listening", "name", cfg.Name, "addr", ln.Addr().String())
 	reread := func() (*agent.Config, error) { return agent.ReloadConfig(os.Getenv) }
 	return agent.Run(stop, reload, reread, cfg, ln)
 }
--- /dev/null
+++ b/cmd/ringtrack/upgrade_test.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// startProcess starts one process of the agent that is shared by tmp, and returns its operators' address.
+func startProcess(t *testing.T, config map[string]any, tmp string) (*exec.Cmd, string) {
+	t.Helper()
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := program(t, string(text))
+	cmd.Env = append(cmd.Env, "TMPDIR="+tmp, "PROXY_ADMIN_ADDR=127.0.0.1:0")
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	log := bufio.NewReader(stderr)
+	for {
+		line, err := log.ReadString('\n')
+		if err != nil {
+			t.Fatalf("the process ended: %v", err)
+		}
+		if _, addr, ok := strings.Cut(strings.TrimSpace(line), "admin="); ok {
+			go io.Copy(io.Discard, log)
+			return cmd, addr
+		}
+	}
+}
+
+func adminCall(addr, method, path string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+addr+path, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	c := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+func until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// A new process takes over from the one that serves, twice, under load: no client is turned back or left
+// without an answer, the old process ends by itself, and a backend that was banned is left alone by both,
+// whichever of them was told, until it is called back.
+func TestUpgradeUnderLoad(t *testing.T) {
+	var used [2]atomic.Int64
+	var servers []any
+	for i := range used {
+		b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			used[i].Add(1)
+			time.Sleep(2 * time.Millisecond)
+			io.WriteString(w, "done")
+		}))
+		defer b.Close()
+		servers = append(servers, map[string]any{"id": fmt.Sprintf("s-%d", i), "addr": b.Listener.Addr().String(), "zone": "east", "kind": "big", "state": "up", "weight": 1})
+	}
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+	}))
+	defer discovery.Close()
+	defer discovery.CloseClientConnections()
+	// A free address that processes can share; it is the kernel's choice.
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	config := map[string]any{"name": "n1", "listen": addr, "discovery": discovery.Listener.Addr().String(), "seed": "1",
+		"limits":   map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
+		"known":    map[string]any{"version": 1, "full": true, "servers": servers},
+		"settings": json.RawMessage(strings.Replace(settings, `"giveUpMs":3000`, `"giveUpMs":1000`, 1))}
+	tmp := t.TempDir()
+	old, door := startProcess(t, config, tmp)
+	healthy := func(door string) func() bool {
+		return func() bool { status, _ := adminCall(door, "GET", "/admin/health"); return status == 200 }
+	}
+	until(t, "the first process never serves", healthy(door))
+
+	var ids, served, turned, lost atomic.Int64
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for worker := range 6 {
+		clients.Go(func() {
+			var c net.Conn
+			var br *bufio.Reader
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					if c != nil {
+						c.Close()
+					}
+					return
+				default:
+				}
+				fresh := c == nil
+				if fresh {
+					var err error
+					if c, err = net.Dial("tcp", addr); err != nil {
+						turned.Add(1)
+						continue
+					}
+					br = bufio.NewReader(c)
+				}
+				c.SetDeadline(time.Now().Add(patience))
+				fmt.Fprintf(c, "POST /api/%d HTTP/1.1\r\nHost: x\r\nRequest-Id: %d\r\nRequest-Class: order\r\n"+
+					"Request-Timeout-Ms: 1000\r\nContent-Length: 1\r\n\r\nx", n, ids.Add(1))
+				resp, err := http.ReadResponse(br, nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+				}
+				switch {
+				case err != nil && fresh:
+					lost.Add(1)
+				case err != nil:
+					turned.Add(1) // a kept connection was closed under it
+				case resp.StatusCode == 200:
+					served.Add(1)
+				}
+				if err != nil || resp.Close || worker%2 == 0 && n%3 == 2 {
+					c.Close()
+					c = nil
+				}
+			}
+		})
+	}
+	more := func() {
+		t.Helper()
+		from := served.Load()
+		until(t, "nothing is served", func() bool { return served.Load() > from+100 })
+	}
+	more()
+	if status, body := adminCall(door, "PUT", "/admin/cordon?name=s-0"); status != 200 {
+		t.Fatalf("ban: %d %s", status, body)
+	}
+	if status, _ := adminCall(door, "PUT", "/admin/cordon?name=s-9"); status != 404 {
+		t.Errorf("ban of what was never listed: %d", status)
+	}
+	leftAlone := func(i int, what string) {
+		t.Helper()
+		time.Sleep(250 * time.Millisecond) // the shortest grace of a drain
+		before := used[i].Load()
+		more()
+		if n := used[i].Load() - before; n > 0 {
+			t.Errorf("%s: %d requests to the banned backend", what, n)
+		}
+	}
+	leftAlone(0, "told")
+	for round := range 2 {
+		next, nextDoor := startProcess(t, config, tmp)
+		until(t, "the next process never serves", healthy(nextDoor))
+		leftAlone(0, "beside the new process")
+		// The new process is told, and the old one hears of it.
+		if status, _ := adminCall(nextDoor, "PUT", "/admin/uncordon?name=s-0"); status != 200 {
+			t.Errorf("call back: %d", status)
+		}
+		if status, _ := adminCall(nextDoor, "PUT", "/admin/cordon?name=s-1"); status != 200 {
+			t.Errorf("ban: %d", status)
+		}
+		leftAlone(1, "the other process was told")
+		before := used[0].Load()
+		more()
+		if used[0].Load() == before {
+			t.Error("the backend that was called back is not used")
+		}
+		adminCall(nextDoor, "PUT", "/admin/uncordon?name=s-1")
+		adminCall(nextDoor, "PUT", "/admin/cordon?name=s-0")
+		from := time.Now()
+		if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := old.Wait(); err != nil || time.Since(from) > 1700*time.Millisecond {
+			t.Errorf("round %d: the old process ended after %v with %v", round, time.Since(from), err)
+		}
+		more()
+		old, door = next, nextDoor
+	}
+	close(stop)
+	clients.Wait()
+	if lost.Load() > 0 || turned.Load() > 1 {
+		t.Errorf("%d requests lost, %d turned back, of %d", lost.Load(), turned.Load(), ids.Load())
+	}
+	// The last process counts what it has answered, and nothing is open.
+	status, body := adminCall(door, "GET", "/admin/stats")
+	figures := map[string]int64{}
+	for line := range strings.Lines(body) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), "=")
+		figures[name], _ = strconv.ParseInt(value, 10, 64)
+	}
+	if status != 200 || figures["app.fulfilled.order"] < 100 || figures["app.relayed"] < figures["app.fulfilled.order"] ||
+		figures["app.open_requests"] != 0 || figures["app.registry_entries"] != 2 || figures["app.out_of_rotation"] != 1 {
+		t.Errorf("figures: %d %s", status, body)
+	}
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,190 @@
+// Package admin is the operators' door: a listener of its own with calls that tell how the agent is and
+// that ban backends. It holds a bounded number of callers and decides nothing. Whoever holds a connection
+// with no whole call gives way to others.
+package admin
+
+import (
+	"container/list"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// maxCallers bounds the connections; beyond it the one that has been silent longest is closed.
+	maxCallers = 48
+	// callTime is what a whole call may take to come, answerTime what its caller may take to read the answer.
+	callTime, answerTime = 5 * time.Second, 2 * time.Second
+	// maxHead and maxID bound a call's head and the id of a backend, in bytes.
+	maxHead, maxID = 4 << 10, 256
+)
+
+// Figures are what the agent tells of itself. Names are the operators'.
+type Figures struct {
+	Classes []Class // in the order of the settings
+	Written int64   // attempts written whole to backends
+	Open    int64   // requests taken and not ended
+	Listed  int     // backends in the list
+	Out     int     // those of them that the agent avoids now
+}
+
+// Class counts the answers to the requests of one class since the start of the process.
+type Class struct {
+	Name                    string
+	Served, Refused, Failed int64
+}
+
+// String is the figures' text: name=value, a line each.
+func (f *Figures) String() string {
+	var out strings.Builder
+	line := func(name string, value int64) {
+		out.WriteString("app." + name + "=" + strconv.FormatInt(value, 10) + "\n")
+	}
+	for _, c := range f.Classes {
+		line("fulfilled."+c.Name, c.Served)
+		line("throttled."+c.Name, c.Refused)
+		line("faulted."+c.Name, c.Failed)
+	}
+	line("relayed", f.Written)
+	line("open_requests", f.Open)
+	line("registry_entries", int64(f.Listed))
+	line("out_of_rotation", int64(f.Out))
+	return out.String()
+}
+
+// ErrUnknown says that a backend of this id was never listed.
+var ErrUnknown = errors.New("no backend of this id was ever listed")
+
+// Agent is what stands behind the door. Its methods may be called from any goroutine and take well under a
+// second.
+type Agent interface {
+	Serving() bool
+	Figures() Figures
+	// Ban has nothing new sent to a backend, or ends that; it returns once that holds. ErrUnknown: there was
+	// never such a backend.
+	Ban(id string, on bool) error
+}
+
+// Door answers operators' calls.
+type Door struct {
+	agent  Agent
+	server *http.Server
+
+	mu      sync.Mutex
+	callers map[net.Conn]*list.Element // all there are
+	silent  list.List                  // those whose call has not come whole, the oldest first
+}
+
+// New returns a door to an agent.
+func New(a Agent) *Door {
+	d := &Door{agent: a, callers: map[net.Conn]*list.Element{}}
+	d.server = &http.Server{Handler: d, ReadTimeout: callTime, WriteTimeout: callTime + answerTime, MaxHeaderBytes: maxHead,
+		ConnState: d.track, ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+		DisableGeneralOptionsHandler: true}
+	d.server.SetKeepAlivesEnabled(false) // one call to a connection
+	return d
+}
+
+// Serve answers until the door is closed; then it returns nil.
+func (d *Door) Serve(ln net.Listener) error {
+	if err := d.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("admin: %w", err)
+	}
+	return nil
+}
+
+// Close ends the door and all its connections.
+func (d *Door) Close() { d.server.Close() }
+
+// track keeps the callers' number within its bound.
+func (d *Door) track(nc net.Conn, state http.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		d.callers[nc] = d.silent.PushBack(nc)
+		if e := d.silent.Front(); len(d.callers) > maxCallers && e != nil {
+			d.heard(e.Value.(net.Conn))
+			e.Value.(net.Conn).Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		d.heard(nc)
+		delete(d.callers, nc)
+	case http.StateActive: // first bytes; a call that never comes whole is as silent
+	}
+}
+
+// heard takes a caller off the silent ones. The lock is held.
+func (d *Door) heard(nc net.Conn) {
+	if e := d.callers[nc]; e != nil {
+		d.silent.Remove(e)
+		d.callers[nc] = nil
+	}
+}
+
+func (d *Door) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	calls := map[string]struct {
+		method string
+		do     func(w http.ResponseWriter, query url.Values)
+	}{
+		"/admin/health":   {http.MethodGet, d.health},
+		"/admin/stats":    {http.MethodGet, d.stats},
+		"/admin/cordon":   {http.MethodPut, func(w http.ResponseWriter, q url.Values) { d.ban(w, q, true) }},
+		"/admin/uncordon": {http.MethodPut, func(w http.ResponseWriter, q url.Values) { d.ban(w, q, false) }},
+	}
+	call, ok := calls[req.URL.Path]
+	if !ok {
+		http.Error(w, "no such call", http.StatusNotFound)
+		return
+	}
+	if req.Method != call.method {
+		w.Header().Set("Allow", call.method)
+		http.Error(w, "this call is a "+call.method, http.StatusMethodNotAllowed)
+		return
+	}
+	query, err := url.ParseQuery(req.URL.RawQuery)
+	if err != nil {
+		http.Error(w, "query: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	call.do(w, query)
+}
+
+func (d *Door) health(w http.ResponseWriter, _ url.Values) {
+	if !d.agent.Serving() {
+		http.Error(w, "starting", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ok")
+}
+
+func (d *Door) stats(w http.ResponseWriter, _ url.Values) {
+	f := d.agent.Figures()
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	fmt.Fprint(w, f.String())
+}
+
+func (d *Door) ban(w http.ResponseWriter, query url.Values, on bool) {
+	ids := query["name"]
+	if len(ids) != 1 || ids[0] == "" || len(ids[0]) > maxID {
+		http.Error(w, fmt.Sprintf("name: one id of 1 to %d bytes is needed", maxID), http.StatusBadRequest)
+		return
+	}
+	switch err := d.agent.Ban(ids[0], on); {
+	case errors.Is(err, ErrUnknown):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case err != nil:
+		slog.Warn("ban", "id", ids[0], "on", on, "err", err)
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	default:
+		slog.Info("ban", "id", ids[0], "on", on)
+		fmt.Fprintln(w, "ok")
+	}
+}
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,164 @@
+package admin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+// fakeAgent knows the backends s-1 and s-2.
+type fakeAgent struct {
+	mu     sync.Mutex
+	serves bool
+	banned map[string]bool
+}
+
+func (a *fakeAgent) Serving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.serves
+}
+
+func (a *fakeAgent) Figures() Figures {
+	return Figures{Classes: []Class{{"read", 812, 3, 2}, {"order", 1, 0, 0}}, Written: 900, Open: 14, Listed: 12, Out: 1}
+}
+
+func (a *fakeAgent) Ban(id string, on bool) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch id {
+	case "s-1", "s 2&x":
+		a.banned[id] = on
+		return nil
+	case "s-busy":
+		return errors.New("busy")
+	}
+	return ErrUnknown
+}
+
+func open(t *testing.T) (*fakeAgent, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &fakeAgent{banned: map[string]bool{}}
+	d := New(a)
+	ended := make(chan error, 1)
+	go func() { ended <- d.Serve(ln) }()
+	t.Cleanup(func() {
+		d.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return a, ln.Addr().String()
+}
+
+// call makes one call as bytes and returns the status and the body; the connection must be closed behind it.
+func call(t *testing.T, addr, method, target string) (int, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: x\r\n\r\n", method, target)
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, target, err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("%s %s: the connection goes on: %v", method, target, err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+func TestCalls(t *testing.T) {
+	a, addr := open(t)
+	for _, c := range []struct {
+		method, target string
+		status         int
+	}{
+		{"GET", "/admin/health", 503}, // it does not serve yet
+		{"PUT", "/admin/cordon?name=s-1", 200},
+		{"PUT", "/admin/cordon?name=s-1", 200},
+		{"PUT", "/admin/cordon?name=s%202%26x", 200},
+		{"PUT", "/admin/uncordon?name=s%202%26x", 200},
+		{"PUT", "/admin/cordon?name=s-9", 404},
+		{"PUT", "/admin/uncordon?name=s-9", 404},
+		{"PUT", "/admin/cordon?name=s-busy", 500},
+		{"PUT", "/admin/cordon", 400},
+		{"PUT", "/admin/cordon?name=", 400},
+		{"PUT", "/admin/cordon?name=s-1&name=s-1", 400},
+		{"PUT", "/admin/cordon?name=%zz", 400},
+		{"PUT", "/admin/cordon?name=" + strings.Repeat("s", maxID+1), 400},
+		{"GET", "/admin/cordon?name=s-1", 405},
+		{"PUT", "/admin/stats", 405},
+		{"GET", "/admin", 404},
+		{"GET", "/api/x", 404},
+	} {
+		if status, body := call(t, addr, c.method, c.target); status != c.status {
+			t.Errorf("%s %s: %d %q, want %d", c.method, c.target, status, body, c.status)
+		}
+	}
+	a.mu.Lock()
+	if a.serves = true; !a.banned["s-1"] || a.banned["s 2&x"] {
+		t.Errorf("banned: %v", a.banned)
+	}
+	a.mu.Unlock()
+	if status, _ := call(t, addr, "GET", "/admin/health"); status != 200 {
+		t.Errorf("health of an agent that serves: %d", status)
+	}
+	want := "app.fulfilled.read=812\napp.throttled.read=3\napp.faulted.read=2\n" +
+		"app.fulfilled.order=1\napp.throttled.order=0\napp.faulted.order=0\n" +
+		"app.relayed=900\napp.open_requests=14\napp.registry_entries=12\napp.out_of_rotation=1\n"
+	if status, body := call(t, addr, "GET", "/admin/stats"); status != 200 || body != want {
+		t.Errorf("stats: %d %q", status, body)
+	}
+}
+
+// Callers that hold a connection with no whole call, more of them than there may be, keep nobody out, and
+// those that were there first give way.
+func TestCallersThatHoldAConnectionGiveWay(t *testing.T) {
+	_, addr := open(t)
+	var holders []net.Conn
+	for i := range 2 * maxCallers {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "GET /admin/stats HTTP/1.1\r\nHo")
+		}
+		holders = append(holders, c)
+	}
+	if status, _ := call(t, addr, "GET", "/admin/stats"); status != 200 {
+		t.Errorf("beside callers that hold connections: %d", status)
+	}
+	holders[0].SetReadDeadline(time.Now().Add(patience))
+	if _, err := holders[0].Read(make([]byte, 1)); err == nil || timedOut(err) {
+		t.Errorf("the first holder: %v", err)
+	}
+}
+
+func timedOut(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,6 +23,7 @@
 // Run serves until stop is done, then ends in order. It returns nil when every
 // request that was held has been answered. At each signal of reread it takes over
 // what can change without a restart from the configuration that read returns.
+// ln is nil where another process of this agent serves: then the address is listened on once this one can.
 func Run(stop context.Context, reread <-chan os.Signal, read func() (*Config, error), cfg *Config, ln net.Listener) error {
 	return run(stop, cfg, ln, func(l *core.Loop, _ *semaphore.Weighted) {
 		go reload(stop, reread, read, cfg, func(discovery string) { l.Post(func() { l.Rediscover(discovery) }) })
@@ -47,20 +48,43 @@
 	}
 	loop := cfg.core()
 	loop.Probe = upstream.Probe
-	l, err := core.New(ctx, loop, budget, upstreams, f.Ready)
+	pair, err := newPair(cfg, &loop)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	up := make(chan struct{})
+	var isUp sync.Once
+	l, err := core.New(ctx, loop, budget, upstreams, func() {
+		f.Ready()
+		isUp.Do(func() { close(up) })
+	})
 	if err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
 	serve, answer := cfg.ending()
 	f.Loop, f.Linger = l, serve
+	pool.Written = &l.Tally().Written
+	pair.loop = l
+	closeDoor, err := pair.open(cfg.Admin)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	defer closeDoor()
 	made(l, budget)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		l.Run()
 	}()
+	pair.run(ctx)
 	failed := make(chan error, 2)
+	if ln == nil {
+		if ln, err = pair.takeOver(stop, cfg.Listen, up); err != nil {
+			return fmt.Errorf("agent: %w", err)
+		}
+	}
 	go func() { failed <- f.Serve(ln) }()
+	pair.serve(up)
 	if tf != nil {
 		tf.Loop, tf.Linger = l, serve
 		go func() {
@@ -77,6 +101,9 @@
 	by := time.Now().Add(answer)
 	l.Post(func() { l.EndBy(by) })
 	held := cfg.longest() + 50*time.Millisecond // for what had come before the signal
+	if pair.heir() {
+		f.HandOver(ln)
+	}
 	var others sync.WaitGroup
 	if tf != nil {
 		others.Go(func() { tf.Shutdown(tln, held) })
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -14,6 +14,7 @@
 	"ringtrack.example/ringtrack/internal/front/thrift"
 	"ringtrack.example/ringtrack/internal/membership"
 	"ringtrack.example/ringtrack/internal/membership/ephemeral"
+	"ringtrack.example/ringtrack/internal/upgrade"
 	"ringtrack.example/ringtrack/internal/upstream/conns"
 	"ringtrack.example/ringtrack/internal/wire"
 	"ringtrack.example/ringtrack/policy"
@@ -32,10 +33,14 @@
 	Settings  policy.Settings
 	Zones     []string // names of zones and of machine kinds, by the number the module knows
 	Kinds     []string
+	Admin     string // where operators call; "": nowhere
 	Thrift    string // file of the Thrift front's configuration; "": there is none
 	// Ephemeral says which registry tells what runs; nil: the roster alone says which backends there are.
 	Ephemeral *ephemeral.Config
 
+	// Dir is what two processes of this agent share; nil: there is only this one.
+	Dir *upgrade.Dir
+
 	linger time.Duration // for how long clients are served as ever after SIGTERM; 0: as ending has it
 }
 
@@ -45,6 +50,7 @@
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
+	Admin     string `json:"admin_addr"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int     `json:"memory_mb"`
@@ -58,13 +64,13 @@
 // names. Where both tell a thing the environment wins: it is what the platform
 // set for this very start.
 func LoadConfig(getenv func(string) string) (*Config, error) {
-	return load(getenv, "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY")
+	return load(getenv, "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_ADMIN_ADDR")
 }
 
 // ReloadConfig reads the file again. By then its discovery is newer than that of the
 // environment, which is as old as the process.
 func ReloadConfig(getenv func(string) string) (*Config, error) {
-	return load(getenv, "PROXY_NAME", "PROXY_LISTEN")
+	return load(getenv, "PROXY_NAME", "PROXY_LISTEN", "PROXY_ADMIN_ADDR")
 }
 
 // load reads the file; the variables that are named win over it.
@@ -81,7 +87,8 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
-	fields := map[string]*string{"PROXY_NAME": &f.Name, "PROXY_LISTEN": &f.Listen, "PROXY_DISCOVERY": &f.Discovery}
+	fields := map[string]*string{"PROXY_NAME": &f.Name, "PROXY_LISTEN": &f.Listen, "PROXY_DISCOVERY": &f.Discovery,
+		"PROXY_ADMIN_ADDR": &f.Admin}
 	for _, name := range win {
 		if v := getenv(name); v != "" {
 			*fields[name] = v
@@ -109,9 +116,12 @@
 }
 
 func (f *file) config() (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known, Admin: f.Admin,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
-	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"admin_addr", c.Admin}} {
+		if a.key == "admin_addr" && a.value == "" {
+			continue // there is no door
+		}
 		if _, port, err := net.SplitHostPort(a.value); err != nil || port == "" {
 			return nil, fmt.Errorf("config: %s: %q is no host:port", a.key, a.value)
 		}
--- /dev/null
+++ b/internal/agent/pair.go
@@ -0,0 +1,218 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/admin"
+	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/upgrade"
+)
+
+const (
+	// loopTime bounds how long an operator's call waits for the loop: an answer is owed within a second.
+	loopTime, figuresTime = 600 * time.Millisecond, 300 * time.Millisecond
+	// upTime is how long a process that follows another one waits until it has a backend before it takes
+	// requests all the same: its yes is owed within 6 s.
+	upTime = 4 * time.Second
+	// saveEvery bounds how often the list is kept for a process that follows.
+	saveEvery = 100 * time.Millisecond
+)
+
+// pair is the agent as operators and another process of it meet it: behind the door, and in the folder that
+// both share.
+type pair struct {
+	dir     *upgrade.Dir // nil: there is only this process
+	loop    *core.Loop
+	changed chan struct{} // a value: the list has changed since it was last kept
+	serving atomic.Bool
+
+	bans sync.Mutex // orders what is kept of bans and what the loop is told of them
+	mu   sync.Mutex
+	last core.Rotation // as last known
+}
+
+// newPair also tells the loop's configuration what another process has left.
+func newPair(cfg *Config, loop *core.Config) (*pair, error) {
+	p := &pair{dir: cfg.Dir, changed: make(chan struct{}, 1)}
+	if p.dir == nil {
+		return p, nil
+	}
+	var err error
+	if loop.Banned, err = p.dir.Bans(); err != nil {
+		return nil, err // to go on would be to send to backends that were banned
+	}
+	if loop.Nodes != nil {
+		return p, nil // what the roster says is not all; each process reads it anew
+	}
+	loop.Changed = func() {
+		select {
+		case p.changed <- struct{}{}:
+		default:
+		}
+	}
+	if p.dir.First() {
+		return p, nil // what lies there is as old as the process that was killed
+	}
+	saved, err := p.dir.Saved()
+	if err != nil {
+		slog.Warn("list of the other process not used", "err", err)
+	} else if saved != nil {
+		loop.Known, loop.Seen = saved.List, saved.Seen
+	}
+	return p, nil
+}
+
+// open opens the door, if there is to be one.
+func (p *pair) open(addr string) (closeDoor func(), err error) {
+	if addr == "" {
+		return func() {}, nil
+	}
+	ln, err := upgrade.Listen(addr)
+	if err != nil {
+		return nil, fmt.Errorf("admin_addr: %w", err)
+	}
+	slog.Info("listening for operators", "admin", ln.TCPListener.Addr().String())
+	door := admin.New(p)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := door.Serve(ln); err != nil {
+			slog.Error("the door has ended", "err", err)
+		}
+	}()
+	return func() { door.Close(); <-ended }, nil
+}
+
+// run follows and keeps what both processes share, until ctx ends.
+func (p *pair) run(ctx context.Context) {
+	if p.dir == nil {
+		return
+	}
+	go p.dir.Follow(ctx, func() {
+		p.bans.Lock()
+		defer p.bans.Unlock()
+		ids, err := p.dir.Bans()
+		if err != nil {
+			slog.Warn("bans can't be read, the old ones hold", "err", err)
+			return
+		}
+		p.loop.Post(func() { p.loop.SetBanned(ids) })
+	})
+	go p.keep(ctx)
+}
+
+// keep keeps the list for a process that follows.
+func (p *pair) keep(ctx context.Context) {
+	for failed := false; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.changed:
+		}
+		got := make(chan upgrade.Saved, 1)
+		p.loop.Post(func() {
+			var s upgrade.Saved
+			s.List, s.Seen = p.loop.List()
+			got <- s
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-got:
+			if err := p.dir.Save(&s); err != nil && !failed {
+				failed = true
+				slog.Warn("the list is not kept for a process that follows", "err", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(saveEvery):
+		}
+	}
+}
+
+// takeOver waits until this process can serve, and then listens beside the other.
+func (p *pair) takeOver(stop context.Context, addr string, up <-chan struct{}) (net.Listener, error) {
+	select {
+	case <-up:
+	case <-time.After(upTime):
+		slog.Warn("no backend is known yet, serving all the same")
+	case <-stop.Done():
+	}
+	ln, err := upgrade.Listen(addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen beside the other process: %w", err)
+	}
+	slog.Info("listening beside the other process", "addr", addr)
+	return ln, nil
+}
+
+// serve notes that the address is listened on; the others are told once requests can be served.
+func (p *pair) serve(up <-chan struct{}) {
+	go func() {
+		<-up
+		if p.dir != nil {
+			if err := p.dir.Serve(); err != nil {
+				slog.Warn("the other process does not know of this one", "err", err)
+			}
+		}
+		p.serving.Store(true)
+	}()
+}
+
+// heir tells whether another process takes the requests from now on.
+func (p *pair) heir() bool { return p.dir != nil && p.dir.Heir() }
+
+// Serving tells whether this process can serve.
+func (p *pair) Serving() bool { return p.serving.Load() }
+
+// Figures are the agent's.
+func (p *pair) Figures() admin.Figures {
+	var now core.Rotation
+	if got := make(chan core.Rotation, 1); p.loop.Ask(figuresTime, func() { got <- p.loop.Rotation() }) {
+		now = <-got
+		p.mu.Lock()
+		p.last = now
+		p.mu.Unlock()
+	} else {
+		p.mu.Lock()
+		now = p.last
+		p.mu.Unlock()
+	}
+	t := p.loop.Tally()
+	f := admin.Figures{Written: t.Written.Load(), Open: t.Open.Load(), Listed: now.Listed, Out: now.Out}
+	for i := range t.Classes {
+		c := &t.Classes[i]
+		f.Classes = append(f.Classes, admin.Class{Name: c.Name, Served: c.Served.Load(), Refused: c.Refused.Load(), Failed: c.Failed.Load()})
+	}
+	return f
+}
+
+// Ban keeps and carries out what an operator says of a backend.
+func (p *pair) Ban(id string, on bool) error {
+	p.bans.Lock()
+	defer p.bans.Unlock()
+	known := make(chan bool, 1)
+	if !p.loop.Ask(loopTime/2, func() { known <- p.loop.Knows(id) }) {
+		return fmt.Errorf("the agent is too busy")
+	}
+	if !<-known {
+		return admin.ErrUnknown
+	}
+	if p.dir != nil {
+		if err := p.dir.Ban(id, on); err != nil {
+			return err
+		}
+	}
+	if !p.loop.Ask(loopTime/2, func() { p.loop.Ban(id, on) }) && on {
+		return fmt.Errorf("the agent is too busy, the ban holds in a moment")
+	}
+	return nil
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -55,6 +55,7 @@
 	fetching bool
 	ready    func()
 	figures  Figures
+	tally    *Tally
 
 	merge *membership.Merge // of the roster with what runs; nil: there is the roster alone
 	due   *time.Timer       // when the merge has something to tell by time alone
@@ -93,7 +94,13 @@
 		budget: budget, limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		clock:    clock.New(),
 		requests: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, ready: ready}
-	l.upstreams = upstreams
+	l.upstreams, l.tally = upstreams, newTally(cfg.Settings.Classes)
+	for _, id := range cfg.Banned {
+		l.table.banned[id] = true
+	}
+	for _, id := range cfg.Seen {
+		l.table.see(id)
+	}
 	if cfg.Nodes != nil {
 		l.merge = membership.NewMerge(cfg.Merge)
 	}
@@ -153,6 +160,28 @@
 	}
 }
 
+// Ask has the loop do something and waits for it, for so long at the most; it tells whether it was done by then.
+// What was not may still be done.
+func (l *Loop) Ask(within time.Duration, f func()) bool {
+	over := time.NewTimer(within)
+	defer over.Stop()
+	done := make(chan struct{})
+	select {
+	case l.inbox <- func() { f(); close(done) }:
+	case <-over.C:
+		return false
+	case <-l.ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-over.C:
+	case <-l.ctx.Done():
+	}
+	return false
+}
+
 // Run is the loop; it ends with the context.
 func (l *Loop) Run() {
 	go l.writeLog()
@@ -290,6 +319,7 @@
 	l.nextID++
 	r := &Request{id: l.nextID, call: c}
 	l.open++
+	l.tally.Open.Add(1)
 	if l.ids[c.ID] != nil {
 		// Somebody else's, or its own that may still run: neither is to be touched.
 		l.finish(r, Answer{Verdict: Failed, Fault: Duplicate})
@@ -369,6 +399,7 @@
 	if r.answered {
 		return
 	}
+	l.tally.Count(r.call.Class, a.Verdict)
 	switch a.Verdict {
 	case Served:
 		l.figures.Served++
@@ -386,6 +417,7 @@
 	if !r.answered {
 		r.answered = true
 		l.open--
+		l.tally.Open.Add(-1)
 	}
 	if r.backstop != nil {
 		r.backstop.Stop()
@@ -577,6 +609,9 @@
 	for _, b := range gone {
 		l.table.forget(b)
 	}
+	if l.cfg.Changed != nil {
+		l.cfg.Changed()
+	}
 }
 
 // ---- the log ----
--- a/internal/core/table.go
+++ b/internal/core/table.go
@@ -11,11 +11,17 @@
 	names  membership.Names
 	byID   map[string]*Backend
 	byAddr map[policy.Addr]*Backend
+	banned map[string]bool // ids that an operator wants left alone, listed or not
+	seen   map[string]bool // ids that were ever listed, as far as maxSeen goes
 }
 
+// maxSeen bounds the ids that are remembered as once listed; beyond it only those listed now are known.
+const maxSeen = 1 << 14
+
 func newTable(zones, kinds []string) *table {
 	return &table{names: membership.NewNames(zones, kinds),
-		byID: map[string]*Backend{}, byAddr: map[policy.Addr]*Backend{}}
+		byID: map[string]*Backend{}, byAddr: map[policy.Addr]*Backend{},
+		banned: map[string]bool{}, seen: map[string]bool{}}
 }
 
 // backend finds or makes the entry of an id.
@@ -25,9 +31,33 @@
 	}
 	b := &Backend{id: id, name: membership.Addr(id, func(a policy.Addr) bool { return t.byAddr[a] != nil })}
 	t.byID[id], t.byAddr[b.name] = b, b
+	t.see(id)
 	return b
 }
 
+// see notes that an id was listed.
+func (t *table) see(id string) {
+	if len(t.seen) < maxSeen {
+		t.seen[id] = true
+	}
+}
+
+// list is all that is listed, and the ids that were once.
+func (t *table) list(revision uint64) (l membership.List, seen []string) {
+	l = membership.List{Revision: revision, Full: true}
+	for _, b := range t.byID {
+		if !b.gone && b.told.ID != "" {
+			l.Entries = append(l.Entries, b.told)
+		}
+	}
+	for id := range t.seen {
+		if b := t.byID[id]; b == nil || b.gone {
+			seen = append(seen, id)
+		}
+	}
+	return l, seen
+}
+
 // apply takes a list into the table and returns the module's entries, the backends
 // whose idle connections are of no more use, and those gone.
 func (t *table) apply(l *membership.List, full bool) (entries []policy.Entry, stale, gone []*Backend) {
@@ -45,7 +75,10 @@
 			stale = append(stale, b)
 			b.addr = s.Addr
 		}
-		if b.closed.Store(e.Health != policy.Ready); e.Health != policy.Ready {
+		e.Banned = t.banned[s.ID]
+		b.entry, b.told = e, *s
+		shut := e.Health != policy.Ready || e.Banned
+		if b.closed.Store(shut); shut {
 			stale = append(stale, b)
 		}
 		if b.gone = e.Health == policy.Gone; b.gone {
@@ -65,6 +98,24 @@
 	return entries, stale, gone
 }
 
+// ban notes that an operator wants nothing new at the backend of an id, or that he does again. It returns the
+// backend if it is listed.
+func (t *table) ban(id string, on bool) *Backend {
+	if delete(t.banned, id); on {
+		t.banned[id] = true
+	}
+	b := t.byID[id]
+	if b == nil || b.gone || b.entry.Banned == on {
+		return nil
+	}
+	b.entry.Banned = on
+	b.closed.Store(on || b.entry.Health != policy.Ready)
+	return b
+}
+
+// knows tells whether an id is, or was ever, listed.
+func (t *table) knows(id string) bool { return t.byID[id] != nil || t.seen[id] || t.banned[id] }
+
 // forget drops backends that are gone and have no attempt out; the module has
 // forgotten them by then.
 func (t *table) forget(b *Backend) {
--- /dev/null
+++ b/internal/core/tally.go
@@ -0,0 +1,105 @@
+package core
+
+import (
+	"sync/atomic"
+
+	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/policy"
+)
+
+// Tally counts what the agent has done since its start, for operators. It may be read and written from any
+// goroutine. A request counts once, when its one answer is given, or when a streamed answer has ended.
+type Tally struct {
+	Classes []ClassTally // in the order of the settings
+	Written atomic.Int64 // attempts written whole to backends
+	Open    atomic.Int64 // requests taken that have no answer yet
+}
+
+// ClassTally counts the answers to requests of one class.
+type ClassTally struct {
+	Name                    string
+	Served, Refused, Failed atomic.Int64
+}
+
+func newTally(classes []policy.Class) *Tally {
+	t := &Tally{Classes: make([]ClassTally, len(classes))}
+	for i, c := range classes {
+		t.Classes[i].Name = c.Name
+	}
+	return t
+}
+
+// Count counts one answer to a request of a class.
+func (t *Tally) Count(class int, v Verdict) {
+	c := &t.Classes[class]
+	switch v {
+	case Served:
+		c.Served.Add(1)
+	case Refused:
+		c.Refused.Add(1)
+	case Failed:
+		c.Failed.Add(1)
+	}
+}
+
+// Rotation is how many backends there are and how many of them the agent avoids.
+type Rotation struct {
+	Listed int
+	Out    int // told to drain, banned by an operator, or held Unhealthy by the module
+}
+
+// Tally is the loop's count. It may be called from any goroutine.
+func (l *Loop) Tally() *Tally { return l.tally }
+
+// Rotation counts backends as they are now. It is called in the loop.
+func (l *Loop) Rotation() (r Rotation) {
+	avoided := map[policy.Addr]bool{}
+	for _, v := range l.balancer.View(l.now(), nil) {
+		avoided[v.Server] = v.State == policy.Unhealthy
+	}
+	for _, b := range l.table.byID {
+		if b.gone {
+			continue
+		}
+		r.Listed++
+		if b.closed.Load() || avoided[b.name] {
+			r.Out++
+		}
+	}
+	return r
+}
+
+// List is all that is listed now, in no order, and the ids that were once. It is called in the loop.
+func (l *Loop) List() (list membership.List, seen []string) { return l.table.list(l.version) }
+
+// Knows tells whether a backend of this id is, or was ever, listed. It is called in the loop.
+func (l *Loop) Knows(id string) bool { return l.table.knows(id) }
+
+// Ban has nothing new sent to a backend, or ends that; a ban holds whatever the list says of the backend
+// meanwhile. It is called in the loop.
+func (l *Loop) Ban(id string, on bool) {
+	b := l.table.ban(id, on)
+	if b == nil {
+		return
+	}
+	l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListOther, Entries: []policy.Entry{b.entry}})
+	if on {
+		l.hangUp(b)
+	}
+	l.drain()
+}
+
+// SetBanned makes the given ids the banned ones: another process of this agent may have been told. It is
+// called in the loop.
+func (l *Loop) SetBanned(ids []string) {
+	banned := map[string]bool{}
+	for _, id := range ids {
+		banned[id] = true
+		l.Ban(id, true)
+	}
+	for id := range l.table.banned {
+		if !banned[id] {
+			l.Ban(id, false)
+		}
+	}
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -84,14 +84,16 @@
 // Backend is one listed server. Its fields belong to the loop, but for what Closed tells.
 type Backend struct {
 	id     string
-	name   policy.Addr // what the module calls it
-	addr   string      // where it listens, as told to this agent last
+	name   policy.Addr      // what the module calls it
+	addr   string           // where it listens, as told to this agent last
+	told   membership.Entry // as it was listed last
+	entry  policy.Entry     // as the module was told last
 	gone   bool
 	out    int // attempts out
 	closed atomic.Bool
 }
 
-// Closed tells whether the backend was told to drain or gone: asked just before a write.
+// Closed tells whether the backend was told to drain or gone, or an operator banned it: asked just before a write.
 func (b *Backend) Closed() bool { return b.closed.Load() }
 
 // Close makes Closed true, as the loop does when it is told so. It is for tests of upstreams.
@@ -110,6 +112,11 @@
 	// called only where the settings allow probes. What says nothing of the backend is Moot.
 	Probe func(ctx context.Context, b *Backend, addr string, sent, deadline time.Time) Result
 
+	Banned []string // ids of backends that an operator wants left alone, from the start on
+	Seen   []string // ids that were listed once, as another process of this agent had it
+	// Changed, where it is set, is called in the loop after each change of the list. It is not to wait.
+	Changed func()
+
 	// Nodes follows a registry of what runs, until ctx ends, and has each thing it learns applied to the
 	// merge, in the loop. nil: the roster alone says which backends there are.
 	Nodes func(ctx context.Context, told func(apply func(m *membership.Merge, now float64)))
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -51,6 +51,7 @@
 	classes  map[string]int
 	tenants  map[string]int
 	ready    atomic.Bool
+	leaving  atomic.Bool // another process takes what comes: each connection ends with its next answer
 	conns    *clientConns
 }
 
@@ -86,7 +87,7 @@
 
 // Serve accepts clients until the front is shut down; then it returns nil.
 func (f *Front) Serve(ln net.Listener) error {
-	if err := f.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !f.leaving.Load() {
 		return fmt.Errorf("front: %w", err)
 	}
 	return nil
@@ -131,8 +132,19 @@
 	}
 }
 
+// HandOver leaves what comes from now on to another process that listens on the same address: the listener
+// closes at once, and each connection with its next answer. Those that bring no request stay until Shutdown
+// ends them: to close one at once could cross a request on it.
+func (f *Front) HandOver(ln net.Listener) {
+	f.leaving.Store(true)
+	ln.Close()
+}
+
 func (f *Front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	now := time.Now()
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if req.RequestURI == "/-/ready" && req.Method == http.MethodGet && req.ContentLength == 0 {
 		if f.ready.Load() {
 			w.WriteHeader(http.StatusOK)
--- /dev/null
+++ b/internal/upgrade/roles.go
@@ -0,0 +1,29 @@
+package upgrade
+
+// Peer is another process of the agent, as its file tells.
+type Peer struct {
+	Seq     int // the order in which processes joined
+	Alive   bool
+	Serving bool // it has told that it takes requests
+}
+
+// Follows tells whether a process joins beside one that lives, whether or not that one serves yet.
+func Follows(seq int, peers []Peer) bool {
+	for _, p := range peers {
+		if p.Alive && p.Seq < seq {
+			return true
+		}
+	}
+	return false
+}
+
+// HasHeir tells whether a newer process takes the requests from now on: one that lives and has told that it
+// serves. One that has only started may never come up.
+func HasHeir(seq int, peers []Peer) bool {
+	for _, p := range peers {
+		if p.Alive && p.Serving && p.Seq > seq {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/upgrade/upgrade.go
@@ -0,0 +1,244 @@
+// Package upgrade lets two processes be one agent for a while: the new version that starts beside the running
+// one, and the old one that ends. They share a folder that outlives a process, and nothing else: a file for
+// each process, whose lock tells that it lives and whose text that it serves; the bans of operators; the list
+// of backends as last had. Files are written whole and renamed, under one lock.
+//
+// Who follows whom is decided in roles.go, without I/O. The package decides nothing about requests.
+package upgrade
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/membership"
+)
+
+const (
+	// folder is the agent's own within the one that is given.
+	folder = "ringtrack-agent"
+	// MaxBans bounds the bans that are kept, maxFile a file that is read, in bytes.
+	MaxBans, maxFile = 4096, 16 << 20
+	// LookEvery is how often a process looks for what the other one was told: well within the shortest grace
+	// of a drain (250 ms).
+	LookEvery = 50 * time.Millisecond
+
+	processes, serving = "process-", "serving"
+)
+
+// ErrTooMany says that no further ban is kept.
+var ErrTooMany = fmt.Errorf("more than %d bans", MaxBans)
+
+// Dir is the shared folder as one process has it. Its methods may be called from one goroutine at a time,
+// but for Ban, which may be called from any.
+type Dir struct {
+	path  string
+	mine  *os.File // locked for as long as the process lives
+	seq   int
+	first bool
+}
+
+// Join makes the process one of the folder's in tmp. The kernel gives the lock back however the process ends.
+func Join(tmp string) (*Dir, error) {
+	if tmp == "" {
+		return nil, errors.New("upgrade: no folder that two processes share")
+	}
+	d := &Dir{path: filepath.Join(tmp, folder)}
+	if err := os.MkdirAll(d.path, 0o700); err != nil {
+		return nil, fmt.Errorf("upgrade: %w", err)
+	}
+	err := d.locked(func() error {
+		peers, err := d.peers()
+		if err != nil {
+			return err
+		}
+		for _, p := range peers {
+			if d.seq = max(d.seq, p.Seq); !p.Alive {
+				os.Remove(d.file(p.Seq)) // a file that stays is of a dead process, and does no harm
+			}
+		}
+		d.seq++
+		d.first = !Follows(d.seq, peers)
+		if d.mine, err = os.OpenFile(d.file(d.seq), os.O_CREATE|os.O_RDWR, 0o600); err != nil {
+			return err
+		}
+		return syscall.Flock(int(d.mine.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	})
+	if err != nil {
+		return nil, fmt.Errorf("upgrade: %w", err)
+	}
+	return d, nil
+}
+
+// First tells whether no other process was there when this one joined.
+func (d *Dir) First() bool { return d.first }
+
+// Serve tells the others that this process serves.
+func (d *Dir) Serve() error {
+	_, err := d.mine.WriteAt([]byte(serving), 0)
+	return err
+}
+
+// Heir tells whether a newer process serves now.
+func (d *Dir) Heir() bool {
+	peers, err := d.peers()
+	return err == nil && HasHeir(d.seq, peers)
+}
+
+// Close leaves the folder.
+func (d *Dir) Close() error {
+	os.Remove(d.file(d.seq))
+	return d.mine.Close()
+}
+
+func (d *Dir) file(seq int) string { return filepath.Join(d.path, processes+strconv.Itoa(seq)) }
+
+// peers looks at the files of all processes but this one.
+func (d *Dir) peers() (peers []Peer, err error) {
+	entries, err := os.ReadDir(d.path)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		seq, err := strconv.Atoi(strings.TrimPrefix(e.Name(), processes))
+		if err != nil || !strings.HasPrefix(e.Name(), processes) || d.mine != nil && seq == d.seq {
+			continue
+		}
+		f, err := os.Open(d.file(seq))
+		if errors.Is(err, fs.ErrNotExist) {
+			continue // it has just left
+		} else if err != nil {
+			return nil, err
+		}
+		p := Peer{Seq: seq, Alive: syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB) != nil}
+		text, _ := io.ReadAll(io.LimitReader(f, int64(len(serving))))
+		p.Serving = string(text) == serving
+		f.Close()
+		peers = append(peers, p)
+	}
+	return peers, nil
+}
+
+// locked does something while no other process does. What holds the lock is short.
+func (d *Dir) locked(do func() error) error {
+	f, err := os.OpenFile(filepath.Join(d.path, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX); err != nil {
+		return err
+	}
+	return do()
+}
+
+// ---- what is shared ----
+
+// Saved is the list of backends as a process last had it.
+type Saved struct {
+	List membership.List `json:"list"`
+	Seen []string        `json:"seen"` // ids that were listed once, and are not now
+}
+
+// Save keeps the list for a process that follows.
+func (d *Dir) Save(s *Saved) error { return d.write("list.json", s) }
+
+// Saved is what was kept last; nil if nothing was.
+func (d *Dir) Saved() (*Saved, error) {
+	s := &Saved{}
+	found, err := d.read("list.json", s)
+	if !found {
+		return nil, err
+	}
+	return s, err
+}
+
+// Bans are the ids that operators have banned, sorted.
+func (d *Dir) Bans() (ids []string, err error) {
+	_, err = d.read("bans.json", &ids)
+	return ids, err
+}
+
+// Ban keeps that an operator bans a backend, or no longer does.
+func (d *Dir) Ban(id string, on bool) error {
+	return d.locked(func() error {
+		ids, err := d.Bans()
+		if err != nil {
+			return err
+		}
+		at, found := slices.BinarySearch(ids, id)
+		switch {
+		case found == on:
+			return nil
+		case on && len(ids) >= MaxBans:
+			return ErrTooMany
+		case on:
+			ids = slices.Insert(ids, at, id)
+		default:
+			ids = slices.Delete(ids, at, at+1)
+		}
+		return d.write("bans.json", ids)
+	})
+}
+
+// Follow calls changed whenever any process of the agent may have changed the bans, until ctx ends.
+func (d *Dir) Follow(ctx context.Context, changed func()) {
+	tick := time.NewTicker(LookEvery)
+	defer tick.Stop()
+	var last fs.FileInfo
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now, err := os.Stat(filepath.Join(d.path, "bans.json"))
+		if err != nil || last != nil && os.SameFile(now, last) && now.ModTime().Equal(last.ModTime()) {
+			continue
+		}
+		last = now
+		changed()
+	}
+}
+
+func (d *Dir) read(name string, into any) (found bool, err error) {
+	f, err := os.Open(filepath.Join(d.path, name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	} else if err != nil {
+		return false, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxFile))
+	if err == nil {
+		err = json.Unmarshal(text, into)
+	}
+	if err != nil {
+		return false, fmt.Errorf("upgrade: %s: %w", name, err)
+	}
+	return true, nil
+}
+
+// write replaces a file: who reads it finds the old text or the new one.
+func (d *Dir) write(name string, what any) error {
+	text, err := json.Marshal(what)
+	if err != nil {
+		return err
+	}
+	tmp := filepath.Join(d.path, name+"."+strconv.Itoa(d.seq))
+	if err := os.WriteFile(tmp, text, 0o600); err != nil {
+		os.Remove(tmp)
+		return fmt.Errorf("upgrade: %w", err)
+	}
+	return os.Rename(tmp, filepath.Join(d.path, name))
+}
--- /dev/null
+++ b/internal/upgrade/upgrade_test.go
@@ -0,0 +1,258 @@
+package upgrade
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/membership"
+)
+
+const patience = 20 * time.Second
+
+func TestRoles(t *testing.T) {
+	for _, c := range []struct {
+		peers         []Peer
+		follows, heir bool
+	}{
+		{nil, false, false},
+		{[]Peer{{Seq: 4, Alive: true, Serving: true}}, true, false},
+		{[]Peer{{Seq: 4, Alive: true}}, true, false}, // it has started, and may yet serve
+		{[]Peer{{Seq: 4, Serving: true}}, false, false},
+		{[]Peer{{Seq: 6, Alive: true}}, false, false},               // it may never come up
+		{[]Peer{{Seq: 6, Serving: true}}, false, false},             // it was killed
+		{[]Peer{{Seq: 6, Alive: true, Serving: true}}, false, true}, //
+		{[]Peer{{Seq: 4, Alive: true}, {Seq: 6, Alive: true}}, true, false},
+	} {
+		if f, h := Follows(5, c.peers), HasHeir(5, c.peers); f != c.follows || h != c.heir {
+			t.Errorf("%+v: follows %v, has an heir %v; want %v, %v", c.peers, f, h, c.follows, c.heir)
+		}
+	}
+}
+
+func join(t *testing.T, tmp string) *Dir {
+	t.Helper()
+	d, err := Join(tmp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func TestAProcessHasAnHeirWhileThatServes(t *testing.T) {
+	tmp := t.TempDir()
+	old := join(t, tmp)
+	if !old.First() || old.Heir() {
+		t.Error("a process that is alone does not know it")
+	}
+	next := join(t, tmp)
+	if next.First() || old.Heir() {
+		t.Error("the next process is no follower, or an heir before it serves")
+	}
+	if err := next.Serve(); err != nil {
+		t.Fatal(err)
+	}
+	if !old.Heir() || next.Heir() {
+		t.Error("roles are mixed up")
+	}
+	next.mine.Close() // as the kernel does when a process is killed
+	if old.Heir() {
+		t.Error("a process that was killed is an heir")
+	}
+	third := join(t, tmp)
+	if third.seq <= next.seq || third.First() {
+		t.Errorf("the third process is number %d, after %d", third.seq, next.seq)
+	}
+	if err := old.Close(); err != nil {
+		t.Error(err)
+	}
+	if fourth := join(t, tmp); fourth.First() {
+		t.Error("a process that follows the third says it is alone")
+	}
+}
+
+func TestBansAreSharedAndOutliveProcesses(t *testing.T) {
+	tmp := t.TempDir()
+	a, b := join(t, tmp), join(t, tmp)
+	var both sync.WaitGroup
+	for i, d := range []*Dir{a, b} { // at once, and none is lost
+		both.Go(func() {
+			for n := range 50 {
+				if err := d.Ban(fmt.Sprintf("s-%d-%d", i, n), true); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	both.Wait()
+	ctx, cancel := context.WithCancel(t.Context())
+	heard, ended := make(chan []string, 1000), make(chan struct{})
+	go func() {
+		defer close(ended)
+		b.Follow(ctx, func() {
+			ids, err := b.Bans()
+			if err != nil {
+				t.Error(err)
+			}
+			heard <- ids
+		})
+	}()
+	wait := func(n int) []string {
+		for {
+			select {
+			case ids := <-heard:
+				if len(ids) == n {
+					return ids
+				}
+			case <-time.After(patience):
+				t.Fatalf("%d bans are never heard of", n)
+			}
+		}
+	}
+	wait(100)
+	for range 2 { // a call back may be repeated, too
+		if err := a.Ban("s-0-7", false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if ids := wait(99); slices.Contains(ids, "s-0-7") || !slices.IsSorted(ids) {
+		t.Errorf("bans %v", ids)
+	}
+	cancel()
+	<-ended
+	a.mine.Close()
+	b.mine.Close()
+	if ids, err := join(t, tmp).Bans(); err != nil || len(ids) != 99 {
+		t.Errorf("%d bans are left to the next process, %v", len(ids), err)
+	}
+	if err := os.WriteFile(filepath.Join(tmp, folder, "bans.json"), []byte(`["s-1"`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := a.Bans(); err == nil {
+		t.Error("a spoilt file of bans is taken for none")
+	}
+}
+
+func TestBansAreBounded(t *testing.T) {
+	d := join(t, t.TempDir())
+	ids := make([]string, MaxBans)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("s-%05d", i)
+	}
+	if err := d.write("bans.json", ids); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Ban("one-more", true); !errors.Is(err, ErrTooMany) {
+		t.Errorf("one ban too many: %v", err)
+	}
+	if err := d.Ban("s-00007", false); err != nil {
+		t.Error(err)
+	}
+	if err := d.Ban("one-more", true); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestTheListIsKept(t *testing.T) {
+	tmp := t.TempDir()
+	a := join(t, tmp)
+	if s, err := a.Saved(); s != nil || err != nil {
+		t.Errorf("at first %v, %v", s, err)
+	}
+	want := Saved{List: membership.List{Revision: 7, Full: true, Entries: []membership.Entry{{ID: "s-1", Addr: "127.0.0.1:1", State: "draining"}}}, Seen: []string{"s-0"}}
+	if err := a.Save(&want); err != nil {
+		t.Fatal(err)
+	}
+	s, err := join(t, tmp).Saved()
+	if err != nil || s.List.Revision != 7 || len(s.List.Entries) != 1 || s.List.Entries[0] != want.List.Entries[0] || !slices.Equal(s.Seen, want.Seen) {
+		t.Errorf("kept %+v, %v", s, err)
+	}
+}
+
+func TestNoFolder(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, tmp := range []string{"", file} {
+		if d, err := Join(tmp); err == nil {
+			t.Errorf("%q is joined: %+v", tmp, d)
+		}
+	}
+}
+
+// Connections that stand in the accept queue of the one that leaves are answered; those that come later
+// find the other. Nobody is reset.
+func TestLeavingResetsNobody(t *testing.T) {
+	old, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := old.TCPListener.Addr().String()
+	var queued []net.Conn
+	for range 40 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		queued = append(queued, c)
+	}
+	next, err := Listen(addr) // it shares the address
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	serve := func(l net.Listener, name string, ended chan int) {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				ended <- n
+				return
+			}
+			io.WriteString(c, name)
+			c.Close()
+		}
+	}
+	// The old one has not accepted at all when it is told to leave.
+	left := make(chan struct{})
+	go func() { defer close(left); old.Leave() }()
+	oldEnded, nextEnded := make(chan int, 1), make(chan int, 1)
+	go serve(old, "old", oldEnded)
+	go serve(next, "new", nextEnded)
+	<-left
+	read := func(c net.Conn) string {
+		c.SetReadDeadline(time.Now().Add(patience))
+		text, err := io.ReadAll(c)
+		if err != nil {
+			return err.Error()
+		}
+		return string(text)
+	}
+	for i, c := range queued {
+		if got := read(c); got != "old" {
+			t.Fatalf("connection %d in the queue: %q", i, got)
+		}
+	}
+	if n := <-oldEnded; n != len(queued) {
+		t.Errorf("%d accepted of %d", n, len(queued))
+	}
+	for range 40 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := read(c); got != "new" {
+			t.Fatalf("after the end: %q", got)
+		}
+		c.Close()
+	}
+}
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -30,6 +30,7 @@
 	Sent     time.Time // when the attempt began
 	Deadline time.Time
 	Budget   *semaphore.Weighted // memory for the answer
+	Probe    bool                // it is no attempt, and not counted as one
 	// Request makes the bytes, once the connection is up.
 	Request func() net.Buffers
 	// Answer reads the answer and tells whether the connection may carry another request. It asks reserve
@@ -97,6 +98,9 @@
 		}
 		return core.Result{Status: broken(err)}
 	}
+	if p.Written != nil && !x.Probe {
+		p.Written.Add(1)
+	}
 	if x.Answer == nil {
 		// It may have run, and nobody can know more.
 		reusable = true
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,8 @@
 	connectTimeout time.Duration
 	keepalive      time.Duration // idle connections older than this are not used again
 	max            int
+	// Written, where it is set, counts the attempts that were written whole. It is to be set before the first.
+	Written *atomic.Int64
 
 	mu sync.Mutex
 	// By backend, not by address: one that has gone may leave its address to another.
--- a/internal/upstream/http/attempt.go
+++ b/internal/upstream/http/attempt.go
@@ -86,7 +86,7 @@
 	if len(u.Reports) > 0 {
 		path = "/-/load"
 	}
-	return u.Pool.Do(ctx, &conns.Exchange{Key: conns.Key{Backend: b}, Addr: addr, Sent: sent, Deadline: deadline, Budget: u.Budget,
+	return u.Pool.Do(ctx, &conns.Exchange{Key: conns.Key{Backend: b}, Addr: addr, Sent: sent, Deadline: deadline, Budget: u.Budget, Probe: true,
 		Request: func() net.Buffers { return net.Buffers{[]byte("GET " + path + probeHead)} },
 		Answer: func(cn *conns.Conn, _ func(int64) error) (core.Result, bool, error) {
 			whole := int64(0) // a chunked body asks as it grows
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -998,11 +998,13 @@
 	}
 	if ev.List == ListFull || ev.List == ListCached {
 		for _, s := range b.servers {
-			s.usable = s.usable && named[s.id]
+			if !named[s.id] {
+				s.ready, s.usable = false, false
+			}
 		}
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
-		forget := !s.usable && len(s.out) == 0 && !s.probing
+		forget := !s.ready && len(s.out) == 0 && !s.probing // a ban may end before the list tells more
 		if forget {
 			delete(b.byAddr, s.id)
 		}
@@ -1022,16 +1024,21 @@
 		})
 		b.servers = slices.Insert(b.servers, i, s)
 	}
-	if since > s.listedAt {
-		// A new process: nothing known of the old one holds, and it is cold.
+	if lifted := s.banned && !e.Banned; since > s.listedAt || lifted {
+		// A new process: nothing known of the old one holds, and it is cold. Banned ones are restarted
+		// meanwhile, and the list may tell it later.
+		if s.startedAt = since; lifted {
+			s.startedAt = b.now
+		}
 		s.listedAt = since
-		s.startedAt, s.state, s.since, s.silent = since, Unknown, b.now, false
+		s.state, s.since, s.silent, s.lostAt = Unknown, b.now, false, 0
 		s.strikes, s.good, s.lat, s.samples, s.window = 0, 0, 0, 0, 1
 		// A part of a request by chance: of many agents that never earn a whole one, as
 		// many send one as together earned one (ia9314f: new servers were left idle).
 		s.credit = b.rng.Float64()
 	}
-	s.zone, s.cell, s.usable = e.Zone, e.Cell, e.Health == Ready
+	s.zone, s.cell, s.ready, s.banned = e.Zone, e.Cell, e.Health == Ready, e.Banned
+	s.usable = s.ready && !s.banned
 	if s.weight = finite(e.Weight); s.weight <= 0 {
 		s.weight = 1
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1144,3 +1144,39 @@
 		}
 	}
 }
+
+// A ban keeps all attempts away whatever the list says, and its end is the start of a cold server: the list
+// may tell of the restart later, or never.
+func TestBannedServer(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	entry := func(banned bool) Entry {
+		return Entry{Server: addr(0), Health: Ready, Weight: 1, Banned: banned}
+	}
+	sent := func(n int) (to [2]int) {
+		for range n {
+			id, out := r.ask(0, 0)
+			if a := find(out, ActSend); a != nil {
+				to[a.Server[3]]++
+				r.outcome(id, 0, a.Server, OK, 5)
+			}
+			r.now += 10
+		}
+		return to
+	}
+	if to := sent(200); to[0] == 0 {
+		t.Fatal("the server is never used")
+	}
+	r.list(ListOther, entry(true))
+	r.list(ListFull, entry(true), Entry{Server: addr(1), Health: Ready, Weight: 1})
+	if to := sent(200); to[0] != 0 || to[1] != 200 {
+		t.Errorf("while banned: %v", to)
+	}
+	r.list(ListOther, entry(false))
+	s := r.b.byAddr[addr(0)]
+	if s.state != Unknown || r.b.ramp(s) >= 1 || s.window != 1 {
+		t.Errorf("after the ban: state %v, ramp %v, window %v: not cold", s.state, r.b.ramp(s), s.window)
+	}
+	if to := sent(400); to[0] == 0 || to[0] >= to[1]/2 {
+		t.Errorf("in the first 4 s after the ban: %v", to)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,7 +18,9 @@
 	weight    float64
 	listedAt  float64 // start of its process by the list
 	startedAt float64 // the same, or later where a restart is assumed
-	usable    bool    // listed as ready
+	ready     bool    // listed as ready
+	banned    bool    // by an operator
+	usable    bool    // ready and not banned
 	state     State
 	since     float64 // when the state was entered
 	silent    bool    // demoted for silence, not for an answer
--- a/policy/types.go
+++ b/policy/types.go
@@ -157,6 +157,7 @@
 	Kind    int
 	SinceMs float64 // clock time of the latest start; 0: long past
 	Health  Health
+	Banned  bool // an operator wants nothing new there, whatever Health says
 	Weight  float64
 }
 
