Bodies and answers of any length: whole to 1 MiB, streams beyond; chunked requests

Cause: chunked requests and bodies over 64 KiB were rejected, long answers bounded at 1 MiB. Change: a body is taken whole as far as 1 MiB and the budget go, the rest is a stream of one attempt, whose time begins when it is written whole (EvWritten); answers over 64 KiB are passed on as they come; the framing of clients' bytes is followed, so that a length beside a coding is still rejected.

--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -33,6 +33,7 @@
 	Made     int  // attempts so far, with this one
 	Most     int
 	Effect   policy.Effect
+	Spent    bool // a part of it has gone, and is not kept
 }
 
 // Forbids says why the attempt is not to be made; "" allows it.
@@ -50,6 +51,8 @@
 		return "more attempts than allowed"
 	case g.MayRun > 0 && g.Effect == policy.SingleShot:
 		return "repeat of an unsafe request that may have run"
+	case g.Spent:
+		return "repeat of a request that is not kept"
 	case !g.Timely:
 		return "attempt without time"
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -71,9 +71,11 @@
 	id       policy.RequestID
 	call     *Call
 	answered bool
+	streams  bool // its answer's rest is still on its way to the client
 	attempts []*attempt
 	out      int // attempts out
 	mayRun   int // attempts that are out or may have run
+	spent    bool
 	backstop *time.Timer
 }
 
@@ -329,6 +331,9 @@
 		c.Deadline = earliest(c.Deadline, l.endBy)
 	}
 	left := time.Until(c.Deadline)
+	if c.Left > 0 {
+		left = c.Left
+	}
 	most := l.cfg.Settings.Limits.OpenCap
 	if left <= 0 || most > 0 && l.open > most {
 		l.refuse(r, l.cfg.Settings.Limits.MaxRetryAfterMs)
@@ -336,15 +341,34 @@
 	}
 	l.requests[r.id], l.ids[c.ID] = r, r
 	left, backstop := Times(left)
+	if c.Left > 0 {
+		backstop = time.Until(c.Deadline)
+		c.written = func(at time.Time) { l.Post(func() { l.written(r, at) }) }
+	}
 	r.backstop = time.AfterFunc(backstop, func() {
 		l.Post(func() { l.late(r) })
 	})
-	l.handle(&policy.Event{Kind: policy.EvRequest, Request: r.id, Class: c.Class, Tenant: c.Tenant,
+	l.handle(&policy.Event{Kind: policy.EvRequest, Stream: c.Left > 0, Request: r.id, Class: c.Class, Tenant: c.Tenant,
 		Key: c.Key, LeftMs: float64(left.Microseconds()) / 1000, HintMs: c.HintMs,
 		HasHint: c.HasHint, Retry: c.Retry})
 	return r
 }
 
+// written begins a streamed call's time: its last byte has gone to a backend.
+func (l *Loop) written(r *Request, at time.Time) {
+	if r.answered {
+		return
+	}
+	r.call.Deadline = at.Add(r.call.Left)
+	if !l.endBy.IsZero() {
+		r.call.Deadline = earliest(r.call.Deadline, l.endBy)
+	}
+	left, backstop := Times(time.Until(r.call.Deadline))
+	r.backstop.Reset(max(backstop, 0))
+	l.handle(&policy.Event{Kind: policy.EvWritten, Request: r.id, Attempt: len(r.attempts) - 1,
+		LeftMs: float64(max(left, 0).Microseconds()) / 1000})
+}
+
 // late is the backstop: the module should have ended the request before. That it
 // did not is a bug or a stall, so it is logged and counted.
 func (l *Loop) late(r *Request) {
@@ -364,6 +388,9 @@
 		select {
 		case a := <-r.call.Answer: // nobody will
 			l.budget.Release(a.Held)
+			if drop(a.Reply); streamed(a.Reply) {
+				l.tally.End(r.call.Class, Failed)
+			}
 		default:
 		}
 		return
@@ -399,7 +426,9 @@
 	if r.answered {
 		return
 	}
-	l.tally.Count(r.call.Class, a.Verdict)
+	if r.streams = streamed(a.Reply); !r.streams { // else its front says how it ends
+		l.tally.Count(r.call.Class, a.Verdict)
+	}
 	switch a.Verdict {
 	case Served:
 		l.figures.Served++
@@ -417,7 +446,9 @@
 	if !r.answered {
 		r.answered = true
 		l.open--
-		l.tally.Open.Add(-1)
+		if !r.streams {
+			l.tally.Open.Add(-1)
+		}
 	}
 	if r.backstop != nil {
 		r.backstop.Stop()
@@ -448,7 +479,7 @@
 	r.attempts = append(r.attempts, t)
 	until := r.call.Deadline.Add(-backstopMargin)
 	now := time.Now()
-	if a.Ms != 0 {
+	if a.Ms != 0 && r.call.Left == 0 {
 		until = earliest(until, now.Add(ms(a.Ms)))
 	}
 	if why := l.forbidden(r, b, now, until); why != "" {
@@ -478,7 +509,7 @@
 // forbidden guards the contract whatever the module says; "" allows the attempt.
 func (l *Loop) forbidden(r *Request, b *Backend, now, until time.Time) string {
 	g := Guard{Answered: r.answered, Listed: b != nil && b.addr != "", Timely: until.After(now), Out: r.out, MayRun: r.mayRun,
-		Made: len(r.attempts), Most: l.cfg.Settings.Limits.MaxAttempts, Effect: l.cfg.Settings.Classes[r.call.Class].Effect}
+		Spent: r.spent, Made: len(r.attempts), Most: l.cfg.Settings.Limits.MaxAttempts, Effect: l.cfg.Settings.Classes[r.call.Class].Effect}
 	g.Closed = g.Listed && b.closed.Load()
 	return g.Forbids()
 }
@@ -487,6 +518,7 @@
 func (l *Loop) ended(r *Request, index int, res *Result) {
 	t := r.attempts[index]
 	t.done = true
+	r.spent = r.spent || res.Spent
 	t.backend.out--
 	r.out--
 	if res.Status.NeverRan() {
@@ -495,6 +527,7 @@
 	switch {
 	case r.answered:
 		l.budget.Release(res.Held)
+		drop(res.Reply)
 	case res.Status == policy.OK:
 		l.finish(r, Answer{Verdict: Served, Reply: res.Reply, Held: res.Held})
 	case res.Status == policy.Cancelled && res.Unanswered:
@@ -502,6 +535,15 @@
 	case res.Status == policy.Cancelled && res.Blamed:
 		// The backend found fault with the request: so would any other.
 		l.finish(r, Answer{Verdict: Failed, Fault: Blamed, Reply: res.Reply, Held: res.Held})
+	case res.Unread:
+		l.finish(r, Answer{Verdict: Failed, Fault: Unread})
+	case res.Spent:
+		// Nothing is left that could be sent again.
+		if MayRefuse(&l.cfg.Settings.Classes[r.call.Class], r.mayRun) {
+			l.finish(r, Answer{Verdict: Refused, AfterMs: l.cfg.Settings.Limits.MaxRetryAfterMs})
+		} else {
+			l.finish(r, Answer{Verdict: Failed})
+		}
 	default:
 		l.budget.Release(res.Held)
 	}
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -42,6 +42,12 @@
 	}
 }
 
+// End counts a streamed answer, which has ended now.
+func (t *Tally) End(class int, v Verdict) {
+	t.Count(class, v)
+	t.Open.Add(-1)
+}
+
 // Rotation is how many backends there are and how many of them the agent avoids.
 type Rotation struct {
 	Listed int
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -25,6 +25,18 @@
 	Via      Upstream
 	Payload  any         // the front's, for its upstream
 	Answer   chan Answer // of capacity one: the loop never waits for a client
+
+	// Left, where it is not 0, is the time that a streamed call has from its last byte on: a part of it still
+	// comes while it is sent. Deadline is then how long that may take in all.
+	Left    time.Duration
+	written func(at time.Time)
+}
+
+// Written tells that the last byte of a streamed call has gone to a backend, and returns when an attempt that
+// was written then is to end. Its upstream calls it, once an attempt.
+func (c *Call) Written(at time.Time) (until time.Time) {
+	c.written(at)
+	return at.Add(c.Left - backstopMargin)
 }
 
 // Verdict is how a call ends.
@@ -46,6 +58,7 @@
 	Duplicate       // its id is that of a call that is open or may still run
 	Expired         // the backstop ended it
 	Blamed          // the backend found fault with the request
+	Unread          // its client did not bring it whole
 )
 
 // Answer is the one final answer to a call.
@@ -57,6 +70,23 @@
 	Held    int64   // of the budget of memory; given back once the answer is written
 }
 
+// Open is a reply whose rest still comes. The call is open until the front has called Close, with whether the
+// client has it whole.
+type Open interface{ Close(whole bool) }
+
+// drop ends with a reply that nobody will have.
+func drop(reply any) {
+	if o, ok := reply.(Open); ok {
+		o.Close(false)
+	}
+}
+
+// streamed tells whether a reply's rest still comes.
+func streamed(reply any) bool {
+	_, ok := reply.(Open)
+	return ok
+}
+
 // Result is how one attempt ended.
 type Result struct {
 	Status    policy.Status
@@ -66,8 +96,11 @@
 	// Unanswered, with Cancelled: written whole, and no answer will ever come, as the protocol has it.
 	// It may have run, and for its client it is served.
 	Unanswered bool
-	Reply      any
-	Held       int64 // of the budget, for the reply; whoever ends with the reply gives it back
+	// Spent: a part of a streamed call has gone, and no other attempt can be made of it. Unread: by its client's
+	// fault.
+	Spent, Unread bool
+	Reply         any
+	Held          int64 // of the budget, for the reply; whoever ends with the reply gives it back
 }
 
 // Upstream makes attempts of one protocol. All methods may be called from any goroutine.
--- /dev/null
+++ b/internal/front/http/framing.go
@@ -0,0 +1,182 @@
+package http
+
+import (
+	"bytes"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// framing follows the raw bytes of a client's connection from message to message, to see what net/http settles
+// without a word: a Content-Length beside a Transfer-Encoding, of which it drops the first. A request whose
+// length can be read in two ways may hide another one. It decides only whether a chunked request is sound;
+// what it can't follow it takes for unsound, from there on.
+//
+// Source: RFC 9112, sections 6 and 7.
+type framing struct {
+	state   state
+	line    []byte // of the head, or a chunk's size, as far as it has come; at most maxLine
+	length  int64  // of the body by Content-Length; -1: none was told
+	coded   bool   // the head has a Transfer-Encoding
+	begun   bool   // a line of the head has come
+	left    int64  // of the body or the chunk
+	heads   int    // heads that have come whole
+	unsound int    // the first head that is not to be trusted, counted from 1; 0: none
+}
+
+type state uint8
+
+const (
+	inHead state = iota
+	inBody
+	inSize
+	inChunk
+	inChunkEnd
+	inTrailer
+	lost
+)
+
+// maxLine bounds a line of a head as it is kept: a length and a coding are far shorter, and of the longer
+// ones only the name matters.
+const maxLine = 256
+
+// feed takes what was read from the connection.
+func (f *framing) feed(p []byte) {
+	for len(p) > 0 && f.state != lost {
+		switch f.state {
+		case inBody, inChunk:
+			n := min(int64(len(p)), f.left)
+			p, f.left = p[n:], f.left-n
+			if f.left == 0 {
+				if f.state == inChunk {
+					f.state = inChunkEnd
+				} else {
+					f.next()
+				}
+			}
+		default:
+			i := bytes.IndexByte(p, '\n')
+			part := p
+			if i >= 0 {
+				part = p[:i]
+			}
+			f.line = append(f.line, part[:min(len(part), maxLine-len(f.line))]...)
+			if i < 0 {
+				return
+			}
+			p = p[i+1:]
+			f.endLine(strings.TrimSuffix(string(f.line), "\r"))
+			f.line = f.line[:0]
+		}
+	}
+}
+
+// next begins a message.
+func (f *framing) next() { f.state, f.length, f.coded, f.begun = inHead, -1, false, false }
+
+// lose gives up: the head that is coming, or has just come, is not to be trusted, nor anything behind it.
+func (f *framing) lose(head int) { f.state, f.unsound = lost, head }
+
+func (f *framing) endLine(line string) {
+	switch f.state {
+	case inHead:
+		f.headLine(line)
+	case inSize:
+		size, _, _ := strings.Cut(line, ";")
+		n, err := strconv.ParseUint(strings.TrimRight(size, " \t"), 16, 62)
+		switch {
+		case err != nil:
+			f.lose(f.heads + 1) // net/http finds the same, and closes the connection
+		case n == 0:
+			f.state = inTrailer
+		default:
+			f.state, f.left = inChunk, int64(n)
+		}
+	case inChunkEnd:
+		if f.state = inSize; line != "" {
+			f.lose(f.heads + 1)
+		}
+	case inTrailer:
+		if line == "" {
+			f.next()
+		}
+	}
+}
+
+func (f *framing) headLine(line string) {
+	if line != "" {
+		f.begun = true
+		name, value, _ := strings.Cut(line, ":")
+		switch strings.ToLower(strings.TrimRight(name, " \t")) {
+		case "content-length":
+			n, err := strconv.ParseUint(strings.Trim(value, " \t"), 10, 62)
+			if err != nil || f.length >= 0 && f.length != int64(n) {
+				f.lose(f.heads + 1)
+				return
+			}
+			f.length = int64(n)
+		case "transfer-encoding":
+			f.coded = true
+		}
+		return
+	}
+	if !f.begun {
+		return // an empty line ahead of a request is none
+	}
+	f.heads++
+	switch {
+	case f.coded && f.length >= 0:
+		f.lose(f.heads)
+	case f.coded:
+		f.state = inSize
+	case f.length > 0:
+		f.state, f.left = inBody, f.length
+	default:
+		f.next()
+	}
+}
+
+// framedConn is a client's connection whose framing is followed.
+type framedConn struct {
+	net.Conn
+	mu      sync.Mutex // net/http reads ahead in the background
+	framing framing
+	asked   int // requests that the handler has seen
+}
+
+// Read reads and follows.
+func (c *framedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.framing.feed(p[:n])
+	c.mu.Unlock()
+	return n, err
+}
+
+// CloseWrite lets the server end its sending before it closes, as it does on a TCP connection.
+func (c *framedConn) CloseWrite() error {
+	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return cw.CloseWrite()
+	}
+	return nil
+}
+
+// asks counts a request, and tells whether its framing can be trusted.
+func (c *framedConn) asks() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked++
+	return c.framing.unsound == 0 || c.asked < c.framing.unsound
+}
+
+// framedListener follows the framing on each connection that it accepts.
+type framedListener struct{ net.Listener }
+
+func (l framedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &framedConn{Conn: nc, framing: framing{length: -1}}, nil
+}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -30,13 +31,17 @@
 	lookEvery = 20 * time.Millisecond
 	// hurried is what a client that has begun a request may still take to bring it whole.
 	hurried = 400 * time.Millisecond
-	// headTime and readTime bound how long a head and a whole request may take to
-	// come: a client that sends neither is to be told within 3 s.
-	headTime, readTime = 2 * time.Second, 2500 * time.Millisecond
+	// headTime bounds how long a head may take to come: 2 s is what a client may need, and one that sends none
+	// is to be told within 3 s. A body has its own bounds.
+	headTime = 2700 * time.Millisecond
 	// idleTime is how long a connection is kept between requests.
 	idleTime = 10 * time.Second
 	// writeTime is what a client may take to read its answer.
 	writeTime = 2 * time.Second
+	// pieceTime is what a client may take to read a piece of a long answer, pieceSize its most bytes.
+	pieceTime, pieceSize = 10 * time.Second, 16 << 10
+	// rejectTime is for what is answered before anything else was, from the head on.
+	rejectTime = 5 * time.Second
 )
 
 // Front serves clients on one listener.
@@ -69,8 +74,7 @@
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headTime,
-		ReadTimeout:       readTime,
-		WriteTimeout:      readTime + writeTime, // for what is rejected; counts from the head
+		WriteTimeout:      rejectTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    maxHead,
 		ConnState:         f.conns.track,
@@ -87,7 +91,7 @@
 
 // Serve accepts clients until the front is shut down; then it returns nil.
 func (f *Front) Serve(ln net.Listener) error {
-	if err := f.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !f.leaving.Load() {
+	if err := f.server.Serve(framedListener{ln}); !errors.Is(err, http.ErrServerClosed) && !f.leaving.Load() {
 		return fmt.Errorf("front: %w", err)
 	}
 	return nil
@@ -141,7 +145,10 @@
 }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	now := time.Now()
+	now, framed := time.Now(), false
+	if nc, ok := req.Context().Value(connKey{}).(*framedConn); ok {
+		framed = nc.asks()
+	}
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -154,30 +161,36 @@
 		}
 		return
 	}
-	c, err := f.check(req, now)
+	c, err := f.check(req, now, framed)
 	if err != nil {
 		reject(w, err)
 		return
 	}
-	held, err := f.readBody(req, c)
-	defer f.budget.Release(held)
-	if errors.Is(err, errNoMemory) {
-		// Nothing was sent: coming back is harmless.
-		w.Header().Set("Connection", "close")
-		f.write(w, core.Answer{Verdict: core.Refused, AfterMs: f.settings.Limits.MaxRetryAfterMs})
-		return
-	}
-	if err != nil {
-		reject(w, err)
-		return
+	if req.ContentLength != 0 {
+		body := newBody(w, req)
+		var held int64
+		var more bool
+		c.out.Body, held, more, err = body.take(req.ContentLength, f.budget)
+		defer func() { f.budget.Release(held) }()
+		if err != nil {
+			reject(w, badf(http.StatusBadRequest, "body can't be read"))
+			return
+		}
+		if c.Deadline = time.Now().Add(c.time); more {
+			c.out.Rest, c.out.Length = body, req.ContentLength
+			c.Left, c.Deadline = c.time, c.Deadline.Add(slowest(MaxBody))
+			// An answer may come before the body's end: it is written at once, and the body read to its end.
+			_ = http.NewResponseController(w).EnableFullDuplex()
+			defer body.finish(w)
+		}
 	}
 	f.conns.taken(req.Context())
 	took := make(chan *core.Request, 1)
 	f.Loop.Post(func() { took <- f.Loop.Take(&c.Call) })
 	select {
 	case a := <-c.Answer:
-		f.write(w, a)
-		f.budget.Release(a.Held)
+		defer f.budget.Release(a.Held) // also where a long answer is broken off
+		f.write(w, a, c.Class)
 	case <-req.Context().Done():
 		f.Loop.Post(func() { f.Loop.Left(<-took) })
 	}
@@ -191,15 +204,20 @@
 	if errors.As(err, &b) {
 		status = b.status
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
 }
 
 // write sends the final answer.
-func (f *Front) write(w http.ResponseWriter, a core.Answer) {
+func (f *Front) write(w http.ResponseWriter, a core.Answer, class int) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
 	switch {
 	case a.Verdict == core.Served:
+		if s, ok := a.Reply.(*upstream.Stream); ok {
+			f.pass(w, s, class)
+			return
+		}
 		r := a.Reply.(*upstream.Reply)
 		for name, values := range upstream.EndToEnd(r.Header) {
 			w.Header()[name] = values
@@ -218,9 +236,48 @@
 		reject(w, badf(status, "%s", http.StatusText(status)))
 	case a.Fault == core.Duplicate:
 		reject(w, badf(http.StatusConflict, "%s", http.StatusText(http.StatusConflict)))
+	case a.Fault == core.Unread:
+		reject(w, badf(http.StatusBadRequest, "body can't be read"))
 	case a.Fault == core.Expired:
 		w.WriteHeader(http.StatusGatewayTimeout)
 	default:
 		w.WriteHeader(http.StatusBadGateway)
 	}
 }
+
+// pass passes a long answer on as it comes. What the backend breaks off ends the connection before the answer's
+// end, so that the client can tell.
+func (f *Front) pass(w http.ResponseWriter, s *upstream.Stream, class int) {
+	verdict := core.Failed
+	defer func() {
+		s.Close(verdict == core.Served)
+		if f.Loop.Tally().End(class, verdict); verdict != core.Served {
+			panic(http.ErrAbortHandler) // net/http then closes the connection
+		}
+	}()
+	for name, values := range upstream.EndToEnd(s.Header) {
+		w.Header()[name] = values
+	}
+	if s.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(s.Length, 10))
+	}
+	w.WriteHeader(http.StatusOK)
+	out := http.NewResponseController(w)
+	piece := s.Body
+	for buf := make([]byte, pieceSize); ; {
+		_ = out.SetWriteDeadline(time.Now().Add(pieceTime))
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+		if err := out.Flush(); err != nil {
+			return
+		}
+		n, err := s.Read(buf)
+		if piece = buf[:n]; err == io.EOF && n == 0 {
+			verdict = core.Served
+			return
+		} else if err != nil && err != io.EOF {
+			return
+		}
+	}
+}
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -1,9 +1,7 @@
 package http
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"path"
 	"strconv"
@@ -19,15 +17,12 @@
 )
 
 const (
-	// MaxBody is the largest body of a request, maxHead the largest head.
-	MaxBody, maxHead = 64 << 10, 16 << 10
+	// maxHead is the largest head.
+	maxHead = 16 << 10
 	// maxTimeout bounds the time that a client may give, in ms.
 	maxTimeout = 60_000
 	// maxToken bounds an id and a key.
 	maxToken = 128
-	// freeBody is read before the budget is asked for the rest of a body, so that who
-	// only claims a long one holds nothing.
-	freeBody = 4 << 10
 )
 
 // single are the fields with a meaning here: one of them twice means two things.
@@ -37,7 +32,8 @@
 // call is a client's request as the front took it, and where its answer goes.
 type call struct {
 	core.Call
-	out upstream.Call // what goes on
+	out  upstream.Call // what goes on
+	time time.Duration // what the client gives it, from its last byte on
 }
 
 // bad is what is wrong with a request, and the status that says so. It is never a
@@ -55,8 +51,8 @@
 
 // check turns the head of a client's request into a call or tells what is wrong with
 // it. What passes is what a usual client sends: a backend turns away or closes on the
-// rest, and would be taken for a bad one.
-func (f *Front) check(req *http.Request, now time.Time) (*call, error) {
+// rest, and would be taken for a bad one. framed says that the framing of a chunked body can be trusted.
+func (f *Front) check(req *http.Request, now time.Time, framed bool) (*call, error) {
 	h := req.Header
 	refuse := func(format string, args ...any) (*call, error) {
 		return nil, badf(http.StatusBadRequest, format, args...)
@@ -64,10 +60,9 @@
 	switch {
 	case req.ProtoMajor != 1 || req.ProtoMinor != 1:
 		return nil, badf(http.StatusHTTPVersionNotSupported, "the protocol version is not spoken here")
-	case len(req.TransferEncoding) > 0 || len(h["Transfer-Encoding"]) > 0:
-		// net/http drops a Content-Length beside it, so the two can't be told from one;
-		// what follows may be a request hidden in the body, and is never read.
-		return nil, badf(http.StatusLengthRequired, "a body needs Content-Length, and no Transfer-Encoding")
+	case len(req.TransferEncoding) > 0 && !framed || len(h["Transfer-Encoding"]) > 0:
+		// What follows may be a request hidden in the body, and is never read.
+		return nil, badf(http.StatusLengthRequired, "a body needs one length: Content-Length, or Transfer-Encoding: chunked")
 	case req.ContentLength > MaxBody:
 		return nil, badf(http.StatusRequestEntityTooLarge, "body over %d bytes", MaxBody)
 	case req.Method != http.MethodGet && req.Method != http.MethodPost:
@@ -111,7 +106,8 @@
 	if err != nil || left == 0 || left > maxTimeout {
 		return refuse("Request-Timeout-Ms is no whole number from 1 to %d", maxTimeout)
 	}
-	c.Deadline = now.Add(time.Duration(left) * time.Millisecond)
+	c.time = time.Duration(left) * time.Millisecond
+	c.Deadline = now.Add(c.time)
 	if text := h.Get("Work-Hint"); text != "" {
 		us, err := strconv.ParseFloat(text, 64)
 		if c.HasHint = err == nil && us > 0 && us < 1e12; c.HasHint { // a guess: a bad one is none
@@ -125,30 +121,6 @@
 	return c, nil
 }
 
-// readBody reads the whole body, whose length check has bounded. What it takes from
-// the budget of memory the caller gives back: held bytes.
-func (f *Front) readBody(req *http.Request, c *call) (held int64, err error) {
-	n := int(req.ContentLength)
-	if n == 0 {
-		return 0, nil
-	}
-	c.out.Body = make([]byte, min(n, freeBody))
-	if _, err = io.ReadFull(req.Body, c.out.Body); err == nil && n > freeBody {
-		if !f.budget.TryAcquire(int64(n)) {
-			return 0, errNoMemory
-		}
-		held = int64(n)
-		c.out.Body = append(make([]byte, 0, n), c.out.Body...)[:n]
-		_, err = io.ReadFull(req.Body, c.out.Body[freeBody:])
-	}
-	if err != nil {
-		return held, badf(http.StatusBadRequest, "body can't be read")
-	}
-	return held, nil
-}
-
-var errNoMemory = errors.New("no memory for a body")
-
 // token tells whether s is one of the words that ids and keys are.
 func token(s string) bool {
 	return len(s) <= maxToken && httpguts.ValidHeaderFieldName(s)
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -36,6 +37,52 @@
 	// Answer reads the answer and tells whether the connection may carry another request. It asks reserve
 	// for memory. nil: nothing will ever come.
 	Answer func(cn *Conn, reserve func(n int64) error) (res core.Result, reusable bool, err error)
+	// Body, where it is set, writes what comes behind Request, from where it still comes itself, and then says
+	// until when the attempt has time. An error that is ErrUnread is not the backend's.
+	Body func(w io.Writer) (until time.Time, err error)
+}
+
+// ErrUnread says that the rest of a request did not come from its client.
+var ErrUnread = errors.New("the rest of the request did not come")
+
+// Rest is the rest of an answer that is passed on as it comes. It owns the connection until it is closed.
+type Rest struct {
+	pool *Pool
+	cn   *Conn
+	read func(p []byte) (int, error)
+	keep bool // the connection may carry another request once the answer has ended
+}
+
+// restTime is how long a backend may give nothing of an answer that it has begun.
+const restTime = 15 * time.Second
+
+// NewRest hands an answer's connection to the rest of it, which read reads; keep tells whether the connection
+// may be used again behind it. It is for Answer, which is to return it in the reply, as Exchange.Rest.
+func (p *Pool) NewRest(cn *Conn, read func(p []byte) (int, error), keep bool) *Rest {
+	cn.rest = &Rest{pool: p, cn: cn, read: read, keep: keep}
+	return cn.rest
+}
+
+// Read reads on; io.EOF says that the answer has come whole.
+func (r *Rest) Read(p []byte) (int, error) {
+	if r.cn == nil {
+		return 0, net.ErrClosed
+	}
+	r.cn.SetDeadline(time.Now().Add(restTime))
+	return r.read(p)
+}
+
+// Close ends with the connection: whole says that io.EOF was read.
+func (r *Rest) Close(whole bool) {
+	cn := r.cn
+	if r.cn = nil; cn == nil {
+		return
+	}
+	if whole && r.keep {
+		r.pool.Put(cn)
+	} else {
+		r.pool.Close(cn)
+	}
 }
 
 // Do makes the attempt and returns how it ended, exactly once. It never sends anything twice. Cancelling ctx
@@ -73,7 +120,14 @@
 	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
 		// If the withdrawal has begun its deadline would hit the next user.
-		if stop() && reusable {
+		still := stop()
+		if rest := cn.rest; rest != nil {
+			if cn.rest = nil; still {
+				return // the rest of the answer has it now
+			}
+			rest.cn = nil
+		}
+		if still && reusable {
 			p.Put(cn)
 		} else {
 			p.Close(cn)
@@ -92,12 +146,18 @@
 		whole += int64(len(b))
 	}
 	if n, err := out.WriteTo(cn.Conn); err != nil {
-		if n < whole {
+		if n < whole || x.Body != nil {
 			// The last byte never left, and the connection is closed: it cannot run.
 			return core.Result{Status: policy.ConnectFailed}
 		}
 		return core.Result{Status: broken(err)}
 	}
+	spent := x.Body != nil
+	if spent {
+		if r, ok := p.writeBody(ctx, cn, x); !ok {
+			return r
+		}
+	}
 	if p.Written != nil && !x.Probe {
 		p.Written.Add(1)
 	}
@@ -107,8 +167,9 @@
 		return core.Result{Status: policy.Cancelled, Unanswered: true}
 	}
 	held := int64(0)
+	by = x.Deadline
 	res, again, err := x.Answer(cn, func(n int64) error {
-		within, cancel := context.WithDeadline(ctx, x.Deadline)
+		within, cancel := context.WithDeadline(ctx, by)
 		defer cancel()
 		err := x.Budget.Acquire(within, n)
 		if err == nil {
@@ -119,13 +180,57 @@
 	if err != nil {
 		x.Budget.Release(held)
 		p.Ended(cn, broken(err) == policy.Reset)
-		return core.Result{Status: broken(err)}
+		return core.Result{Status: broken(err), Spent: spent}
 	}
 	p.Ended(cn, false)
+	res.Spent = spent && res.Status != policy.OK
 	reusable, res.Held = again, held // more behind the answer is looked for by Put
 	return res
 }
 
+// bodyTime is how long a backend may take nothing of a request's body.
+const bodyTime = 5 * time.Second
+
+// writeBody writes what still comes of a request. Where it does not come whole, or does not get there whole,
+// the attempt has ended, and never ran: the connection is closed before its last byte. A backend that has
+// turned it away meanwhile is heard.
+func (p *Pool) writeBody(ctx context.Context, cn *Conn, x *Exchange) (core.Result, bool) {
+	cn.SetDeadline(time.Time{})
+	until, err := x.Body(deadlineWriter{ctx, cn})
+	switch {
+	case err == nil:
+		// What the attempt's time begins with is now: latency is what the backend took.
+		x.Sent, x.Deadline = time.Now(), until
+		if cn.SetDeadline(until); ctx.Err() != nil {
+			return core.Result{Status: policy.Reset, Spent: true}, false
+		}
+		return core.Result{}, true
+	case errors.Is(err, ErrUnread) || ctx.Err() != nil:
+		return core.Result{Status: policy.Moot, Spent: true, Unread: errors.Is(err, ErrUnread)}, false
+	}
+	status := policy.ConnectFailed
+	cn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if res, _, err := x.Answer(cn, func(int64) error { return ErrSpoilt }); err == nil && res.Status == policy.Full {
+		status = policy.Full
+	}
+	cn.rest = nil
+	return core.Result{Status: status, Spent: true}, false
+}
+
+// deadlineWriter gives each write a time of its own.
+type deadlineWriter struct {
+	ctx context.Context // the attempt's: once it is withdrawn nothing more is written
+	cn  *Conn
+}
+
+func (w deadlineWriter) Write(p []byte) (int, error) {
+	w.cn.SetWriteDeadline(time.Now().Add(bodyTime))
+	if err := w.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return w.cn.Write(p)
+}
+
 // broken maps what ended an attempt whose last byte was written: it may have run.
 func broken(err error) policy.Status {
 	var timeout net.Error
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -48,6 +48,7 @@
 	key   Key
 	addr  string
 	since time.Time // idle since
+	rest  *Rest     // of the answer on it, which will own it
 	slot  int       // how long it idled before its last use, as ages tells times apart
 }
 
--- a/internal/upstream/http/answer.go
+++ b/internal/upstream/http/answer.go
@@ -6,10 +6,12 @@
 	"io"
 	"math"
 	"net/http"
-	"net/http/httputil"
 	"net/textproto"
 	"strconv"
 	"strings"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
 
 	"ringtrack.example/ringtrack/internal/upstream/conns"
 )
@@ -20,9 +22,11 @@
 	// maxTrailers is what may stand behind a chunked body, its empty line with it: what
 	// net/http's reader takes at the most.
 	maxTrailers = 4 << 10
-	// MaxAnswer is the largest body of an answer. Some are larger than requests may be;
-	// what they take of the memory is bounded by the budget.
-	MaxAnswer = 1 << 20
+	// wholeAnswer is the largest body of an answer that is read whole before any of it goes on; longer ones
+	// are passed on as they come, and so is one of unknown length that has not ended wholeTime after its head.
+	wholeAnswer, wholeTime = 64 << 10, 100 * time.Millisecond
+	// MaxAnswer is the largest body of an answer: one that claims more is spoilt.
+	MaxAnswer = 64 << 20
 	// maxInterim bounds the 1xx answers that may come ahead of the final one.
 	maxInterim = 8
 )
@@ -30,16 +34,24 @@
 // reserve asks for memory for a body of n bytes.
 type reserve func(n int64) error
 
-// readAnswer reads one final answer and its whole body. Only an answer whose head
-// and framing leave no doubt is returned; then nothing of what follows on the
-// connection has been taken for part of it.
-func readAnswer(br *bufio.Reader, want reserve) (*http.Response, []byte, error) {
+// body is an answer's body as far as it was read, and where it goes on; more is nil where it has come whole.
+type body struct {
+	read []byte
+	more func(p []byte) (int, error) // ends with io.EOF
+	size int64                       // of all of it; -1: unknown
+}
+
+// readAnswer reads one final answer and its whole body, or the beginning of a long one. Only an answer whose
+// head and framing leave no doubt is returned; then nothing of what follows on the connection has been taken
+// for part of it. hurry, where it is set, gives reads until then at the most.
+func readAnswer(br *bufio.Reader, want reserve, hurry func(time.Time)) (*http.Response, *body, error) {
 	for range maxInterim + 1 {
 		head, err := readHead(br)
 		if err != nil {
 			return nil, nil, err
 		}
-		if err := checkHead(head); err != nil {
+		closes, err := checkHead(head)
+		if err != nil {
 			return nil, nil, err
 		}
 		// net/http parses the head alone; it gets no hold of the connection, as it
@@ -56,7 +68,7 @@
 		case resp.StatusCode < 200:
 			continue
 		}
-		body, err := readBody(br, resp, want)
+		body, err := readBody(br, resp, closes, want, hurry)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -91,99 +103,100 @@
 }
 
 // checkHead looks for what net/http settles without a word: a length beside chunked,
-// or more than one of them.
-func checkHead(head []byte) error {
+// or more than one of them. closes tells whether the head says that the connection ends behind the answer:
+// net/http takes that for said where there is no length.
+func checkHead(head []byte) (closes bool, err error) {
 	_, fields, _ := bytes.Cut(head, []byte("\n"))
 	h, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
 	if err != nil {
-		return conns.Spoilt("%v", err)
+		return false, conns.Spoilt("%v", err)
 	}
 	lengths, codings := len(h["Content-Length"]), len(h["Transfer-Encoding"])
 	if lengths > 1 || codings > 1 || lengths+codings > 1 {
-		return conns.Spoilt("%d lengths and %d transfer encodings", lengths, codings)
+		return false, conns.Spoilt("%d lengths and %d transfer encodings", lengths, codings)
 	}
-	return nil
+	return httpguts.HeaderValuesContainsToken(h["Connection"], "close"), nil
 }
 
-func readBody(br *bufio.Reader, resp *http.Response, want reserve) ([]byte, error) {
+func readBody(br *bufio.Reader, resp *http.Response, closes bool, want reserve, hurry func(time.Time)) (*body, error) {
 	n := resp.ContentLength
+	b := &body{size: n}
+	var from io.Reader
 	switch {
+	case n > MaxAnswer:
+		return nil, conns.Spoilt("body of %d bytes", n)
 	case resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified:
-		return nil, nil
+		return b, nil
 	case len(resp.TransferEncoding) > 0:
-		body, err := readChunks(httputil.NewChunkedReader(br), want)
-		if err != nil {
-			return nil, err
+		from = &chunks{br: br}
+	case n >= 0 && n <= wholeAnswer || n >= 0 && resp.StatusCode != http.StatusOK:
+		if n > wholeAnswer {
+			return nil, conns.Spoilt("body of %d bytes with status %d", n, resp.StatusCode)
 		}
-		if err := readTrailers(br); err != nil {
+		if err := want(n); err != nil {
 			return nil, err
 		}
-		return body, nil
-	case n < 0:
-		// It would end where the connection does, and nothing could tell a whole
-		// answer from one that was cut off.
+		b.read = make([]byte, n)
+		_, err := io.ReadFull(br, b.read)
+		return b, err
+	case n >= 0:
+		b.more = whole(io.LimitReader(br, n).Read, n)
+		return b, nil
+	case closes:
+		// It ends where the connection does, and says so (RFC 9112, section 6.3).
+		from = br
+	default:
+		// Nothing could tell a whole answer from one that was cut off.
 		return nil, conns.Spoilt("an answer without length")
-	case n > MaxAnswer:
-		return nil, conns.Spoilt("body of %d bytes", n)
-	}
-	if err := want(n); err != nil {
-		return nil, err
 	}
-	body := make([]byte, n)
-	_, err := io.ReadFull(br, body)
-	return body, err
+	return readUnknown(from, resp.StatusCode == http.StatusOK, want, hurry)
 }
 
-// readTrailers reads what ends a chunked body: trailer fields, which nobody here wants,
-// and an empty line that is CR LF and nothing else (RFC 9112, section 7.1.2). What this
-// reader and net/http's do not both take for the end is none: two readers that disagree
-// on where an answer ends are how answers get mixed up on a kept connection.
-func readTrailers(br *bufio.Reader) error {
-	var fields []byte
-	for {
-		line, err := br.ReadSlice('\n')
-		fields = append(fields, line...)
-		switch {
-		case err == bufio.ErrBufferFull || len(fields) > maxTrailers:
-			return conns.Spoilt("trailers too large")
-		case err != nil:
-			return err
-		case !bytes.HasSuffix(line, []byte("\r\n")):
-			return conns.Spoilt("a trailer line that ends in no CR LF")
-		case len(line) > 2:
-			continue
-		case len(fields) == 2:
-			return nil // none, as nearly always
-		}
-		if _, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader(); err != nil {
-			return conns.Spoilt("trailers: %v", err)
-		}
-		return nil
+// whole makes the end of a body an error that came before its n bytes.
+func whole(read func(p []byte) (int, error), n int64) func(p []byte) (int, error) {
+	return func(p []byte) (int, error) {
+		m, err := read(p)
+		if n -= int64(m); err == io.EOF && n > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return m, err
 	}
 }
 
-// readChunks reads a body of unknown length, and asks for its memory as it grows.
-func readChunks(r io.Reader, want reserve) ([]byte, error) {
-	var body []byte
+// readUnknown reads a body of unknown length, and asks for its memory as it grows: whole, or where it may go on
+// later, up to wholeAnswer bytes of it, and for wholeTime.
+func readUnknown(from io.Reader, mayGoOn bool, want reserve, hurry func(time.Time)) (*body, error) {
+	b := &body{size: -1}
+	if mayGoOn && hurry != nil {
+		hurry(time.Now().Add(wholeTime))
+	}
 	for {
-		if len(body) == cap(body) {
-			grown := max(2*cap(body), freeBody)
-			if err := want(int64(grown - cap(body))); err != nil {
+		if len(b.read) == cap(b.read) {
+			grown := max(2*cap(b.read), freeBody)
+			if grown > wholeAnswer {
+				if mayGoOn {
+					b.more = from.Read
+					return b, nil
+				}
+				return nil, conns.Spoilt("body over %d bytes", wholeAnswer)
+			}
+			if err := want(int64(grown - cap(b.read))); err != nil {
 				return nil, err
 			}
-			body = append(make([]byte, 0, grown), body...)
+			b.read = append(make([]byte, 0, grown), b.read...)
 		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := from.Read(b.read[len(b.read):cap(b.read)])
+		b.read = b.read[:len(b.read)+n]
 		switch {
+		case err == nil:
 		case err == io.EOF:
-			return body, nil
-		case err == io.ErrUnexpectedEOF || err != nil && isNet(err):
+			return b, nil
+		case mayGoOn && hurry != nil && isTimeout(err):
+			hurry(time.Time{})
+			b.more = from.Read
+			return b, nil
+		default:
 			return nil, err
-		case err != nil:
-			return nil, conns.Spoilt("%v", err)
-		case len(body) > MaxAnswer:
-			return nil, conns.Spoilt("body over %d bytes", MaxAnswer)
 		}
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -149,6 +149,8 @@
 				r.attempts[ev.Attempt].s.heard = now
 			}
 		}
+	case EvWritten:
+		b.onWritten(ev)
 	case EvDropped:
 		if r := b.requests[ev.Request]; r != nil && !r.closed {
 			b.remember(r)
@@ -198,7 +200,7 @@
 	}
 	c := &b.set.Classes[ev.Class]
 	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key,
-		arrived: b.now, first: b.now}
+		arrived: b.now, first: b.now, stream: ev.Stream}
 	if ev.HasHint && ev.HintMs > 0 {
 		r.hint = ev.HintMs
 		b.meanHint = mean(b.meanHint, r.hint, slowSmooth)
@@ -478,7 +480,7 @@
 // hasRoom, whose credit every attempt to a cold server is charged in send.
 func (b *Balancer) maySend(r *request, s *server) bool {
 	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
-		len(r.attempts) >= b.set.Limits.MaxAttempts {
+		len(r.attempts) >= b.set.Limits.MaxAttempts || r.stream && r.risky > 0 {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -515,7 +517,10 @@
 		r.ranAt, r.ranOn = b.now, s
 	}
 	r.risky++
-	s.out = append(s.out, a)
+	if a.writing = r.stream; !a.writing {
+		s.out = append(s.out, a)
+		b.inflight++
+	}
 	if s.sentAt > 0 {
 		s.gap = mean(s.gap, b.now-s.sentAt, smooth)
 	}
@@ -523,7 +528,6 @@
 		b.gap = mean(b.gap, b.now-b.sentAt, slowSmooth)
 	}
 	s.sentAt, b.sentAt = b.now, b.now
-	b.inflight++
 	if b.ramp(s) < 1 {
 		s.credit -= a.cost
 	}
@@ -531,6 +535,22 @@
 	return true
 }
 
+// onWritten begins a streamed request's time, and its attempt's: the backend has its last byte now.
+func (b *Balancer) onWritten(ev *Event) {
+	r := b.requests[ev.Request]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || !r.attempts[ev.Attempt].writing {
+		return
+	}
+	a := r.attempts[ev.Attempt]
+	a.writing, a.sentAt, a.alone = false, b.now, len(a.s.out) == 0
+	a.s.out = append(a.s.out, a)
+	b.inflight++
+	r.arrived, r.first = b.now, b.now
+	r.deadline = b.now + ev.LeftMs - min(b.set.RoundMs, ev.LeftMs/4)
+	r.aimAt = min(b.now+b.set.Classes[r.class].AimMs, r.deadline)
+	r.ranAt = b.now
+}
+
 // earn keeps each cold server's credit: for all that warm servers have served it may
 // get its share by weight and ramp. Then the servers' shares of all agents together
 // stay in proportion to what they can do, without any agreement. What was only sent
@@ -598,7 +618,9 @@
 	s := a.s
 	a.done = true
 	r.open--
-	b.inflight--
+	if !a.writing {
+		b.inflight--
+	}
 	if i := slices.Index(s.out, a); i >= 0 {
 		s.out = slices.Delete(s.out, i, i+1)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,6 +52,8 @@
 	alone  bool // no other of this agent was out on its server
 	cost   float64
 	done   bool
+	// writing: its body still comes. It is no work of the server's yet, and no silence of it.
+	writing bool
 }
 
 // request is one try of a client, kept until it is answered and no attempt is out.
@@ -77,6 +79,7 @@
 	value      float64
 	wrote      bool // an attempt reached a server
 	closed     bool
+	stream     bool // its body is sent as it comes, once
 	started    bool // a streamed answer belongs to the client now
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -204,6 +204,7 @@
 	EvProbed                       // Server, Status, LatencyMs, Report
 	EvTimer                        // Token
 	EvPeer                         // a message of another agent; carries nothing that is used
+	EvWritten                      // Request, Attempt, LeftMs: a streamed request's body is written whole
 )
 
 // Event is something that happened to one agent.
@@ -217,6 +218,7 @@
 	HintMs    float64
 	HasHint   bool
 	Retry     bool
+	Stream    bool // the body still comes while the request is sent; LeftMs runs from its end
 	Attempt   int
 	Server    Addr
 	Status    Status
