Tests of size, framing, chunks and streams; a half-closed client gets no made-up answer

Cause: a client that ended its sending behind its request was answered 200 with nothing, which no backend made: the handler returned without a word, and net/http writes 200 then. Now its connection is closed.

--- a/internal/agent/request_test.go
+++ b/internal/agent/request_test.go
@@ -254,3 +254,21 @@
 		}
 	}
 }
+
+// A client that ends its sending behind its request has left: it gets no answer, least of all one that no
+// backend made.
+func TestAHalfClosedClientGetsNoMadeUpAnswer(t *testing.T) {
+	began := make(chan struct{})
+	a, _ := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		close(began)
+		io.Copy(io.Discard, c) // until it is withdrawn
+		return false
+	})
+	c := a.dial()
+	fmt.Fprint(c, rawOrder("/api/a1", "half", "Content-Length: 0\r\n", ""))
+	<-began
+	c.(*net.TCPConn).CloseWrite()
+	if got, _ := io.ReadAll(c); len(got) > 0 {
+		t.Errorf("answered %q", got)
+	}
+}
--- /dev/null
+++ b/internal/agent/size_test.go
@@ -0,0 +1,298 @@
+package agent
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// bytesOf are n bytes, the same each time.
+func bytesOf(n int) string {
+	b := make([]byte, n)
+	rand.New(rand.NewSource(int64(n))).Read(b)
+	return string(b)
+}
+
+// sum answers with what arrived of a body.
+func sum(c net.Conn, req *http.Request, _ int) bool {
+	body, _ := io.ReadAll(req.Body)
+	return send(c, 200, "", fmt.Sprintf("%d %x", len(body), sha256.Sum256(body)))
+}
+
+// Bodies of all sizes and forms arrive as they were sent, with memory and without; none is left behind.
+func TestBodiesArriveAsSent(t *testing.T) {
+	for _, short := range []bool{false, true} {
+		a, b := one(t, sum)
+		budget := a.cfg.budget()
+		if short {
+			if err := a.budget.Acquire(t.Context(), budget); err != nil {
+				t.Fatal(err)
+			}
+		}
+		n := 0
+		for _, size := range []int{1, 4096, 4097, 64 << 10, 1<<20 - 1, 1 << 20, 1<<20 + 1, 5 << 20} {
+			body := bytesOf(size)
+			want := fmt.Sprintf("%d %x", size, sha256.Sum256([]byte(body)))
+			for _, chunked := range []bool{false, true} {
+				req := newRequest(a.addr, "order", body)
+				if chunked {
+					req.ContentLength = -1
+					req.Body = io.NopCloser(struct{ io.Reader }{strings.NewReader(body)})
+				}
+				if size%2 == 0 {
+					req.Header.Set("Expect", "100-continue")
+				}
+				status, _, got := a.ask(req)
+				if n++; status != 200 || got != want {
+					t.Errorf("%d bytes, chunked %v, memory short %v: %d %.90q", size, chunked, short, status, got)
+				}
+			}
+		}
+		if b.count() != n {
+			t.Errorf("%d arrivals of %d", b.count(), n)
+		}
+		if f := a.figures(); f.Served != n || f.Guarded+f.Backstops > 0 {
+			t.Errorf("figures %+v", f)
+		}
+		if tally := a.loop.Tally(); tally.Written.Load() != int64(n) || tally.Open.Load() != 0 {
+			t.Errorf("%d attempts written, %d open", tally.Written.Load(), tally.Open.Load())
+		}
+		if short {
+			a.budget.Release(budget)
+		}
+		if err := a.budget.Acquire(t.Context(), budget); err != nil { // all of it: none has leaked
+			t.Fatal(err)
+		}
+		a.budget.Release(budget)
+	}
+}
+
+// A request's time counts from its last byte, whole or a stream: one that takes longer to come than it has time
+// is served.
+func TestTimeCountsFromTheLastByte(t *testing.T) {
+	a, _ := one(t, sum)
+	for _, size := range []int{40 << 10, 1200 << 10} {
+		body := bytesOf(size)
+		c := a.dial()
+		fmt.Fprint(c, strings.Replace(rawOrder("/api/a1", fmt.Sprint(lastID.Add(1)),
+			fmt.Sprintf("Content-Length: %d\r\n", size), ""), "4000", "300", 1))
+		from := time.Now()
+		for rest := body; rest != ""; {
+			n := min(size/8, len(rest))
+			io.WriteString(c, rest[:n])
+			if rest = rest[n:]; rest != "" {
+				time.Sleep(100 * time.Millisecond) // the client's pace is the matter
+			}
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Errorf("%d bytes over %v: %v, %v", size, time.Since(from), resp, err)
+		}
+		c.Close()
+	}
+	if f := a.figures(); f.Served != 2 || f.Backstops > 0 {
+		t.Errorf("figures %+v", f)
+	}
+}
+
+// A stream that breaks before its last byte never ran: it is refused, once, and nothing is sent again. A client
+// that does not bring its body is told so, or finds its connection closed, and blames no backend.
+func TestStreamsThatBreak(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		client func(c net.Conn)
+		server func(c net.Conn) // having read the head and some of the body
+		status int
+	}{
+		{"the backend resets", func(c net.Conn) { io.WriteString(c, bytesOf(8<<20)) }, func(c net.Conn) { reset(c); c.Close() }, 503},
+		{"the backend turns it away", func(c net.Conn) { io.WriteString(c, bytesOf(8<<20)) },
+			func(c net.Conn) {
+				send(c, 503, "Not-Started: 1\r\nConnection: close\r\n", "")
+				c.(*net.TCPConn).CloseWrite()
+				io.Copy(io.Discard, c)
+				c.Close()
+			}, 503},
+		{"the client stops", func(c net.Conn) { io.WriteString(c, bytesOf(3<<20)); c.(*net.TCPConn).CloseWrite() }, func(c net.Conn) { io.Copy(io.Discard, c); c.Close() }, 400},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			accepted := make(chan struct{}, 10)
+			go func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					accepted <- struct{}{}
+					go func() {
+						io.ReadFull(c, make([]byte, 2<<20))
+						test.server(c)
+					}()
+				}
+			}()
+			a := startAgent(t, newDiscoveryServer(t, target("s-1", ln.Addr().String())), nil)
+			c := a.dial()
+			go func() {
+				fmt.Fprint(c, rawOrder("/api/a1", "stream", fmt.Sprintf("Content-Length: %d\r\n", 8<<20), ""))
+				test.client(c)
+			}()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if test.status == 400 && err != nil {
+				return // as for any client that has left
+			}
+			if err != nil || resp.StatusCode != test.status {
+				t.Fatalf("%v, %v; want %d", resp, err, test.status)
+			}
+			if test.status == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Error("refused with no word when to come back")
+			}
+			if n := len(accepted); n != 1 {
+				t.Errorf("%d connections to the backend", n)
+			}
+			if f := a.figures(); f.Guarded+f.Backstops+f.Served > 0 {
+				t.Errorf("figures %+v", f)
+			}
+		})
+	}
+}
+
+// A long answer is passed on as it comes, in each form of HTTP: the client has its first bytes while the backend
+// still holds the rest, for longer than the request had time.
+func TestLongAnswersArePassedOn(t *testing.T) {
+	first, rest := bytesOf(100<<10), bytesOf(3<<20)
+	for name, write := range map[string]func(c io.Writer, on <-chan struct{}){
+		"length": func(c io.Writer, on <-chan struct{}) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(first)+len(rest), first)
+			<-on
+			io.WriteString(c, rest)
+		},
+		"chunks": func(c io.Writer, on <-chan struct{}) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(first), first)
+			<-on
+			fmt.Fprintf(c, "%x\r\n%s\r\n0\r\nT: x\r\n\r\n", len(rest), rest)
+		},
+		"few bytes first": func(c io.Writer, on <-chan struct{}) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n%s\r\n", first[:1])
+			<-on
+			fmt.Fprintf(c, "%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", len(first)-1, first[1:], len(rest), rest)
+		},
+		"to the end of the connection": func(c io.Writer, on <-chan struct{}) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", first)
+			<-on
+			io.WriteString(c, rest)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			on := make(chan struct{})
+			a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+				if n > 0 {
+					return serving(c, req, n)
+				}
+				write(c, on)
+				return !strings.Contains(name, "connection")
+			})
+			req := newRequest(a.addr, "order", "x")
+			req.Header.Set("Request-Timeout-Ms", "400")
+			resp, err := testClient.Do(req)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatalf("%v, %v", resp, err)
+			}
+			head := make([]byte, 1)
+			if _, err := io.ReadFull(resp.Body, head); err != nil {
+				t.Fatal(err)
+			}
+			if open := a.loop.Tally().Open.Load(); open != 1 {
+				t.Errorf("%d open while the answer goes on", open)
+			}
+			time.Sleep(500 * time.Millisecond) // longer than the request's time
+			close(on)
+			got, err := io.ReadAll(resp.Body)
+			if err != nil || string(head)+string(got) != first+rest {
+				t.Errorf("%d bytes came, %v", len(got)+1, err)
+			}
+			for end := time.Now().Add(patience); a.loop.Tally().Open.Load() != 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			if c := &a.loop.Tally().Classes[2]; c.Served.Load() != 1 || c.Failed.Load() != 0 {
+				t.Errorf("served %d, failed %d", c.Served.Load(), c.Failed.Load())
+			}
+			// The connection carries the next request, but where the answer ended with it.
+			status, _, _ := a.ask(newRequest(a.addr, "order", "y"))
+			wantStatus(t, status, 200)
+			want := 1
+			if strings.Contains(name, "connection") {
+				want = 2
+			}
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if opened := b.conns + len(b.ended); opened != want {
+				t.Errorf("%d connections to the backend, want %d", opened, want)
+			}
+		})
+	}
+}
+
+// A long answer that breaks off ends the client's connection before the answer's end, in each form, and counts
+// as failed.
+func TestLongAnswersThatBreak(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":                       fmt.Sprintf("Content-Length: %d\r\n\r\n", 1<<20),
+		"chunks":                       "Transfer-Encoding: chunked\r\n\r\n80000\r\n",
+		"to the end of the connection": "Connection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := one(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%s", head, bytesOf(200<<10))
+				time.Sleep(300 * time.Millisecond) // it has begun to go on
+				return reset(c)
+			})
+			resp, err := testClient.Do(newRequest(a.addr, "order", "x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(resp.Body); err == nil {
+				t.Error("the client takes it for whole")
+			}
+			until := time.Now().Add(patience)
+			c := &a.loop.Tally().Classes[2]
+			for c.Failed.Load() != 1 && time.Now().Before(until) {
+				time.Sleep(time.Millisecond)
+			}
+			if c.Served.Load() != 0 || c.Failed.Load() != 1 || b.count() != 1 || a.loop.Tally().Open.Load() != 0 {
+				t.Errorf("served %d, failed %d, %d arrivals", c.Served.Load(), c.Failed.Load(), b.count())
+			}
+		})
+	}
+}
+
+// A client that leaves in the midst of a long answer frees the backend's connection.
+func TestClientsThatLeaveALongAnswer(t *testing.T) {
+	a, b := one(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 60<<20)
+		_, err := io.WriteString(c, bytesOf(60<<20))
+		return err == nil
+	})
+	c := a.dial()
+	fmt.Fprint(c, rawOrder("/api/a1", "leaves", "Content-Length: 0\r\n", ""))
+	if _, err := io.ReadFull(c, make([]byte, 100<<10)); err != nil {
+		t.Fatal(err)
+	}
+	reset(c)
+	c.Close()
+	select {
+	case <-b.ended:
+	case <-time.After(patience):
+		t.Error("the backend's connection stays")
+	}
+}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -193,6 +193,8 @@
 		f.write(w, a, c.Class)
 	case <-req.Context().Done():
 		f.Loop.Post(func() { f.Loop.Left(<-took) })
+		// To return would be to answer 200 with nothing, to a client that has only ended its sending.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1180,3 +1180,46 @@
 		t.Errorf("in the first 4 s after the ban: %v", to)
 	}
 }
+
+// While a stream's body still comes its attempt takes no place on its server, and no silence is blamed on that;
+// its time runs from its last byte on.
+func TestStreamedRequest(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	r.id++
+	id := r.id
+	out := r.do(Event{Kind: EvRequest, Request: id, Class: 1, LeftMs: 600, Stream: true})
+	if find(out, ActSend) == nil {
+		t.Fatal("not sent")
+	}
+	s := r.b.byAddr[addr(0)]
+	for range 100 { // 10 s, with others on the server
+		r.now += 100
+		r.do(Event{Kind: EvTimer, Token: tickToken})
+		other, out := r.ask(1, 0)
+		if find(out, ActSend) == nil {
+			t.Fatal("the server is taken")
+		}
+		r.outcome(other, 0, addr(0), OK, 20)
+	}
+	if s.state != Connected || len(s.out) != 0 || r.b.inflight != 0 {
+		t.Errorf("state %v, %d out, %d in flight", s.state, len(s.out), r.b.inflight)
+	}
+	r.do(Event{Kind: EvWritten, Request: id, Attempt: 0, LeftMs: 600})
+	q := r.b.requests[id]
+	if len(s.out) != 1 || r.b.inflight != 1 || q.deadline < r.now+590 || q.deadline > r.now+600 || q.aimAt != r.now+300 {
+		t.Errorf("written: %d out, deadline in %v, aim in %v", len(s.out), q.deadline-r.now, q.aimAt-r.now)
+	}
+	r.do(Event{Kind: EvWritten, Request: id, Attempt: 0, LeftMs: 600}) // told twice
+	r.outcome(id, 0, addr(0), OK, 20)
+	if len(s.out) != 0 || r.b.inflight != 0 || len(r.b.requests) != 0 {
+		t.Errorf("in the end %d out, %d in flight, %d requests", len(s.out), r.b.inflight, len(r.b.requests))
+	}
+	// One that ends before it is written takes nothing back that it never took.
+	r.id++
+	id = r.id
+	r.do(Event{Kind: EvRequest, Request: id, Class: 1, LeftMs: 600, Stream: true})
+	r.do(Event{Kind: EvOutcome, Request: id, Attempt: 0, Server: addr(0), Status: Moot, Final: true})
+	if len(s.out) != 0 || r.b.inflight != 0 || len(r.b.requests) != 0 {
+		t.Errorf("withdrawn: %d out, %d in flight, %d requests", len(s.out), r.b.inflight, len(r.b.requests))
+	}
+}
