--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1179,6 +1179,18 @@
 	if to := sent(400); to[0] == 0 || to[0] >= to[1]/2 {
 		t.Errorf("in the first 4 s after the ban: %v", to)
 	}
+	// Where the list has told of the restart it counts from there.
+	r.list(ListOther, entry(true))
+	r.now += 5000
+	told := entry(true)
+	told.SinceMs = r.now - 3000
+	r.list(ListDelta, told)
+	r.now += 1000
+	told.Banned = false
+	r.list(ListOther, told)
+	if want := r.now - 4000; s.startedAt != want || s.state != Unknown {
+		t.Errorf("started at %v by the list, counted from %v", want, s.startedAt)
+	}
 }
 
 // While a stream's body still comes its attempt takes no place on its server, and no silence is blamed on that;
