While requests find no room a server's window bears a longer queue

Cause: with a third of the servers out requests were refused unsent while those served took a sixth of their aim: windows were cut at 1.5 times calm. Change: 2.25 times while requests find no room.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,6 +23,8 @@
 	// crowdFactor is how many times the fleet's calm answer time a server's mean may be
 	// before it counts as crowded: enough to keep its cores busy, too little to tip it.
 	crowdFactor = 1.5
+	// scarceFactor is the same while requests find no room: then a queue costs less than a refusal.
+	scarceFactor = 2.25
 	// firstWindow is the number of attempts an unmeasured server may hold.
 	firstWindow = 2.0
 	// learnFor is the number of answers that make the first measure of calm; until
@@ -827,8 +829,11 @@
 // answers well within the aim; a calm taken too low would leave it idle. A cold server
 // is slow before it is crowded (i5d0607: only cold ones were left).
 func (b *Balancer) limit(s *server) float64 {
-	least := 2 * crowdShare / (2 + float64(b.set.Replicas))
-	return min(crowdShare, max(crowdFactor*b.calmLat, least)) / b.ramp(s)
+	least, factor := 2*crowdShare/(2+float64(b.set.Replicas)), crowdFactor
+	if b.scarce {
+		factor = scarceFactor
+	}
+	return min(crowdShare, max(factor*b.calmLat, least)) / b.ramp(s)
 }
 
 // heardFrom notes an answer. A server that no connect reached for long may be a new
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1235,3 +1235,48 @@
 		t.Errorf("withdrawn: %d out, %d in flight, %d requests", len(s.out), r.b.inflight, len(r.b.requests))
 	}
 }
+
+// While requests find no room a server's window bears a longer queue; else the same answers cut it.
+func TestScarceRoomBearsLongerQueues(t *testing.T) {
+	window := func(crowd int) float64 {
+		s := testSettings()
+		s.Replicas = 20
+		r := newRig(t, s, 1)
+		for range learnFor + 50 { // calm is known: a fifth of the aim
+			id, _ := r.ask(1, 0)
+			r.now += 60
+			r.outcome(id, 0, addr(0), OK, 60)
+		}
+		srv := r.b.byAddr[addr(0)]
+		srv.window = 4
+		var out []RequestID
+		for range crowd {
+			id, actions := r.ask(1, 0)
+			if find(actions, ActSend) != nil {
+				out = append(out, id)
+			}
+		}
+		for range 12 { // answers at 0.38 of the aim: 1.9 times calm
+			if len(out) == 0 {
+				break
+			}
+			id := out[0]
+			out = out[1:]
+			r.now += 115
+			actions := r.outcome(id, 0, addr(0), OK, 115)
+			for _, a := range actions {
+				if a.Kind == ActSend {
+					out = append(out, a.Request)
+				}
+			}
+			next, actions := r.ask(1, 0)
+			if a := find(actions, ActSend); a != nil && a.Request == next {
+				out = append(out, next)
+			}
+		}
+		return srv.window
+	}
+	if plenty, scarce := window(1), window(40); plenty >= 4 || scarce < plenty+0.5 {
+		t.Errorf("windows from 4: %.2f with room, %.2f without", plenty, scarce)
+	}
+}
