--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -39,7 +39,7 @@
 	// agent holds even. Long before the memory limit, over which it would be killed,
 	// collecting goes before all.
 	debug.SetGCPercent(100)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	debug.SetMemoryLimit(cfg.MemoryLimit())
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	// Another process of this agent may be there, which this one is to follow.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	httpfront "ringtrack.example/ringtrack/internal/front/http"
 	"ringtrack.example/ringtrack/internal/front/thrift"
 	"ringtrack.example/ringtrack/internal/thriftwire"
+	"ringtrack.example/ringtrack/internal/upgrade"
 	"ringtrack.example/ringtrack/internal/upstream/conns"
 	httpup "ringtrack.example/ringtrack/internal/upstream/http"
 	thriftup "ringtrack.example/ringtrack/internal/upstream/thrift"
@@ -65,6 +67,10 @@
 	f.Loop, f.Linger = l, serve
 	pool.Written = &l.Tally().Written
 	pair.loop = l
+	pair.use = func(n int) {
+		debug.SetMemoryLimit(cfg.MemoryLimit() / int64(n))
+		pool.SetMax(cfg.backendConns() / n)
+	}
 	closeDoor, err := pair.open(cfg.Admin)
 	if err != nil {
 		return fmt.Errorf("agent: %w", err)
@@ -131,7 +137,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	ln, err := net.Listen("tcp", c.Listen)
+	ln, err := upgrade.Listen(c.Listen) // shared, as the clients' address
 	if err != nil {
 		return nil, nil, fmt.Errorf("thrift: listen: %w", err)
 	}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -193,6 +193,10 @@
 	return c.Settings.Report.Names
 }
 
+// MemoryLimit is the heap from which on collecting goes before all: long before the limit over which the
+// agent would be killed.
+func (c *Config) MemoryLimit() int64 { return int64(c.MemoryMB) << 20 * 3 / 4 }
+
 // budget is the memory for bodies of requests and answers together, beside the small
 // ones: what is left of the limit is for connections, the module and the runtime.
 func (c *Config) budget() int64 { return int64(c.MemoryMB) << 20 / 5 }
--- a/internal/agent/pair.go
+++ b/internal/agent/pair.go
@@ -20,6 +20,8 @@
 	// upTime is how long a process that follows another one waits until it has a backend before it takes
 	// requests all the same: its yes is owed within 6 s.
 	upTime = 4 * time.Second
+	// countEvery is how often a process looks whether it is alone.
+	countEvery = 250 * time.Millisecond
 	// saveEvery bounds how often the list is kept for a process that follows.
 	saveEvery = 100 * time.Millisecond
 )
@@ -31,6 +33,7 @@
 	loop    *core.Loop
 	changed chan struct{} // a value: the list has changed since it was last kept
 	serving atomic.Bool
+	use     func(processes int) // makes its part of the limits this process's bound
 
 	bans sync.Mutex // orders what is kept of bans and what the loop is told of them
 	mu   sync.Mutex
@@ -105,6 +108,26 @@
 		p.loop.Post(func() { p.loop.SetBanned(ids) })
 	})
 	go p.keep(ctx)
+	go p.share(ctx)
+}
+
+// share gives each of two processes half of what the agent may use, for as long as both live: of the memory, and of
+// the connections to backends. Clients are not sent away for it: their room in both is under the descriptors left.
+func (p *pair) share(ctx context.Context) {
+	tick := time.NewTicker(countEvery)
+	defer tick.Stop()
+	for was := 1; ; {
+		if n, ok := p.dir.Processes(); ok && n != was {
+			slog.Info("processes of this agent", "number", n)
+			p.use(n)
+			was = n
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
 }
 
 // keep keeps the list for a process that follows.
--- a/internal/upgrade/roles.go
+++ b/internal/upgrade/roles.go
@@ -17,6 +17,16 @@
 	return false
 }
 
+// Processes is how many processes share what the agent may use: this one, and a second at the most.
+func Processes(peers []Peer) int {
+	for _, p := range peers {
+		if p.Alive {
+			return 2
+		}
+	}
+	return 1
+}
+
 // HasHeir tells whether a newer process takes the requests from now on: one that lives and has told that it
 // serves. One that has only started may never come up.
 func HasHeir(seq int, peers []Peer) bool {
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -39,8 +39,8 @@
 // ErrTooMany says that no further ban is kept.
 var ErrTooMany = fmt.Errorf("more than %d bans", MaxBans)
 
-// Dir is the shared folder as one process has it. Its methods may be called from one goroutine at a time,
-// but for Ban, which may be called from any.
+// Dir is the shared folder as one process has it. Its methods may be called from any goroutine, but Join's
+// caller alone calls Close.
 type Dir struct {
 	path  string
 	mine  *os.File // locked for as long as the process lives
@@ -95,6 +95,12 @@
 	return err == nil && HasHeir(d.seq, peers)
 }
 
+// Processes is how many processes the agent is now; it tells whether that could be seen.
+func (d *Dir) Processes() (n int, ok bool) {
+	peers, err := d.peers()
+	return Processes(peers), err == nil
+}
+
 // Close leaves the folder.
 func (d *Dir) Close() error {
 	os.Remove(d.file(d.seq))
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -63,9 +63,12 @@
 	if !old.Heir() || next.Heir() {
 		t.Error("roles are mixed up")
 	}
+	if n, ok := old.Processes(); n != 2 || !ok {
+		t.Errorf("%d processes beside the old one, with it", n)
+	}
 	next.mine.Close() // as the kernel does when a process is killed
-	if old.Heir() {
-		t.Error("a process that was killed is an heir")
+	if n, _ := old.Processes(); n != 1 || old.Heir() {
+		t.Errorf("a process that was killed counts: %d", n)
 	}
 	third := join(t, tmp)
 	if third.seq <= next.seq || third.First() {
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -70,6 +70,15 @@
 // ConnectTimeout is how long a connection may take to come up.
 func (p *Pool) ConnectTimeout() time.Duration { return p.connectTimeout }
 
+// SetMax changes how many connections there may be. Where there are more, none is opened until there are not.
+func (p *Pool) SetMax(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.max = n
+	for p.open > p.max && p.evict() {
+	}
+}
+
 // Open is the number of connections, idle ones and those in use.
 func (p *Pool) Open() int {
 	p.mu.Lock()
--- a/internal/upstream/conns/pool_test.go
+++ b/internal/upstream/conns/pool_test.go
@@ -134,3 +134,44 @@
 		t.Errorf("usable after 1 ms %v, 1 s %v, 10 s %v", a.usable(time.Millisecond), a.usable(time.Second), a.usable(10*time.Second))
 	}
 }
+
+// A smaller bound closes idle connections at once, and opens none until there are few enough.
+func TestSetMax(t *testing.T) {
+	p := New(time.Second, time.Minute, 4)
+	b := &core.Backend{}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	get := func() (*Conn, error) {
+		return p.Get(t.Context(), Key{Backend: b}, ln.Addr().String(), time.Now().Add(10*time.Second))
+	}
+	var used []*Conn
+	for range 4 {
+		cn, err := get()
+		if err != nil {
+			t.Fatal(err)
+		}
+		used = append(used, cn)
+	}
+	p.Put(used[0])
+	p.SetMax(2)
+	if p.Open() != 3 {
+		t.Errorf("%d open, want the 3 in use", p.Open())
+	}
+	if _, err := get(); err != ErrTooMany {
+		t.Errorf("another one: %v", err)
+	}
+	p.Close(used[1])
+	p.Close(used[2])
+	if _, err := get(); err != nil {
+		t.Error(err)
+	}
+	p.SetMax(4)
+	for range 2 {
+		if _, err := get(); err != nil {
+			t.Error(err)
+		}
+	}
+}
