A backend called back counts as just started; figures are published by the loop

Cause: the issue asks for just started whatever the list told, as a backend may be restarted once more; and a call for figures waited in the loop's queue, for 0.3 s at the most. Now the loop publishes what only the module knows, 200 ms old at the most.

--- a/internal/agent/pair.go
+++ b/internal/agent/pair.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// loopTime bounds how long an operator's call waits for the loop: an answer is owed within a second.
-	loopTime, figuresTime = 600 * time.Millisecond, 300 * time.Millisecond
+	// loopTime bounds how long a ban waits for the loop: an answer is owed within a second. Nothing else does.
+	loopTime = 600 * time.Millisecond
 	// upTime is how long a process that follows another one waits until it has a backend before it takes
 	// requests all the same: its yes is owed within 6 s.
 	upTime = 4 * time.Second
@@ -36,8 +36,6 @@
 	use     func(processes int) // makes its part of the limits this process's bound
 
 	bans sync.Mutex // orders what is kept of bans and what the loop is told of them
-	mu   sync.Mutex
-	last core.Rotation // as last known
 }
 
 // newPair also tells the loop's configuration what another process has left.
@@ -198,17 +196,7 @@
 
 // Figures are the agent's.
 func (p *pair) Figures() admin.Figures {
-	var now core.Rotation
-	if got := make(chan core.Rotation, 1); p.loop.Ask(figuresTime, func() { got <- p.loop.Rotation() }) {
-		now = <-got
-		p.mu.Lock()
-		p.last = now
-		p.mu.Unlock()
-	} else {
-		p.mu.Lock()
-		now = p.last
-		p.mu.Unlock()
-	}
+	now := p.loop.Rotation()
 	t := p.loop.Tally()
 	f := admin.Figures{Written: t.Written.Load(), Open: t.Open.Load(), Listed: now.Listed, Out: now.Out}
 	for i := range t.Classes {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -18,6 +19,8 @@
 const (
 	// sweepEvery is how often connections that idle too long are closed.
 	sweepEvery = time.Second
+	// publishEvery is how often the rotation of backends is counted anew for operators.
+	publishEvery = 200 * time.Millisecond
 	// probeTimeout is how long the answer to a probe may take: it is given beside the queue, so that whoever
 	// is silent for longer stands still.
 	probeTimeout = 500 * time.Millisecond
@@ -56,6 +59,7 @@
 	ready    func()
 	figures  Figures
 	tally    *Tally
+	rotation atomic.Pointer[Rotation]
 
 	merge *membership.Merge // of the roster with what runs; nil: there is the roster alone
 	due   *time.Timer       // when the merge has something to tell by time alone
@@ -212,11 +216,16 @@
 	}
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
+	publish := time.NewTicker(publishEvery)
+	defer publish.Stop()
+	l.publish()
 	for {
 		select {
 		case f := <-l.inbox:
 			f()
 			l.drain()
+		case <-publish.C:
+			l.publish()
 		case <-sweep.C:
 			for _, u := range l.upstreams {
 				u.Sweep()
@@ -651,6 +660,7 @@
 	for _, b := range gone {
 		l.table.forget(b)
 	}
+	l.publish()
 	if l.cfg.Changed != nil {
 		l.cfg.Changed()
 	}
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -57,8 +57,22 @@
 // Tally is the loop's count. It may be called from any goroutine.
 func (l *Loop) Tally() *Tally { return l.tally }
 
-// Rotation counts backends as they are now. It is called in the loop.
-func (l *Loop) Rotation() (r Rotation) {
+// Rotation is how many backends there were publishEvery ago at the most. It may be called from any goroutine, and
+// waits for nobody.
+func (l *Loop) Rotation() Rotation {
+	if r := l.rotation.Load(); r != nil {
+		return *r
+	}
+	return Rotation{}
+}
+
+// publish counts backends as they are now.
+func (l *Loop) publish() {
+	r := l.count()
+	l.rotation.Store(&r)
+}
+
+func (l *Loop) count() (r Rotation) {
 	avoided := map[policy.Addr]bool{}
 	for _, v := range l.balancer.View(l.now(), nil) {
 		avoided[v.Server] = v.State == policy.Unhealthy
@@ -93,6 +107,7 @@
 		l.hangUp(b)
 	}
 	l.drain()
+	l.publish()
 }
 
 // SetBanned makes the given ids the banned ones: another process of this agent may have been told. It is
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1053,8 +1053,8 @@
 	}
 	if lifted := s.banned && !e.Banned; since > s.listedAt || lifted {
 		// A new process: nothing known of the old one holds, and it is cold. Banned ones are restarted
-		// meanwhile, and the list may have told it, or tell it later.
-		if s.startedAt = since; lifted && since <= s.bannedAt {
+		// meanwhile; whatever the list has told by then, they count as just started.
+		if s.startedAt = since; lifted {
 			s.startedAt = b.now
 		}
 		s.listedAt = since
@@ -1064,9 +1064,6 @@
 		// many send one as together earned one (ia9314f: new servers were left idle).
 		s.credit = b.rng.Float64()
 	}
-	if e.Banned && !s.banned {
-		s.bannedAt = b.now
-	}
 	s.zone, s.cell, s.ready, s.banned = e.Zone, e.Cell, e.Health == Ready, e.Banned
 	s.usable = s.ready && !s.banned
 	if s.weight = finite(e.Weight); s.weight <= 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -20,7 +20,6 @@
 	startedAt float64 // the same, or later where a restart is assumed
 	ready     bool    // listed as ready
 	banned    bool    // by an operator
-	bannedAt  float64 // since then
 	usable    bool    // ready and not banned
 	state     State
 	since     float64 // when the state was entered
