A listener's end waits for nobody; a stream that ends in an error gives its memory back

Cause, found by reading: Leave waited for an acceptor, while net/http closes listeners under the lock that its acceptor needs, so two queued connections at a planned end stopped the process; and a streamed request answered with an error of over 4 KiB kept that memory for good. Change: what stood in the queue is kept for Accept; memory is released. An answer given before a body's end is read on only where it was written, so an aborted one flushes no head.

--- a/internal/agent/size_test.go
+++ b/internal/agent/size_test.go
@@ -167,6 +167,21 @@
 	}
 }
 
+// An error with a body, to a request that was a stream, ends it once and gives its memory back.
+func TestAStreamThatEndsInAnError(t *testing.T) {
+	a, b := one(t, func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 500, "", bytesOf(20<<10)) })
+	for range 2 {
+		status, _, _ := a.ask(newRequest(a.addr, "order", bytesOf(2<<20)))
+		wantStatus(t, status, 502)
+	}
+	if b.count() != 2 {
+		t.Errorf("%d arrivals, want 2", b.count())
+	}
+	if !a.budget.TryAcquire(a.cfg.budget()) {
+		t.Error("memory is not given back")
+	}
+}
+
 // A long answer is passed on as it comes, in each form of HTTP: the client has its first bytes while the backend
 // still holds the rest, for longer than the request had time.
 func TestLongAnswersArePassedOn(t *testing.T) {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -545,9 +545,11 @@
 		// The backend found fault with the request: so would any other.
 		l.finish(r, Answer{Verdict: Failed, Fault: Blamed, Reply: res.Reply, Held: res.Held})
 	case res.Unread:
+		l.budget.Release(res.Held)
 		l.finish(r, Answer{Verdict: Failed, Fault: Unread})
 	case res.Spent:
 		// Nothing is left that could be sent again.
+		l.budget.Release(res.Held)
 		if MayRefuse(&l.cfg.Settings.Classes[r.call.Class], r.mayRun) {
 			l.finish(r, Answer{Verdict: Refused, AfterMs: l.cfg.Settings.Limits.MaxRetryAfterMs})
 		} else {
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -166,22 +166,23 @@
 		reject(w, err)
 		return
 	}
+	var body *clientBody // where a part of it still comes
 	if req.ContentLength != 0 {
-		body := newBody(w, req)
+		whole := newBody(w, req)
 		var held int64
 		var more bool
-		c.out.Body, held, more, err = body.take(req.ContentLength, f.budget)
+		c.out.Body, held, more, err = whole.take(req.ContentLength, f.budget)
 		defer func() { f.budget.Release(held) }()
 		if err != nil {
 			reject(w, badf(http.StatusBadRequest, "body can't be read"))
 			return
 		}
 		if c.Deadline = time.Now().Add(c.time); more {
+			body = whole
 			c.out.Rest, c.out.Length = body, req.ContentLength
 			c.Left, c.Deadline = c.time, c.Deadline.Add(slowest(MaxBody))
 			// An answer may come before the body's end: it is written at once, and the body read to its end.
 			_ = http.NewResponseController(w).EnableFullDuplex()
-			defer body.finish(w)
 		}
 	}
 	f.conns.taken(req.Context())
@@ -190,7 +191,9 @@
 	select {
 	case a := <-c.Answer:
 		defer f.budget.Release(a.Held) // also where a long answer is broken off
-		f.write(w, a, c.Class)
+		if f.write(w, a, c.Class); body != nil {
+			body.finish(w)
+		}
 	case <-req.Context().Done():
 		f.Loop.Post(func() { f.Loop.Left(<-took) })
 		// To return would be to answer 200 with nothing, to a client that has only ended its sending.
--- a/internal/upgrade/listen.go
+++ b/internal/upgrade/listen.go
@@ -20,16 +20,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{TCPListener: ln.(*net.TCPListener), more: make(chan net.Conn), over: make(chan struct{})}, nil
+	return &Listener{TCPListener: ln.(*net.TCPListener)}, nil
 }
 
 // Listener is a listener whose end resets nobody: what stands in its accept queue is accepted first. Each
 // listener of a shared address has a queue of its own, and the kernel resets what a closed one held.
 type Listener struct {
 	*net.TCPListener
-	once sync.Once
-	more chan net.Conn // found in the queue at the end
-	over chan struct{}
+	once  sync.Once
+	mu    sync.Mutex
+	found []net.Conn // in the queue at the end
 }
 
 // Accept returns the next connection, also those that were found at the end.
@@ -38,19 +38,22 @@
 	if err == nil {
 		return c, nil
 	}
-	select {
-	case c := <-l.more:
-		return c, nil
-	case <-l.over:
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.found) == 0 {
 		return nil, err
 	}
+	c, l.found = l.found[0], l.found[1:]
+	return c, nil
 }
 
-// Leave stops listening and returns once Accept has handed out what stood in the queue. Between the last
-// look at the queue and the close are a few microseconds.
+// Leave stops listening; Accept hands out what stood in the queue first. It waits for nobody: net/http closes a
+// listener under a lock that whoever accepts needs. Between the last look at the queue and the close are a few
+// microseconds.
 func (l *Listener) Leave() {
 	l.once.Do(func() {
-		var found []net.Conn
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		if raw, err := l.SyscallConn(); err == nil {
 			raw.Control(func(fd uintptr) {
 				for {
@@ -62,17 +65,13 @@
 					}
 					f := os.NewFile(uintptr(nfd), "client")
 					if c, err := net.FileConn(f); err == nil {
-						found = append(found, c)
+						l.found = append(l.found, c)
 					}
 					f.Close()
 				}
 			})
 		}
 		l.TCPListener.Close()
-		for _, c := range found {
-			l.more <- c
-		}
-		close(l.over)
 	})
 }
 
