--- a/internal/core/table.go
+++ b/internal/core/table.go
@@ -68,15 +68,13 @@
 			continue
 		}
 		named[s.ID] = true
-		e := t.names.Policy(s)
 		b := t.backend(s.ID)
-		e.Server = b.name
+		b.told = *s
+		e := t.entry(b)
 		if s.Addr != "" && b.addr != s.Addr {
 			stale = append(stale, b)
 			b.addr = s.Addr
 		}
-		e.Banned = t.banned[s.ID]
-		b.entry, b.told = e, *s
 		shut := e.Health != policy.Ready || e.Banned
 		if b.closed.Store(shut); shut {
 			stale = append(stale, b)
@@ -98,18 +96,25 @@
 	return entries, stale, gone
 }
 
+// entry is a backend as the module is told of it.
+func (t *table) entry(b *Backend) policy.Entry {
+	e := t.names.Policy(&b.told)
+	e.Server, e.Banned = b.name, t.banned[b.id]
+	return e
+}
+
 // ban notes that an operator wants nothing new at the backend of an id, or that he does again. It returns the
 // backend if it is listed.
 func (t *table) ban(id string, on bool) *Backend {
+	was := t.banned[id]
 	if delete(t.banned, id); on {
 		t.banned[id] = true
 	}
 	b := t.byID[id]
-	if b == nil || b.gone || b.entry.Banned == on {
+	if b == nil || b.gone || was == on {
 		return nil
 	}
-	b.entry.Banned = on
-	b.closed.Store(on || b.entry.Health != policy.Ready)
+	b.closed.Store(on || b.told.Health() != policy.Ready)
 	return b
 }
 
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -102,7 +102,7 @@
 	if b == nil {
 		return
 	}
-	l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListOther, Entries: []policy.Entry{b.entry}})
+	l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListOther, Entries: []policy.Entry{l.table.entry(b)}})
 	if on {
 		l.hangUp(b)
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -120,7 +120,6 @@
 	name   policy.Addr      // what the module calls it
 	addr   string           // where it listens, as told to this agent last
 	told   membership.Entry // as it was listed last
-	entry  policy.Entry     // as the module was told last
 	gone   bool
 	out    int // attempts out
 	closed atomic.Bool
