A planned end cuts the time of what is open: no process waits past SIGKILL

Cause: EndBy bounded only what came after SIGTERM.

Lines at fault: core.Loop.EndBy, and held = longest + 50 ms in agent.run. Ruled out: accept queue (Leave returned), loop, discovery, reload (none of their goroutines in the dump waited for the end).

Change: EndBy cuts the time of each open request too and tells the module (EvHurried), so that what was never sent is refused; held is what is left until the plan's end.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -106,7 +106,7 @@
 	}
 	by := time.Now().Add(answer)
 	l.Post(func() { l.EndBy(by) })
-	held := cfg.longest() + 50*time.Millisecond // for what had come before the signal
+	held := answer - serve + killMargin/4 // the last answers are to be written, too
 	if pair.heir() {
 		f.HandOver(ln)
 	}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -183,6 +183,14 @@
 
 // startAgent starts an agent that knows the list of the discovery as it is now.
 func startAgent(t *testing.T, d *fakeDiscovery, change func(*Config)) *testAgent {
+	t.Helper()
+	a := startAgentNotReady(t, d, change)
+	a.waitReady()
+	return a
+}
+
+// startAgentNotReady is startAgent, which waits for no backend.
+func startAgentNotReady(t *testing.T, d *fakeDiscovery, change func(*Config)) *testAgent {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -210,7 +218,6 @@
 			t.Error("the agent did not stop")
 		}
 	})
-	a.waitReady()
 	return a
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -80,6 +80,7 @@
 	out      int // attempts out
 	mayRun   int // attempts that are out or may have run
 	spent    bool
+	cut      bool // its time was cut short by the end of the process
 	backstop *time.Timer
 }
 
@@ -251,9 +252,21 @@
 	}
 }
 
-// EndBy tells that the process ends: what is taken from now on has its answer by then, whatever time its
-// client would give it. It is called in the loop.
-func (l *Loop) EndBy(t time.Time) { l.endBy = t }
+// EndBy tells that the process ends: what is open, and what is taken from now on, has its answer by then, whatever
+// time its client would give it. A process that waited for the longest would be killed first, and a request that it
+// still held then is lost. It is called in the loop.
+func (l *Loop) EndBy(t time.Time) {
+	l.endBy = t
+	left, backstop := Times(time.Until(t))
+	for _, r := range l.requests {
+		if r.answered || !r.call.Deadline.After(t) {
+			continue
+		}
+		r.call.Deadline, r.cut = t, true
+		r.backstop.Reset(max(backstop, 0))
+		l.handle(&policy.Event{Kind: policy.EvHurried, Request: r.id, LeftMs: float64(max(left, 0).Microseconds()) / 1000})
+	}
+}
 
 // Figures are the counts so far. It is called in the loop, or after its end.
 func (l *Loop) Figures() Figures { return l.figures }
@@ -379,14 +392,17 @@
 }
 
 // late is the backstop: the module should have ended the request before. That it
-// did not is a bug or a stall, so it is logged and counted.
+// did not is a bug or a stall, so it is logged and counted; unless its time was cut short
+// under an attempt, which then has more.
 func (l *Loop) late(r *Request) {
 	if r.answered {
 		return
 	}
-	l.figures.Backstops++
-	l.log(slog.LevelWarn, "backstop ended a request", "attempts", len(r.attempts), "out", r.out,
-		"late_ms", float64(time.Since(r.call.Deadline.Add(-backstopMargin)).Microseconds())/1000)
+	if !r.cut {
+		l.figures.Backstops++
+		l.log(slog.LevelWarn, "backstop ended a request", "attempts", len(r.attempts), "out", r.out,
+			"late_ms", float64(time.Since(r.call.Deadline.Add(-backstopMargin)).Microseconds())/1000)
+	}
 	l.finish(r, Answer{Verdict: Failed, Fault: Expired})
 	l.abandon(r)
 }
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -102,7 +102,7 @@
 // are go on being used for as long as they stay open, and whoever finds his closed may
 // find nobody to take another. So for Linger all is served as ever, or until nobody is
 // connected; then every answer closes its connection, the listener closes and the held
-// requests are waited for. Those that have brought none by then are not.
+// requests are waited for, for held at the most. Those that have brought none by half of that are not.
 func (f *Front) Shutdown(held time.Duration) error {
 	if f.Linger == 0 {
 		f.Linger = linger
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), held)
 	defer cancel()
 	closing := time.Now()
-	by := closing.Add(min(held/4, hurried))
+	by := closing.Add(min(held/2, hurried))
 	done := make(chan error, 1)
 	go func() { done <- f.server.Shutdown(ctx) }()
 	// More than once: what came last is known, and has its time, only after a moment.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -165,6 +165,11 @@
 		}
 	case EvWritten:
 		b.onWritten(ev)
+	case EvHurried:
+		if r := b.requests[ev.Request]; r != nil {
+			r.deadline = min(r.deadline, b.now+ev.LeftMs-min(b.set.RoundMs, ev.LeftMs/4))
+			r.aimAt = min(r.aimAt, r.deadline)
+		}
 	case EvDropped:
 		if r := b.requests[ev.Request]; r != nil && !r.closed {
 			b.remember(r)
--- a/policy/types.go
+++ b/policy/types.go
@@ -205,6 +205,7 @@
 	EvTimer                        // Token
 	EvPeer                         // a message of another agent; carries nothing that is used
 	EvWritten                      // Request, Attempt, LeftMs: a streamed request's body is written whole
+	EvHurried                      // Request, LeftMs: it has no more time than that, whatever was told before
 )
 
 // Event is something that happened to one agent.
