An id that comes again once its request is over is not sent on: no effect twice

While the first request is open the second is answered 409, but core.Loop.forget dropped the id with the request's end, so that the same id coming later was sent on like a new one: work that may run once only ran twice.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -48,6 +48,7 @@
 	nextID   policy.RequestID
 	requests map[policy.RequestID]*Request
 	ids      map[string]*Request // the same by the clients' ids
+	once     *once               // ids of requests that are over and must not run again
 	open     int                 // requests that have no answer yet
 	pending  []policy.Event
 	actions  []policy.Action
@@ -100,7 +101,7 @@
 	l := &Loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
 		budget: budget, limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		clock:    clock.New(),
-		requests: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, ready: ready}
+		requests: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, once: newOnce(), ready: ready}
 	l.upstreams, l.tally = upstreams, newTally(cfg.Settings.Classes)
 	for _, id := range cfg.Banned {
 		l.table.banned[id] = true
@@ -344,8 +345,8 @@
 	r := &Request{id: l.nextID, call: c}
 	l.open++
 	l.tally.Open.Add(1)
-	if l.ids[c.ID] != nil {
-		// Somebody else's, or its own that may still run: neither is to be touched.
+	if l.ids[c.ID] != nil || l.once.has(time.Now(), c.ID) {
+		// Somebody else's, or its own that may still run, or has: neither is to be touched.
 		l.finish(r, Answer{Verdict: Failed, Fault: Duplicate})
 		return r
 	}
@@ -486,6 +487,9 @@
 	if r.answered && r.out == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
 		delete(l.ids, r.call.ID)
+		if r.mayRun > 0 && l.cfg.Settings.Classes[r.call.Class].Effect != policy.Free {
+			l.once.add(time.Now(), r.call.ID)
+		}
 	}
 }
 
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -55,7 +55,7 @@
 // The faults.
 const (
 	NoFault   Fault = iota
-	Duplicate       // its id is that of a call that is open or may still run
+	Duplicate       // its id is that of a call that is open, may still run, or has run and must not again
 	Expired         // the backstop ended it
 	Blamed          // the backend found fault with the request
 	Unread          // its client did not bring it whole
