Core guards a key's window and group itself, also just before the first byte

Cause: window and group of a keyed request were checked by the module alone, when it picks. Core's Guard knew neither, and an attempt that has to connect first is written up to the connect time-out later: past the window its repeat runs again.

Change: Guard.Expired and Guard.Foreign, by the first send that may have run and by zone and cell as they were listed then; Exchange.RepeatBy is looked at where drains are, once the connection is up. The emulator asks the same guard. Ids that the Thrift front makes itself never come again and are not remembered.

--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -34,6 +34,25 @@
 	Most     int
 	Effect   policy.Effect
 	Spent    bool // a part of it has gone, and is not kept
+	// Of a keyed request that may have run:
+	Expired bool // the time in which repeats are dropped is over
+	Foreign bool // the backend is of another group than the one that may have run it, as that was at its send
+}
+
+// windowMargin is taken off the time in which repeats of a keyed request are dropped: what the way from the last
+// look to the backend's may take. The module stops earlier, by two of its rounds.
+const windowMargin = 5 * time.Millisecond
+
+// RepeatFor is for how long, from the send of its first attempt that may have run, a keyed request may be sent again.
+// An attempt that has to connect first is asked again before its first byte.
+func RepeatFor(c *policy.Class) time.Duration {
+	ttl := time.Duration(c.KeyTTLMs * float64(time.Millisecond))
+	return ttl - min(windowMargin, ttl/8)
+}
+
+// InGroup tells whether a backend, as it is listed, drops repeats of what another, as it was listed, may have run.
+func InGroup(g policy.Group, of, in *policy.Entry) bool {
+	return g == policy.GroupAll || g == policy.GroupZone && of.Zone == in.Zone || g == policy.GroupCell && of.Cell == in.Cell
 }
 
 // Forbids says why the attempt is not to be made; "" allows it.
@@ -51,6 +70,10 @@
 		return "more attempts than allowed"
 	case g.MayRun > 0 && g.Effect == policy.SingleShot:
 		return "repeat of an unsafe request that may have run"
+	case g.MayRun > 0 && g.Effect == policy.Guarded && g.Expired:
+		return "repeat of a keyed request after its window"
+	case g.MayRun > 0 && g.Effect == policy.Guarded && g.Foreign:
+		return "repeat of a keyed request outside its group"
 	case g.Spent:
 		return "repeat of a request that is not kept"
 	case !g.Timely:
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -78,8 +78,10 @@
 	answered bool
 	streams  bool // its answer's rest is still on its way to the client
 	attempts []*attempt
-	out      int // attempts out
-	mayRun   int // attempts that are out or may have run
+	out      int          // attempts out
+	mayRun   int          // attempts that are out or may have run
+	ran      time.Time    // when the first of them was sent
+	ranOn    policy.Entry // and where to, as that was listed then
 	spent    bool
 	cut      bool // its time was cut short by the end of the process
 	backstop *time.Timer
@@ -439,7 +441,7 @@
 // refuse answers that a retry is harmless, unless an attempt may have run that
 // makes it harmful: then the request has failed.
 func (l *Loop) refuse(r *Request, afterMs float64) {
-	if !MayRefuse(&l.cfg.Settings.Classes[r.call.Class], r.mayRun) {
+	if !MayRefuse(l.class(r), r.mayRun) {
 		l.guard("refusal after an attempt that may have run")
 		l.finish(r, Answer{Verdict: Failed})
 		return
@@ -487,7 +489,7 @@
 	if r.answered && r.out == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
 		delete(l.ids, r.call.ID)
-		if r.mayRun > 0 && l.cfg.Settings.Classes[r.call.Class].Effect != policy.Free {
+		if r.mayRun > 0 && l.class(r).Effect != policy.Free && !r.call.Unique {
 			l.once.add(time.Now(), r.call.ID)
 		}
 	}
@@ -511,7 +513,11 @@
 	if a.Ms != 0 && r.call.Left == 0 {
 		until = earliest(until, now.Add(ms(a.Ms)))
 	}
-	if why := l.forbidden(r, b, now, until); why != "" {
+	var repeatBy time.Time
+	if r.mayRun > 0 && l.class(r).Effect == policy.Guarded {
+		repeatBy = r.ran.Add(RepeatFor(l.class(r)))
+	}
+	if why := l.forbidden(r, b, now, until, repeatBy); why != "" {
 		l.guard(why)
 		t.done = true
 		if len(r.attempts) > MostSends(l.cfg.Settings.Limits.MaxAttempts) {
@@ -522,6 +528,10 @@
 			Server: a.Server, Status: policy.Moot, Final: r.answered})
 		return
 	}
+	if r.mayRun == 0 {
+		r.ran, r.ranOn = now, l.table.entry(b)
+	}
+	r.call.RepeatBy = repeatBy // no attempt is out that could read it
 	r.out++
 	r.mayRun++
 	b.out++
@@ -535,14 +545,23 @@
 	}()
 }
 
-// forbidden guards the contract whatever the module says; "" allows the attempt.
-func (l *Loop) forbidden(r *Request, b *Backend, now, until time.Time) string {
+// forbidden guards the contract whatever the module says; "" allows the attempt. repeatBy is until when it may
+// repeat one that may have run; zero: it repeats none, or at any time.
+func (l *Loop) forbidden(r *Request, b *Backend, now, until, repeatBy time.Time) string {
+	c := l.class(r)
 	g := Guard{Answered: r.answered, Listed: b != nil && b.addr != "", Timely: until.After(now), Out: r.out, MayRun: r.mayRun,
-		Spent: r.spent, Made: len(r.attempts), Most: l.cfg.Settings.Limits.MaxAttempts, Effect: l.cfg.Settings.Classes[r.call.Class].Effect}
+		Spent: r.spent, Made: len(r.attempts), Most: l.cfg.Settings.Limits.MaxAttempts, Effect: c.Effect}
 	g.Closed = g.Listed && b.closed.Load()
+	if g.Listed && !repeatBy.IsZero() {
+		to := l.table.entry(b)
+		g.Expired, g.Foreign = now.After(repeatBy), !InGroup(c.Group, &r.ranOn, &to)
+	}
 	return g.Forbids()
 }
 
+// class is a request's.
+func (l *Loop) class(r *Request) *policy.Class { return &l.cfg.Settings.Classes[r.call.Class] }
+
 // ended takes the end of an attempt.
 func (l *Loop) ended(r *Request, index int, res *Result) {
 	t := r.attempts[index]
@@ -570,7 +589,7 @@
 	case res.Spent:
 		// Nothing is left that could be sent again.
 		l.budget.Release(res.Held)
-		if MayRefuse(&l.cfg.Settings.Classes[r.call.Class], r.mayRun) {
+		if MayRefuse(l.class(r), r.mayRun) {
 			l.finish(r, Answer{Verdict: Refused, AfterMs: l.cfg.Settings.Limits.MaxRetryAfterMs})
 		} else {
 			l.finish(r, Answer{Verdict: Failed})
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -181,7 +181,7 @@
 		{"no time", Request{}, up(), now, false},
 	} {
 		test.r.call = &Call{Class: 2}
-		if why := l.forbidden(&test.r, test.b, now, test.until); (why == "") != test.want {
+		if why := l.forbidden(&test.r, test.b, now, test.until, time.Time{}); (why == "") != test.want {
 			t.Errorf("%s: %q", test.name, why)
 		}
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -25,6 +25,11 @@
 	Via      Upstream
 	Payload  any         // the front's, for its upstream
 	Answer   chan Answer // of capacity one: the loop never waits for a client
+	Unique   bool        // the id is the front's own and never comes again
+
+	// RepeatBy, where it is not zero, is until when the attempt that is made now may be begun: it repeats one
+	// that may have run, and behind that its key is no longer known. The loop's; an attempt's upstream reads it.
+	RepeatBy time.Time
 
 	// Left, where it is not 0, is the time that a streamed call has from its last byte on: a part of it still
 	// comes while it is sent. Deadline is then how long that may take in all.
--- a/internal/emu/agent.go
+++ b/internal/emu/agent.go
@@ -48,6 +48,8 @@
 	attempts []*attempt
 	out      int
 	mayRun   int
+	ran      Time         // when the first of them was sent
+	ranOn    policy.Entry // and where to
 }
 
 // attempt is one send.
@@ -285,9 +287,17 @@
 	if a.Ms != 0 {
 		t.until = min(t.until, g.w.now+ns(a.Ms))
 	}
+	class := &g.w.settings.Classes[r.op.class]
 	guard := core.Guard{Answered: r.answered, Listed: s != nil && g.listed[s.index], Timely: t.until > g.w.now, Out: r.out, MayRun: r.mayRun,
-		Made: len(r.attempts), Most: g.w.settings.Limits.MaxAttempts, Effect: g.w.settings.Classes[r.op.class].Effect}
-	guard.Closed = guard.Listed && g.closed[s.index]
+		Made: len(r.attempts), Most: g.w.settings.Limits.MaxAttempts, Effect: class.Effect}
+	if guard.Listed {
+		guard.Closed = g.closed[s.index]
+		if r.mayRun > 0 {
+			to := s.entry()
+			guard.Foreign = !core.InGroup(class.Group, &r.ranOn, &to)
+			guard.Expired = g.w.now > r.ran+Time(core.RepeatFor(class))
+		}
+	}
 	if g.w.freely {
 		guard = core.Guard{Answered: r.answered, Listed: s != nil, Timely: guard.Timely, Made: len(r.attempts), Most: guard.Most}
 	}
@@ -303,6 +313,9 @@
 			Status: policy.Moot, Final: r.answered})
 		return
 	}
+	if r.mayRun == 0 {
+		r.ran, r.ranOn = g.w.now, s.entry()
+	}
 	r.out++
 	r.mayRun++
 	r.op.attempts++
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -305,7 +305,7 @@
 			left = float64(int64(fd.Int))
 		}
 	}
-	call := &core.Call{ID: "thrift-" + strconv.FormatUint(f.seq.Add(1), 36), Class: what.class, Via: f.Upstream,
+	call := &core.Call{ID: "thrift-" + strconv.FormatUint(f.seq.Add(1), 36), Unique: true, Class: what.class, Via: f.Upstream,
 		Deadline: m.at.Add(time.Duration(left * float64(time.Millisecond))), Answer: make(chan core.Answer, 1),
 		Payload: &upstream.Call{Message: m.msg, Head: m.head, Transport: c.t, Oneway: oneway, NeverRan: what.neverRan}}
 	if what.key >= 0 {
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -30,6 +30,8 @@
 	Addr     string
 	Sent     time.Time // when the attempt began
 	Deadline time.Time
+	// RepeatBy, where it is not zero, is until when the attempt may be begun.
+	RepeatBy time.Time
 	Budget   *semaphore.Weighted // memory for the answer
 	Probe    bool                // it is no attempt, and not counted as one
 	// Request makes the bytes, once the connection is up.
@@ -135,8 +137,9 @@
 	}()
 	cn.SetDeadline(x.Deadline)
 	// The connect may have taken long: the drain grace runs from the telling, so
-	// nothing is begun on a backend that was told to drain meanwhile.
-	if ctx.Err() != nil || x.Key.Backend.Closed() {
+	// nothing is begun on a backend that was told to drain meanwhile; and repeats are
+	// dropped for a time only.
+	if ctx.Err() != nil || x.Key.Backend.Closed() || !x.RepeatBy.IsZero() && time.Now().After(x.RepeatBy) {
 		reusable = true
 		return core.Result{Status: policy.Moot}
 	}
--- a/internal/upstream/conns/exchange_test.go
+++ b/internal/upstream/conns/exchange_test.go
@@ -52,3 +52,31 @@
 		cancel()
 	}
 }
+
+// A repeat whose key is no longer known once the connection is up is not begun, and the connection is kept.
+func TestARepeatIsNotBegunAfterItsTime(t *testing.T) {
+	asked := make(chan struct{}, 2)
+	addr := peer(t, func(c net.Conn) {
+		if _, err := c.Read(make([]byte, 8)); err == nil {
+			asked <- struct{}{}
+			io.WriteString(c, "answer")
+		}
+	})
+	for _, late := range []bool{true, false} {
+		p, key := New(patience, time.Minute, 8), newKey()
+		x := Exchange{Key: key, Addr: addr, Sent: time.Now(), Deadline: time.Now().Add(patience), RepeatBy: time.Now().Add(patience),
+			Budget:  semaphore.NewWeighted(100),
+			Request: func() net.Buffers { return net.Buffers{[]byte("asked")} },
+			Answer: func(cn *Conn, _ func(int64) error) (core.Result, bool, error) {
+				_, err := io.ReadFull(cn.BR, make([]byte, len("answer")))
+				return core.Result{Status: policy.OK}, true, err
+			}}
+		want := policy.OK
+		if late {
+			x.RepeatBy, want = time.Now(), policy.Moot
+		}
+		if r := p.Do(t.Context(), &x); r.Status != want || p.Idle(key) != 1 || late && len(asked) != 0 {
+			t.Errorf("late %v: %+v, %d idle, %d asked", late, r, p.Idle(key), len(asked))
+		}
+	}
+}
