A start waits for a file being written; a client that gives way brings no request

StartConfig reads again for 3 s what is missing or no JSON; what is whole and senseless is an error at once, as before. SIGTERM is asked for before that, and ends such a start with 0. - A client's connection that was chosen to give way between its request's last byte and the loop carried no answer, but its request was sent on; the client, finding it closed, sends the same again. clientConns.taken now tells, and such a request is dropped before the loop. A read deadline that the planned end set on it in that moment is taken off: its end looked like the client's leaving.

Tests: TestAStartWaitsForAFileThatIsBeingWritten, TestAConnectionThatGivesWayBringsNoRequest; both fail without their mends (tried).

--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -26,11 +26,16 @@
 }
 
 func run() error {
-	// From the first moment on: its default is to end the program.
+	// From the first moment on: their default is to end the program.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	cfg, err := agent.LoadConfig(os.Getenv)
+	cfg, err := agent.StartConfig(stop, os.Getenv)
+	if stop.Err() != nil {
+		return nil // ended before it began
+	}
 	if err != nil {
 		return err
 	}
@@ -40,8 +45,6 @@
 	// collecting goes before all.
 	debug.SetGCPercent(100)
 	debug.SetMemoryLimit(cfg.MemoryLimit())
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
 	// Another process of this agent may be there, which this one is to follow.
 	if tmp := os.Getenv("TMPDIR"); tmp != "" {
 		if cfg.Dir, err = upgrade.Join(tmp); err != nil {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -67,6 +69,35 @@
 	return load(getenv, "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_ADMIN_ADDR")
 }
 
+const (
+	// StartWait is how long a start waits for a file that is not there, or is no JSON: it may just be being
+	// written, in place or by a new name. unfinishedEvery is how often it looks.
+	StartWait, unfinishedEvery = 3 * time.Second, 50 * time.Millisecond
+)
+
+// errUnfinished marks a file that can't be read as JSON. One that is cut off anywhere never can.
+var errUnfinished = errors.New("the file is missing or not whole")
+
+// StartConfig is LoadConfig for a start: a file that may still be being written is read again, until StartWait is
+// over or ctx done. What is whole and makes no sense is an error at once.
+func StartConfig(ctx context.Context, getenv func(string) string) (*Config, error) {
+	over := time.NewTimer(StartWait)
+	defer over.Stop()
+	for {
+		c, err := LoadConfig(getenv)
+		if !errors.Is(err, errUnfinished) {
+			return c, err
+		}
+		select {
+		case <-time.After(unfinishedEvery):
+		case <-over.C:
+			return nil, fmt.Errorf("%w (for %v)", err, StartWait)
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 // ReloadConfig reads the file again. By then its discovery is newer than that of the
 // environment, which is as old as the process.
 func ReloadConfig(getenv func(string) string) (*Config, error) {
@@ -81,10 +112,13 @@
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("config: %w", err)
+		return nil, fmt.Errorf("config: %w: %w", errUnfinished, err)
 	}
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
+		if syntax := (*json.SyntaxError)(nil); errors.As(err, &syntax) {
+			err = fmt.Errorf("%w: %w", errUnfinished, err)
+		}
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
 	fields := map[string]*string{"PROXY_NAME": &f.Name, "PROXY_LISTEN": &f.Listen, "PROXY_DISCOVERY": &f.Discovery,
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"context"
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -62,3 +64,47 @@
 		t.Error("no configuration is accepted")
 	}
 }
+
+// A start waits for a file that is being written, in place or under a new name, and for no other error.
+func TestAStartWaitsForAFileThatIsBeingWritten(t *testing.T) {
+	good := `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7","limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":` + testSettings + `}`
+	path := filepath.Join(t.TempDir(), "config.json")
+	reads := 0
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+	// The file goes on with each look at its name.
+	steps := []string{"", good[:1], good[:len(good)/2], good[:len(good)-1], good}
+	c, err := StartConfig(t.Context(), func(name string) string {
+		if name != "PROXY_CONFIG" {
+			return ""
+		}
+		if reads++; reads > 1 { // at first there is none
+			write(steps[min(reads-2, len(steps)-1)])
+		}
+		return path
+	})
+	if err != nil || c.Discovery != "127.0.0.1:2" || reads != len(steps)+1 {
+		t.Errorf("read %d times: %v", reads, err)
+	}
+	for name, text := range map[string]string{"of another form": `{"listen":3}`, "senseless": strings.Replace(good, "free", "perhaps", 1)} {
+		write(text)
+		reads = 0
+		if _, err := StartConfig(t.Context(), func(name string) string {
+			if reads++; name == "PROXY_CONFIG" {
+				return path
+			}
+			return ""
+		}); err == nil || errors.Is(err, errUnfinished) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	write(good[:100])
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // told to end meanwhile
+	if _, err := StartConfig(ctx, func(name string) string { return map[string]string{"PROXY_CONFIG": path}[name] }); !errors.Is(err, errUnfinished) {
+		t.Errorf("told to end: %v", err)
+	}
+}
--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -48,6 +48,7 @@
 	kind    int
 	since   time.Time // of that kind
 	closing bool
+	hurried time.Time // until when it has to bring what it has begun; zero: nobody has hurried it
 }
 
 type connKey struct{}
@@ -115,13 +116,25 @@
 }
 
 // taken tells that the handler's connection has brought a whole request: it stays
-// until that is answered.
-func (c *clientConns) taken(ctx context.Context) {
+// until that is answered. One that has just been made to give way can't carry an answer
+// any more, and its client sends the request again: then taken returns false.
+func (c *clientConns) taken(ctx context.Context) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if nc, ok := ctx.Value(connKey{}).(net.Conn); ok {
-		c.busy(nc)
+	nc, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return true
+	}
+	c.busy(nc)
+	x := c.conns[nc]
+	if x == nil || x.closing {
+		return false
+	}
+	if !x.hurried.IsZero() {
+		x.hurried = time.Time{}
+		nc.SetReadDeadline(x.hurried) // else its end would look like the client's leaving
 	}
+	return true
 }
 
 // none tells whether nobody is connected.
@@ -137,7 +150,9 @@
 	defer c.mu.Unlock()
 	for _, kind := range []int{silent, coming} {
 		for e := c.waiting[kind].Front(); e != nil; e = e.Next() {
-			e.Value.(net.Conn).SetReadDeadline(by)
+			nc := e.Value.(net.Conn)
+			c.conns[nc].hurried = by
+			nc.SetReadDeadline(by)
 		}
 	}
 }
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -185,7 +185,9 @@
 			_ = http.NewResponseController(w).EnableFullDuplex()
 		}
 	}
-	f.conns.taken(req.Context())
+	if !f.conns.taken(req.Context()) {
+		panic(http.ErrAbortHandler) // nothing was sent on
+	}
 	took := make(chan *core.Request, 1)
 	f.Loop.Post(func() { took <- f.Loop.Take(&c.Call) })
 	select {
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -105,3 +105,42 @@
 		}
 	})
 }
+
+// A request whose connection has just been made to give way is not taken: its client finds the connection closed
+// and sends it again, and it would be sent on twice. One that was hurried has its whole time once it is taken.
+func TestAConnectionThatGivesWayBringsNoRequest(t *testing.T) {
+	const most = 8
+	c := newClientConns(most)
+	for range most - 1 { // with a request open
+		x, _ := net.Pipe()
+		c.track(x, http.StateNew)
+		c.taken(c.context(t.Context(), x))
+	}
+	x, other := net.Pipe()
+	defer other.Close()
+	y, _ := net.Pipe()
+	ctx := c.context(t.Context(), x)
+	c.track(x, http.StateNew)
+	c.track(x, http.StateActive) // its request has come, and is about to be taken
+	c.track(y, http.StateNew)
+	c.track(y, http.StateActive)
+	if c.taken(ctx) || !c.taken(c.context(t.Context(), y)) {
+		t.Error("the one that gave way is taken, or the other is not")
+	}
+	c.track(x, http.StateClosed)
+	if c.taken(ctx) {
+		t.Error("a closed one is taken")
+	}
+	z, peer := net.Pipe()
+	c.track(y, http.StateClosed)
+	c.track(z, http.StateNew)
+	c.track(z, http.StateActive)
+	c.hurry(time.Now().Add(-time.Second))
+	if !c.taken(c.context(t.Context(), z)) {
+		t.Fatal("not taken")
+	}
+	go peer.Write([]byte("x"))
+	if _, err := z.Read(make([]byte, 1)); err != nil {
+		t.Errorf("after it was taken: %v", err)
+	}
+}
