Requests that come whole as service ends are answered; prove whole-fleet found them lost

Cause: from its Shutdown on net/http closes each connection whose request head it reads, without a word (server.go: if c.server.shuttingDown() { return } behind readRequest), so that a request that had come whole to a connection that was there had no answer.

Change: the HTTP front ends its listener and its connections itself: answers close their connection (also those to requests that came before), idle ones are closed by the same list that decides who gives way, so that a request just read there is dropped before the loop and its client sends it again; the listener closes 20 ms later; what is held is waited for. The program is internal/agent.Main, so that a proof can run it in processes of its own.

Four seeded defects, each found (TestWholeFleetDefects).

TestARequestThatComesAsServiceEndsIsAnswered fails with the old Shutdown (tried).

--- a/internal/agent/ending_test.go
+++ b/internal/agent/ending_test.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -104,3 +106,47 @@
 		t.Errorf("answered %d, want a refusal", got)
 	}
 }
+
+// A request whose connection was there at the end of service, and whose last byte comes while the process still
+// waits for what is held, has its answer; net/http's own end closes its connection without a word.
+func TestARequestThatComesAsServiceEndsIsAnswered(t *testing.T) {
+	a, b := one(t, serving)
+	c := a.dial()
+	text := rawOrder("/api/a1", "late", "Content-Length: 1\r\n", "x")
+	if _, err := io.WriteString(c, text[:20]); err != nil {
+		t.Fatal(err)
+	}
+	held := a.dial() // a request that is open keeps the process there
+	wait := make(chan struct{})
+	b.answer = func(c net.Conn, req *http.Request, n int) bool { <-wait; return serving(c, req, n) }
+	io.WriteString(held, rawOrder("/api/a1", "held", "Content-Length: 1\r\n", "x"))
+	for a.figures().Taken == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	a.stop()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) { // until the listener is closed
+		probe, err := net.Dial("tcp", a.addr)
+		if err != nil {
+			break
+		}
+		probe.Close()
+		if time.Now().After(end) {
+			t.Fatal("it still listens")
+		}
+	}
+	if _, err := io.WriteString(c, text[20:]); err != nil {
+		t.Fatal(err)
+	}
+	close(wait)
+	for name, c := range map[string]net.Conn{"late": c, "held": held} {
+		c.SetReadDeadline(time.Now().Add(patience))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if resp.StatusCode != http.StatusOK || !resp.Close {
+			t.Errorf("%s: answered %d, closes %v", name, resp.StatusCode, resp.Close)
+		}
+	}
+}
--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -86,10 +86,24 @@
 		if old == nil {
 			break
 		}
-		c.busy(old)
-		c.conns[old].closing = true
-		c.closing++
-		old.Close() // the server's read then fails, and it reports the close
+		c.shut(old)
+	}
+}
+
+// shut closes a connection that has no request open.
+func (c *clientConns) shut(nc net.Conn) {
+	c.busy(nc)
+	c.conns[nc].closing = true
+	c.closing++
+	nc.Close() // the server's read then fails, and it reports the close
+}
+
+// closeIdle closes the connections between requests.
+func (c *clientConns) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e := c.waiting[idle].Front(); e != nil; e = c.waiting[idle].Front() {
+		c.shut(e.Value.(net.Conn))
 	}
 }
 
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -5,7 +5,6 @@
 package http
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -56,14 +55,16 @@
 	classes  map[string]int
 	tenants  map[string]int
 	ready    atomic.Bool
-	leaving  atomic.Bool // another process takes what comes: each connection ends with its next answer
+	leaving  atomic.Bool // nothing more is to come here: each connection ends with its next answer
 	conns    *clientConns
+	ln       atomic.Pointer[net.Listener]
+	served   chan struct{} // closed once nothing more is accepted, and all that was is known to conns
 }
 
 // New returns a front whose calls go out by this upstream. budget is the memory for bodies; beyond room
 // connections those without an open request give way.
 func New(settings *policy.Settings, budget *semaphore.Weighted, upstream core.Upstream, room int) *Front {
-	f := &Front{settings: settings, budget: budget, upstream: upstream, classes: map[string]int{}, tenants: map[string]int{}}
+	f := &Front{settings: settings, budget: budget, upstream: upstream, classes: map[string]int{}, tenants: map[string]int{}, served: make(chan struct{})}
 	for i, c := range settings.Classes {
 		f.classes[c.Name] = i
 	}
@@ -89,9 +90,11 @@
 // Ready makes the health call answer 200.
 func (f *Front) Ready() { f.ready.Store(true) }
 
-// Serve accepts clients until the front is shut down; then it returns nil.
+// Serve accepts clients until the front is shut down; then it returns nil. It is called once.
 func (f *Front) Serve(ln net.Listener) error {
-	if err := f.server.Serve(framedListener{ln}); !errors.Is(err, http.ErrServerClosed) && !f.leaving.Load() {
+	defer close(f.served)
+	f.ln.Store(&ln)
+	if err := f.server.Serve(framedListener{ln}); !f.leaving.Load() {
 		return fmt.Errorf("front: %w", err)
 	}
 	return nil
@@ -101,8 +104,12 @@
 // while after the signal, and an accept queue that is closed resets them; those there
 // are go on being used for as long as they stay open, and whoever finds his closed may
 // find nobody to take another. So for Linger all is served as ever, or until nobody is
-// connected; then every answer closes its connection, the listener closes and the held
-// requests are waited for, for held at the most. Those that have brought none by half of that are not.
+// connected; then every answer closes its connection, those that idle are closed, a moment
+// later the listener, and the held requests are waited for, for held at the most. Those
+// that have brought none by half of that are not.
+//
+// The server's own Shutdown is not used: from its call on it closes each connection whose
+// request it reads, without a word, also where that request had come whole.
 func (f *Front) Shutdown(held time.Duration) error {
 	if f.Linger == 0 {
 		f.Linger = linger
@@ -114,24 +121,28 @@
 			break
 		}
 	}
-	f.server.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithTimeout(context.Background(), held)
-	defer cancel()
+	f.leaving.Store(true)
+	f.conns.closeIdle()
 	closing := time.Now()
 	by := closing.Add(min(held/2, hurried))
-	done := make(chan error, 1)
-	go func() { done <- f.server.Shutdown(ctx) }()
-	// More than once: what came last is known, and has its time, only after a moment.
 	for {
+		<-every.C // whoever found his connection closed may still come back
+		if ln := f.ln.Load(); ln != nil {
+			(*ln).Close()
+		}
+		// More than once: what came last is known, and has its time, only after a moment.
+		f.conns.hurry(by)
+		f.conns.closeIdle()
 		select {
-		case err := <-done:
-			return err
-		case <-every.C:
-			f.conns.hurry(by)
-			// The server itself looks every half second only. The listener is closed by the second look.
-			if f.conns.none() && time.Since(closing) >= lookEvery {
+		case <-f.served:
+			if f.conns.none() {
 				return nil
 			}
+		default:
+		}
+		if time.Since(closing) >= held {
+			defer f.server.Close()
+			return fmt.Errorf("front: clients are still connected %v after their last answers were due", time.Since(closing))
 		}
 	}
 }
@@ -219,6 +230,9 @@
 // write sends the final answer.
 func (f *Front) write(w http.ResponseWriter, a core.Answer, class int) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
+	if f.leaving.Load() { // by now, if not when the request came
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case a.Verdict == core.Served:
 		if s, ok := a.Reply.(*upstream.Stream); ok {
--- a/internal/lab/prove/child.go
+++ b/internal/lab/prove/child.go
@@ -24,13 +24,14 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
+	"ringtrack.example/ringtrack/internal/agent"
 	"ringtrack.example/ringtrack/internal/control"
 	"ringtrack.example/ringtrack/internal/lab/service"
 	"ringtrack.example/ringtrack/internal/membership"
 )
 
 // childEnv makes a process of the lab one that serves, so that its CPU time is its own: "ours ROSTER"
-// or "peer SERVERS".
+// or "peer SERVERS"; or the agent's program, "agent".
 const childEnv = "RINGTRACK_LAB_CHILD"
 
 // Child runs the process as what the environment says, if it says anything, and does not return then.
@@ -72,6 +73,8 @@
 	var addr string
 	drain := func(string) error { return nil }
 	switch word {
+	case "agent":
+		return agent.Main()
 	case "ours":
 		s, err := service.Start("", arg, nil, func(c *control.Config) { c.Proxies.Most = 20_000 })
 		if err != nil {
--- a/internal/lab/prove/prove_test.go
+++ b/internal/lab/prove/prove_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"testing"
 )
 
@@ -19,7 +20,7 @@
 				name += " with its defect"
 			}
 			t.Run(name, func(t *testing.T) {
-				scale := map[string]float64{"cold": 0.35, "crowd": 0.03, "drains": 0.03, "latency": 0.1, "ephemeral": 0.03, "ephemeral-control": 0.03, "ephemeral-flap": 0.02, "ephemeral-faults": 0.04, "ephemeral-size": 0.03, "stall": 0.05, "storm": 0.05, "thrift-kill": 0.05}[p.Name]
+				scale := map[string]float64{"cold": 0.35, "crowd": 0.03, "drains": 0.03, "latency": 0.1, "ephemeral": 0.03, "ephemeral-control": 0.03, "ephemeral-flap": 0.02, "ephemeral-faults": 0.04, "ephemeral-size": 0.03, "stall": 0.05, "storm": 0.05, "thrift-kill": 0.05, "whole-fleet": 0.1}[p.Name]
 				if scale == 0 {
 					t.Fatal("this proof has no smallest form here")
 				}
@@ -35,3 +36,19 @@
 		}
 	}
 }
+
+// Each of the defects that the lab can seed in the whole fleet is found.
+func TestWholeFleetDefects(t *testing.T) {
+	for seed := range uint64(defects - 1) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := WholeFleet(t.Context(), &Options{Seed: seed, Scale: 0.1, Defect: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if t.Log(r.Line()); len(r.Short) == 0 {
+				t.Error("it is not found")
+			}
+		})
+	}
+}
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -28,12 +28,16 @@
 	Slow          // runs, and answers a byte at a time
 	Trickle       // runs, and answers so slowly that no deadline holds
 	Foreign       // runs, and answers in another protocol
+	Lying         // runs, and says that nothing ran: no server may, and a checker has to find it
 
 	WrongSeq  // runs, and answers under another sequence id
 	OtherName // runs, and answers for another method
 	Declaring // runs, and answers a declared exception
 )
 
+// HeldOp begins the names of operations that no server answers, whatever its mode.
+const HeldOp = "held-"
+
 // OrderServer is a stand-in for an order server, on HTTP/1.1 as the protocol page has it. Bodies name
 // the operation, which is how the ledger knows it again over tries.
 type OrderServer struct {
@@ -91,6 +95,9 @@
 			id = req.URL.Query().Get("op") // of a request without a body
 		}
 		mode := Mode(s.mode.Load())
+		if strings.HasPrefix(id, HeldOp) {
+			mode = Silent
+		}
 		switch mode {
 		case Silent:
 			io.Copy(io.Discard, br) // until the other side gives up
@@ -98,6 +105,10 @@
 		case Full:
 			io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
 			continue
+		case Lying:
+			s.ran(id)
+			io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+			continue
 		case Breaking:
 			s.ran(id)
 			c.(*net.TCPConn).SetLinger(0)
