prove flat: memory over 2 million requests; whole-fleet severs at each byte and checks a key's zone

Need: every map of the agent is to have a bound, shown by a walk; the whole-fleet proof lacked resets at each byte boundary and a key's group.

Bounds are named beside the maps. Stand-in servers break off in turn at each byte of a request's head and of an answer; the book checks that a keyed repeat runs in the zone of its first run; a fifth defect, a roster that tells wrong zones.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -46,10 +46,10 @@
 	inbox    chan func()
 	clock    clock.Clock
 	nextID   policy.RequestID
-	requests map[policy.RequestID]*Request
-	ids      map[string]*Request // the same by the clients' ids
-	once     *once               // ids of requests that are over and must not run again
-	open     int                 // requests that have no answer yet
+	requests map[policy.RequestID]*Request // bound: openCap open ones, and those answered whose attempts still end
+	ids      map[string]*Request           // the same by the clients' ids
+	once     *once                         // ids of requests that are over and must not run again
+	open     int                           // requests that have no answer yet
 	pending  []policy.Event
 	actions  []policy.Action
 	version  uint64    // of the list
--- a/internal/core/table.go
+++ b/internal/core/table.go
@@ -9,10 +9,10 @@
 // name for them. It belongs to the loop.
 type table struct {
 	names  membership.Names
-	byID   map[string]*Backend
-	byAddr map[policy.Addr]*Backend
-	banned map[string]bool // ids that an operator wants left alone, listed or not
-	seen   map[string]bool // ids that were ever listed, as far as maxSeen goes
+	byID   map[string]*Backend      // bound: what is listed, and what is gone with attempts out
+	byAddr map[policy.Addr]*Backend // the same
+	banned map[string]bool          // ids that an operator wants left alone, listed or not; upgrade.MaxBans at the most
+	seen   map[string]bool          // ids that were ever listed, as far as maxSeen goes
 }
 
 // maxSeen bounds the ids that are remembered as once listed; beyond it only those listed now are known.
--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -26,7 +26,7 @@
 type clientConns struct {
 	max     int // from here on room is made
 	mu      sync.Mutex
-	conns   map[net.Conn]*clientConn
+	conns   map[net.Conn]*clientConn // bound: the descriptors; beyond max those without a request go
 	closing int
 	// Connections with no request open, by how readily they give way.
 	waiting [3]list.List
--- a/internal/lab/book/book.go
+++ b/internal/lab/book/book.go
@@ -40,6 +40,7 @@
 	Multiple    float64       // of what it can do then, that it may be sent
 	Window      time.Duration // in any such time
 	Burst       float64       // requests beyond, for chance
+	ByZone      bool          // rule 2: servers of one zone only drop each other's repeats
 }
 
 // DefaultRules are those of the brief.
@@ -77,11 +78,13 @@
 	promise bool // the last try ended in a refusal: it never ran
 	runs    int
 	ran     time.Time // first
+	zone    string    // where
 }
 
 // Account is a server's.
 type Account struct {
 	Name string
+	Zone string
 
 	away     time.Time // told to drain or gone; zero: in service
 	started  time.Time
@@ -169,13 +172,15 @@
 		switch {
 		case o.Effect == Unsafe:
 			b.breach(2, "%s: ran twice, the second time at %s", o.Name, a.Name)
+		case o.Effect == Keyed && b.Rules.ByZone && a.Zone != o.zone:
+			b.breach(2, "%s: ran again in zone %s, first in %s", o.Name, a.Zone, o.zone)
 		case o.Effect == Keyed && since <= b.Rules.KeyWindow:
 			return
 		case o.Effect == Keyed:
 			b.breach(2, "%s: ran again %v after its first run", o.Name, since)
 		}
 	} else {
-		o.ran = at
+		o.ran, o.zone = at, a.Zone
 	}
 	if o.promise && o.Effect == Unsafe {
 		b.breach(2, "%s: ran after it was refused", o.Name)
--- a/internal/lab/ledger.go
+++ b/internal/lab/ledger.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// Placed notes the zone that a server is in.
+func (l *Ledger) Placed(server, zone string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.server(server).Zone = zone
+}
+
 // Told notes that a server was told to drain or gone; Up that it is in service again.
 func (l *Ledger) Told(server string, at time.Time) {
 	l.mu.Lock()
--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -109,6 +109,7 @@
 	{"ephemeral-faults", "a random walk of faults on the registry, of drains and of restarts: the four rules hold", 0.4, EphemeralFaults},
 	{"ephemeral-flap", "600 flaps of a node: warm where it never restarted, never over the cold budget where it did", 0.15, Flap},
 	{"ephemeral-size", "10,000 nodes and 1,000 watchers: time, bytes, memory and what one change costs, beside the go-zookeeper library", 0.3, EphemeralSize},
+	{"flat", "2 million requests with ids, keys and backends that change: the heap stays flat", 0.2, Flat},
 	{"latency", "what the agent adds to a call at 500 calls a second, Thrift beside HTTP", 0.5, Latency},
 	{"stall", "1,000 proxies of which one reads nothing: the others notice nothing", 0.3, Stall},
 	{"whole-fleet", "40 agents, a process each, restarted by tenths among failing and replaced servers and rude clients: the four rules, exits, starts", 0.15, WholeFleet},
--- a/internal/lab/prove/wholefleet.go
+++ b/internal/lab/prove/wholefleet.go
@@ -28,7 +28,7 @@
 	// fleetSettings have deadlines of 0.6 s, so that a planned end is over 1.3 s after its signal.
 	fleetSettings = `{"classes":[
 {"name":"read","aimMs":200,"giveUpMs":600,"effect":"free","credit":1,"lateShare":0.2},
-{"name":"send","aimMs":300,"giveUpMs":600,"effect":"guarded","group":"all","keyTtlMs":1200,"credit":2,"lateShare":0.2},
+{"name":"send","aimMs":300,"giveUpMs":600,"effect":"guarded","group":"zone","keyTtlMs":1200,"credit":2,"lateShare":0.2},
 {"name":"order","aimMs":300,"giveUpMs":600,"effect":"single_shot","credit":5,"lateShare":0.2}],
 "contract":{"answerSlackMs":20,"askWithinMs":10000,"coldFrom":0.3,"coldMs":2000,"drainGraceMs":250,"fallMultiple":2.5,"tipAfterMs":1000},
 "failureDomains":["east","west","south"],"shapes":["fast"],"clients":{"marksRetry":true},
@@ -50,6 +50,7 @@
 	unwritten             // a configuration stays half written at a start
 	stuck                 // a process is stopped at its end
 	forgetful             // servers drop repeats of a key for 1 ms only
+	misplaced             // the roster tells other zones than servers are in
 	defects
 )
 
@@ -229,7 +230,7 @@
 
 // trouble gives servers a mode each for a moment, and breaks connections, until ctx ends.
 func (f *fleet) trouble(ctx context.Context, rng *rand.Rand) {
-	modes := []lab.Mode{lab.Failing, lab.Full, lab.Breaking, lab.Half, lab.Twice, lab.Slow, lab.Silent, lab.Foreign}
+	modes := []lab.Mode{lab.Failing, lab.Full, lab.Breaking, lab.Half, lab.Twice, lab.Slow, lab.Silent, lab.Foreign, lab.Severing, lab.Severing}
 	if f.defect == lying {
 		modes = []lab.Mode{lab.Lying}
 	}
@@ -252,15 +253,16 @@
 // each process's exit code, time to its end and time until it is ready. The seeded defects are the lab's own.
 func WholeFleet(ctx context.Context, o *Options) (*Report, error) {
 	r := &Report{Proof: "whole-fleet", Seed: o.Seed, Scale: o.Scale}
-	f := &fleet{o: o, ledger: lab.NewLedger(lab.DefaultRules())}
+	f := &fleet{o: o}
 	if o.Defect {
 		f.defect = 1 + fleetDefect(o.Seed%uint64(defects-1))
 	}
+	rules := lab.DefaultRules()
+	rules.ByZone = true
 	if f.defect == forgetful {
-		rules := lab.DefaultRules()
 		rules.KeyWindow = time.Millisecond
-		f.ledger = lab.NewLedger(rules)
 	}
+	f.ledger = lab.NewLedger(rules)
 	rng := o.rng()
 	dir, err := os.MkdirTemp("", "whole-fleet")
 	if err != nil {
@@ -278,6 +280,10 @@
 		if err != nil {
 			return nil, err
 		}
+		f.ledger.Placed(s.ID, s.Entry.Zone)
+		if f.defect == misplaced {
+			s.Entry.Zone = zones[i/3%3]
+		}
 		f.servers, entries = append(f.servers, s), append(entries, s.Entry)
 	}
 	for i := range f.rosters {
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -28,6 +28,7 @@
 	Slow          // runs, and answers a byte at a time
 	Trickle       // runs, and answers so slowly that no deadline holds
 	Foreign       // runs, and answers in another protocol
+	Severing      // breaks the connection, in turn at each byte of a request's head and at each byte of an answer
 	Lying         // runs, and says that nothing ran: no server may, and a checker has to find it
 
 	WrongSeq  // runs, and answers under another sequence id
@@ -48,8 +49,12 @@
 	ledger *Ledger
 	mode   atomic.Int32
 	begun  atomic.Int64
+	sever  atomic.Int64 // counts what was severed
 }
 
+// severedHead is the part of a request in which it is severed, in bytes: less than any has, so that none is whole.
+const severedHead = 120
+
 // NewOrderServer starts one; ledger may be nil.
 func NewOrderServer(id, zone string, work time.Duration, ledger *Ledger) (*OrderServer, error) {
 	s := &OrderServer{ID: id, ledger: ledger}
@@ -78,6 +83,14 @@
 			return
 		}
 		began := time.Now()
+		severed := int64(-1)
+		if Mode(s.mode.Load()) == Severing {
+			if severed = s.sever.Add(1); severed%2 == 0 {
+				io.CopyN(io.Discard, br, severed/2%severedHead)
+				c.(*net.TCPConn).SetLinger(0)
+				return
+			}
+		}
 		req, err := http.ReadRequest(br)
 		if err != nil {
 			return
@@ -127,6 +140,11 @@
 		if mode == Foreign {
 			answer = []byte("\x80\x01\x00\x02\x00\x00\x00\x05order\x00\x00\x00\x01\x00")
 		}
+		if severed >= 0 {
+			c.Write(answer[:severed/2%int64(len(answer))])
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		}
 		if !mode.Write(c, answer) {
 			return
 		}
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -29,7 +29,7 @@
 	mu sync.Mutex
 	// By backend, not by address: one that has gone may leave its address to another.
 	// The most recently used last.
-	idle map[Key][]*Conn
+	idle map[Key][]*Conn // bound: max connections; a key with none has no entry
 	open int
 	ages ages
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -102,11 +102,11 @@
 	rng       *rand.Rand
 	now       float64
 	out       []Action
-	servers   []*server // by address
-	byAddr    map[Addr]*server
-	requests  map[RequestID]*request
+	servers   []*server              // by address
+	byAddr    map[Addr]*server       // bound: what is listed, and what is gone with attempts out
+	requests  map[RequestID]*request // bound: what is open, and what is over with an attempt out
 	held      []*request
-	keys      map[uint64]float64 // requests of each key, of keyed in all, halved now and then
+	keys      map[uint64]float64 // requests of each key, of keyed in all, halved now and then; bound: keyMemory/keyPart for each server
 	keyed     float64
 	tier      []*server // scratch of pick
 	pasts     []past
