--- a/internal/agent/ending_test.go
+++ b/internal/agent/ending_test.go
@@ -44,17 +44,7 @@
 			})
 			req := newRequest(a.addr, class, "x")
 			req.Header.Set("Request-Timeout-Ms", "30000")
-			status := make(chan int, 1)
-			go func() {
-				resp, err := testClient.Do(req)
-				if err != nil {
-					t.Error(err)
-					close(status)
-					return
-				}
-				resp.Body.Close()
-				status <- resp.StatusCode
-			}()
+			status := statusOf(t, req)
 			<-came
 			kill := killAfter + a.cfg.longest()
 			from := time.Now()
@@ -76,6 +66,22 @@
 	}
 }
 
+// statusOf sends a request and returns where its answer's status comes; 0: there was none.
+func statusOf(t *testing.T, req *http.Request) <-chan int {
+	status := make(chan int, 1)
+	go func() {
+		defer close(status)
+		resp, err := testClient.Do(req)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	return status
+}
+
 // What has not been sent on when its time is cut short is refused, as nothing can have run.
 func TestWhatWaitsAtTheSignalIsRefused(t *testing.T) {
 	d := newDiscoveryServer(t)
@@ -87,17 +93,7 @@
 	})
 	req := newRequest(a.addr, "order", "x")
 	req.Header.Set("Request-Timeout-Ms", "30000")
-	status := make(chan int, 1)
-	go func() {
-		resp, err := testClient.Do(req)
-		if err != nil {
-			t.Error(err)
-			close(status)
-			return
-		}
-		resp.Body.Close()
-		status <- resp.StatusCode
-	}()
+	status := statusOf(t, req)
 	for a.figures().Taken == 0 {
 		time.Sleep(time.Millisecond)
 	}
