Where a request was first sent is noted for keyed ones only, off the others' path

Cause: read once more, each first send worked out its backend's entry (three look-ups), which only the guard of a keyed repeat reads.

Change: it is noted for keyed requests alone.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -80,7 +80,7 @@
 	attempts []*attempt
 	out      int          // attempts out
 	mayRun   int          // attempts that are out or may have run
-	ran      time.Time    // when the first of them was sent
+	ran      time.Time    // of a keyed one: when the first of them was sent
 	ranOn    policy.Entry // and where to, as that was listed then
 	spent    bool
 	cut      bool // its time was cut short by the end of the process
@@ -528,7 +528,7 @@
 			Server: a.Server, Status: policy.Moot, Final: r.answered})
 		return
 	}
-	if r.mayRun == 0 {
+	if r.mayRun == 0 && l.class(r).Effect == policy.Guarded {
 		r.ran, r.ranOn = now, l.table.entry(b)
 	}
 	r.call.RepeatBy = repeatBy // no attempt is out that could read it
