Book of rules: what two versions both permit, leases on it, and agents that act by it

Need: an agent's rules change by its own file and a restart only, so that two rule books are in force for as long as a roll takes; a ban reaches one agent. Change: internal/rulebook and meet (what two neighbouring versions both permit, checked by properties), internal/agree (leases and stages, pure), agree/link (an agent's asks), core acts by a book and its lease: strictest form behind the lease, refusal behind the list, the last look before the first byte. Off where PROXY_AGREED names no file.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -33,6 +33,18 @@
 	Open    int64   // requests taken and not ended
 	Listed  int     // backends in the list
 	Out     int     // those of them that the agent avoids now
+	Agreed  *Agreed // nil: there are no keepers
+}
+
+// Agreed is how the agent stands to the book of rules.
+type Agreed struct {
+	Stage         uint64 // 2n: version n is in force; 2n+1: what n and n+1 both permit
+	LeaseMs       int64  // for how long its lease holds; 0: nothing is tried again
+	Strict, Shut  bool   // it acts by the strictest form; it refuses requests
+	Lapses        int64
+	Asks, Failed  int64 // calls to keepers
+	Relayed       int64 // asks of peers that it carried
+	Unable, Taken int64 // rules it could not take up, and those it did
 }
 
 // Class counts the answers to the requests of one class since the start of the process.
@@ -56,6 +68,24 @@
 	line("open_requests", f.Open)
 	line("registry_entries", int64(f.Listed))
 	line("out_of_rotation", int64(f.Out))
+	if a := f.Agreed; a != nil {
+		yes := func(b bool) int64 {
+			if b {
+				return 1
+			}
+			return 0
+		}
+		line("agreed.stage", int64(a.Stage))
+		line("agreed.lease_ms", a.LeaseMs)
+		line("agreed.strict", yes(a.Strict))
+		line("agreed.shut", yes(a.Shut))
+		line("agreed.lapses", a.Lapses)
+		line("agreed.asks", a.Asks)
+		line("agreed.asks_failed", a.Failed)
+		line("agreed.asks_relayed", a.Relayed)
+		line("agreed.unable", a.Unable)
+		line("agreed.taken_up", a.Taken)
+	}
 	return out.String()
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,6 +83,11 @@
 		l.Run()
 	}()
 	pair.run(ctx)
+	leaveKeepers, err := pair.agree(ctx, cfg)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	defer leaveKeepers()
 	failed := make(chan error, 2)
 	if ln == nil {
 		if ln, err = pair.takeOver(stop, cfg.Listen, up); err != nil {
--- /dev/null
+++ b/internal/agent/agreed.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/admin"
+	"ringtrack.example/ringtrack/internal/agree/link"
+	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/rulebook"
+)
+
+// publishTime bounds how long the keepers are waited for with an operator's word: with the loop's it is under the
+// second in which he is owed an answer.
+const publishTime = 350 * time.Millisecond
+
+// agree keeps a lease on the book of rules, where there are keepers, until leave is called.
+func (p *pair) agree(ctx context.Context, cfg *Config) (leave func(), err error) {
+	if cfg.Agreed == nil {
+		return func() {}, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	p.link = link.New(cfg.Agreed, cfg.Name, acting{p.loop})
+	var ended sync.WaitGroup
+	if cfg.Agreed.Listen != "" {
+		ln, err := net.Listen("tcp", cfg.Agreed.Listen)
+		if err != nil {
+			// Another process of this agent may still listen; it carries the peers' asks as well.
+			slog.Warn("agreed: asks of peers are not carried", "err", err)
+		} else {
+			ended.Go(func() {
+				if err := p.link.Serve(ctx, ln); err != nil {
+					slog.Error("agreed: asks of peers are no longer carried", "err", err)
+				}
+			})
+		}
+	}
+	ended.Go(func() { p.link.Run(ctx) })
+	return func() { cancel(); ended.Wait() }, nil
+}
+
+// acting is the loop as its lease has it.
+type acting struct{ loop *core.Loop }
+
+// do does something in the loop and waits until it is done.
+func (a acting) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	a.loop.Post(func() { f(); close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Adopt implements link.Target.
+func (a acting) Adopt(ctx context.Context, stage uint64, book *rulebook.Book, until, lists time.Time) error {
+	return a.do(ctx, func() { a.loop.Adopt(stage, book, until, lists) })
+}
+
+// Renew implements link.Target.
+func (a acting) Renew(ctx context.Context, until, lists time.Time) {
+	a.do(ctx, func() { a.loop.Renew(until, lists) })
+}
+
+// publish has a ban, or its end, published. A ban holds here at once, whether or not the keepers answer; where they
+// do, the book has the word on it as soon as it is in force.
+func (p *pair) publish(id string, on bool) error {
+	if on {
+		if err := p.ban(id, true); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), publishTime)
+	defer cancel()
+	number, err := p.link.Ban(ctx, id, on)
+	switch {
+	case err != nil && on:
+		return fmt.Errorf("the ban holds at this agent; whether the keepers have it is not known, say it again: %w", err)
+	case err != nil:
+		return fmt.Errorf("whether the keepers have ended the ban is not known, say it again: %w", err)
+	case p.dir != nil:
+		if err := p.dir.Ban(id, false); err != nil {
+			return err
+		}
+	}
+	stage := rulebook.Stage(number)
+	if on {
+		stage-- // the step before the version has its bans
+	}
+	p.loop.Post(func() { p.loop.Yield(id, stage) })
+	return nil
+}
+
+// agreed are the door's figures of the book of rules.
+func (p *pair) agreed() *admin.Agreed {
+	if p.link == nil {
+		return nil
+	}
+	var f core.AgreedFigures
+	got := make(chan core.AgreedFigures, 1)
+	if p.loop.Ask(loopTime/2, func() { now, _ := p.loop.AgreedFigures(); got <- now }) {
+		f = <-got
+	}
+	c := p.link.Figures()
+	return &admin.Agreed{Stage: f.Stage, LeaseMs: p.link.Left().Milliseconds(), Strict: f.Strict, Shut: f.Shut, Lapses: int64(f.Lapses),
+		Asks: c.Asks.Load(), Failed: c.Failed.Load(), Relayed: c.Relayed.Load(), Unable: c.Unable.Load(), Taken: c.Adopted.Load()}
+}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/agree/link"
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/front/thrift"
 	"ringtrack.example/ringtrack/internal/membership"
@@ -40,6 +41,9 @@
 	// Ephemeral says which registry tells what runs; nil: the roster alone says which backends there are.
 	Ephemeral *ephemeral.Config
 
+	// Agreed says which keepers hold the book of rules; nil: the agent acts by its own file alone.
+	Agreed *link.Config
+
 	// Dir is what two processes of this agent share; nil: there is only this one.
 	Dir *upgrade.Dir
 
@@ -146,6 +150,11 @@
 			return nil, fmt.Errorf("config: PROXY_EPHEMERAL: %w", err)
 		}
 	}
+	if path := getenv("PROXY_AGREED"); path != "" {
+		if c.Agreed, err = link.Load(path); err != nil {
+			return nil, fmt.Errorf("config: PROXY_AGREED: %w", err)
+		}
+	}
 	return c, nil
 }
 
@@ -196,6 +205,9 @@
 // core is what of it the loop is told.
 func (c *Config) core() core.Config {
 	out := core.Config{Discovery: c.Discovery, Known: c.Known, Settings: c.Settings, Seed: c.Seed, Zones: c.Zones, Kinds: c.Kinds}
+	if c.Agreed != nil {
+		out.Agreed = &core.Agreed{Refuse: c.Agreed.OnLapse == link.LapseRefuse}
+	}
 	if c.Ephemeral != nil {
 		out.Merge = c.Ephemeral.Merge()
 		out.Nodes = ephemeral.NewSource(c.Ephemeral).Nodes(func(problem string) { slog.Warn("registry", "problem", problem) })
--- a/internal/agent/pair.go
+++ b/internal/agent/pair.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ringtrack.example/ringtrack/internal/admin"
+	"ringtrack.example/ringtrack/internal/agree/link"
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/upgrade"
 )
@@ -35,6 +36,8 @@
 	serving atomic.Bool
 	use     func(processes int) // makes its part of the limits this process's bound
 
+	link *link.Link // to the keepers; nil: there are none
+
 	bans sync.Mutex // orders what is kept of bans and what the loop is told of them
 }
 
@@ -203,6 +206,7 @@
 		c := &t.Classes[i]
 		f.Classes = append(f.Classes, admin.Class{Name: c.Name, Served: c.Served.Load(), Refused: c.Refused.Load(), Failed: c.Failed.Load()})
 	}
+	f.Agreed = p.agreed()
 	return f
 }
 
@@ -217,6 +221,14 @@
 	if !<-known {
 		return admin.ErrUnknown
 	}
+	if p.link != nil {
+		return p.publish(id, on)
+	}
+	return p.ban(id, on)
+}
+
+// ban keeps and carries out a ban of this agent alone.
+func (p *pair) ban(id string, on bool) error {
 	if p.dir != nil {
 		if err := p.dir.Ban(id, on); err != nil {
 			return err
--- /dev/null
+++ b/internal/agree/link/link.go
@@ -0,0 +1,248 @@
+package link
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	mrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/agree"
+	"ringtrack.example/ringtrack/internal/clock"
+	"ringtrack.example/ringtrack/internal/rulebook"
+)
+
+const (
+	// pauseLeast and pauseMost bound the pause behind a failed call, drawn, doubled with each that fails in a row: so
+	// that the holders of a keeper that died do not come to the others in step.
+	pauseLeast, pauseMost = 20 * time.Millisecond, 640 * time.Millisecond
+	// relays bounds the asks of peers that are carried at once.
+	relays = 16
+	// mostAsk bounds an ask that a peer brings, in bytes.
+	mostAsk = 4 << 10
+)
+
+// Target is who acts under the lease. Both methods return once what they say is so.
+type Target interface {
+	// Adopt has it act on terms; book nil: on its own file's. An error says why it can't, and that it goes on as before.
+	Adopt(ctx context.Context, stage uint64, book *rulebook.Book, until, lists time.Time) error
+	// Renew has it go on as it does.
+	Renew(ctx context.Context, until, lists time.Time)
+}
+
+// Link keeps one holder's lease. Run's goroutine owns lease; the rest may be used from any.
+type Link struct {
+	cfg    *Config
+	holder agree.Holder
+	target Target
+	caller *Caller
+	lease  agree.Lease
+	last   int // the keeper, or behind them the peer, that answered last
+
+	until   atomic.Int64 // of the lease, us of the steady clock
+	figures Figures
+	relay   chan struct{}
+}
+
+// Figures are counts for operators.
+type Figures struct{ Asks, Failed, Relayed, Adopted, Unable atomic.Int64 }
+
+// NewIncarnation draws what tells one start of a name from another.
+func NewIncarnation() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// New returns a link for an agent of this name.
+func New(cfg *Config, name string, target Target) *Link {
+	return &Link{cfg: cfg, holder: agree.Holder{Name: name, Inc: NewIncarnation()}, target: target, caller: NewCaller(),
+		last: mrand.IntN(len(cfg.Keepers)), relay: make(chan struct{}, relays)}
+}
+
+// Figures are the link's counts.
+func (l *Link) Figures() *Figures { return &l.figures }
+
+// Left is for how long the lease holds, 0 where it does not.
+func (l *Link) Left() time.Duration {
+	return max(time.Duration(l.until.Load()-int64(clock.Steady()*1000))*time.Microsecond, 0)
+}
+
+// addr is the i-th of keepers and peers, and whether it is a peer.
+func (l *Link) addr(i int) (string, bool) {
+	k := len(l.cfg.Keepers)
+	if i < k {
+		return l.cfg.Keepers[i], false
+	}
+	return l.cfg.Peers[i-k], true
+}
+
+// Run keeps the lease until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	pause, unable, failed := pauseLeast, "", 0
+	for ctx.Err() == nil {
+		peers := len(l.cfg.Peers)
+		if failed < len(l.cfg.Keepers) {
+			peers = 0 // a keeper may still answer
+		}
+		addr, peer := l.addr(l.last)
+		call := &RenewCall{Name: l.holder.Name, Inc: l.holder.Inc, Has: l.lease.Stage, Unable: unable, WaitMs: l.cfg.WaitMs}
+		if failed > 0 || unable != "" {
+			call.WaitMs = 0
+		}
+		asked := clock.Steady()
+		var answer RenewAnswer
+		header := http.Header{}
+		if peer {
+			header.Set(Relayed, "1")
+		}
+		within := time.Duration((call.WaitMs + l.cfg.CallMs) * float64(time.Millisecond))
+		try, cancel := context.WithTimeout(ctx, within)
+		err := l.caller.Call(try, addr, PathRenew, header, call, &answer)
+		cancel()
+		l.figures.Asks.Add(1)
+		if err == nil {
+			var was string
+			was, unable = unable, ""
+			err = l.take(ctx, asked, &answer)
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				if unable = err.Error(); unable != was {
+					slog.Error("agreed: the rules can't be taken up", "stage", answer.Stage, "err", err)
+				}
+				l.figures.Unable.Add(1)
+			}
+		} else {
+			l.figures.Failed.Add(1)
+			if failed++; failed == 1 {
+				slog.Warn("agreed: no answer", "addr", addr, "err", err)
+			}
+			l.last = (l.last + 1) % (len(l.cfg.Keepers) + peers)
+		}
+		if err == nil {
+			if failed > 0 {
+				slog.Info("agreed: answered again", "addr", addr, "failed", failed)
+			}
+			if failed, pause = 0, pauseLeast; peer {
+				l.last = mrand.IntN(len(l.cfg.Keepers)) // a keeper's own word is wanted next time
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + mrand.N(pause)):
+		}
+		pause = min(2*pause, pauseMost)
+	}
+}
+
+// take takes up what was granted.
+func (l *Link) take(ctx context.Context, asked float64, a *RenewAnswer) error {
+	next := l.lease
+	if !next.Take(asked, clock.Steady(), agree.Grant{Stage: a.Stage, LeaseMs: a.LeaseMs}) {
+		return fmt.Errorf("a grant of stage %d, %.0f ms after it was asked for, with stage %d in hand", a.Stage, clock.Steady()-asked, l.lease.Stage)
+	}
+	until := clock.At(next.Until)
+	lists := until.Add(time.Duration(l.cfg.ListLapseMs * float64(time.Millisecond)))
+	if a.Stage == l.lease.Stage && l.figures.Adopted.Load() > 0 {
+		l.target.Renew(ctx, until, lists)
+	} else {
+		var book *rulebook.Book
+		if a.Stage > 0 {
+			var err error
+			if book, err = rulebook.Decode(a.Book); err != nil {
+				return err
+			}
+		}
+		if err := l.target.Adopt(ctx, a.Stage, book, until, lists); err != nil {
+			return err
+		}
+		l.figures.Adopted.Add(1)
+		slog.Info("agreed: rules taken up", "stage", a.Stage, "left_ms", int(next.Until-clock.Steady()))
+	}
+	l.lease = next
+	l.until.Store(int64(next.Until * 1000))
+	return nil
+}
+
+// Ban has an operator's word on a server published. It returns once a majority of the keepers has it, so that it comes
+// into force everywhere, and the number of the version that has it; an error that is no Failure leaves that open.
+func (l *Link) Ban(ctx context.Context, server string, on bool) (number uint64, err error) {
+	call := &BanCall{ID: NewIncarnation(), Server: server, On: on, Author: l.holder.Name}
+	var first error
+	for i := range l.cfg.Keepers {
+		// The same id each time: a second try is not a second version.
+		addr := l.cfg.Keepers[i]
+		try, cancel := context.WithTimeout(ctx, time.Duration(l.cfg.CallMs*float64(time.Millisecond)))
+		var answer PublishAnswer
+		err := l.caller.Call(try, addr, PathBan, nil, call, &answer)
+		cancel()
+		if f := (*Failure)(nil); err == nil || errors.As(err, &f) && f.Status < 500 {
+			return answer.Number, err
+		}
+		if first = err; ctx.Err() != nil {
+			break
+		}
+	}
+	return 0, first
+}
+
+// Serve carries asks of peers to the keepers, until ctx ends: one hop, a bounded number at once, and only while this
+// agent's own lease holds.
+func (l *Link) Serve(ctx context.Context, ln net.Listener) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathRenew, l.carry)
+	s := &http.Server{Handler: mux, ReadTimeout: 2 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 8 << 10}
+	var ended sync.WaitGroup
+	ended.Go(func() { <-ctx.Done(); s.Close() })
+	defer ended.Wait()
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (l *Link) carry(w http.ResponseWriter, req *http.Request) {
+	select {
+	case l.relay <- struct{}{}:
+		defer func() { <-l.relay }()
+	default:
+		http.Error(w, "too many asks are carried", http.StatusServiceUnavailable)
+		return
+	}
+	var call RenewCall
+	if err := json.NewDecoder(io.LimitReader(req.Body, mostAsk)).Decode(&call); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if l.Left() == 0 {
+		http.Error(w, "this agent holds no lease itself", http.StatusServiceUnavailable)
+		return
+	}
+	call.WaitMs = 0
+	// One keeper after the other, as long as the peer waits.
+	from := mrand.IntN(len(l.cfg.Keepers))
+	for i := range l.cfg.Keepers {
+		var answer RenewAnswer
+		try, cancel := context.WithTimeout(req.Context(), time.Duration(l.cfg.CallMs/2*float64(time.Millisecond)))
+		err := l.caller.Call(try, l.cfg.Keepers[(from+i)%len(l.cfg.Keepers)], PathRenew, nil, &call, &answer)
+		cancel()
+		if err == nil {
+			l.figures.Relayed.Add(1)
+			json.NewEncoder(w).Encode(&answer)
+			return
+		}
+	}
+	http.Error(w, "no keeper answers", http.StatusBadGateway)
+}
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -37,6 +37,8 @@
 	// Of a keyed request that may have run:
 	Expired bool // the time in which repeats are dropped is over
 	Foreign bool // the backend is of another group than the one that may have run it, as that was at its send
+
+	Lapsed bool // the agent's lease on the rules, by which it was decided, is over
 }
 
 // windowMargin is taken off the time in which repeats of a keyed request are dropped: what the way from the last
@@ -68,6 +70,8 @@
 		return "second attempt while one is out"
 	case g.Made > g.Most:
 		return "more attempts than allowed"
+	case g.Lapsed:
+		return "attempt by rules whose lease is over"
 	case g.MayRun > 0 && g.Effect == policy.SingleShot:
 		return "repeat of an unsafe request that may have run"
 	case g.MayRun > 0 && g.Effect == policy.Guarded && g.Expired:
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -61,6 +61,7 @@
 	figures  Figures
 	tally    *Tally
 	rotation atomic.Pointer[Rotation]
+	agreed   *agreed // nil: no rules are agreed on with others
 
 	merge *membership.Merge // of the roster with what runs; nil: there is the roster alone
 	due   *time.Timer       // when the merge has something to tell by time alone
@@ -76,7 +77,8 @@
 	id       policy.RequestID
 	call     *Call
 	answered bool
-	streams  bool // its answer's rest is still on its way to the client
+	class    *policy.Class // the narrowest that its rules were while it was open; nil: they never changed
+	streams  bool          // its answer's rest is still on its way to the client
 	attempts []*attempt
 	out      int          // attempts out
 	mayRun   int          // attempts that are out or may have run
@@ -114,6 +116,9 @@
 	if cfg.Nodes != nil {
 		l.merge = membership.NewMerge(cfg.Merge)
 	}
+	if cfg.Agreed != nil {
+		l.agree()
+	}
 	l.discover(cfg.Discovery)
 	return l, nil
 }
@@ -162,6 +167,13 @@
 	l.watch()
 }
 
+// tellReady tells that requests can be served, if they can.
+func (l *Loop) tellReady() {
+	if l.table.usable() && (l.agreed == nil || l.agreed.known) {
+		l.ready()
+	}
+}
+
 // Post hands the loop something to do; it may wait, so the loop itself never calls it.
 func (l *Loop) Post(f func()) {
 	select {
@@ -199,9 +211,7 @@
 	// The list as last had comes with the start, however old, as at the simulator.
 	l.list(&l.cfg.Known, policy.ListCached, true)
 	l.drain()
-	if l.table.usable() {
-		l.ready()
-	}
+	l.tellReady()
 	if l.pushed() && !l.watching {
 		l.watch()
 	}
@@ -360,7 +370,7 @@
 		left = c.Left
 	}
 	most := l.cfg.Settings.Limits.OpenCap
-	if left <= 0 || most > 0 && l.open > most {
+	if left <= 0 || most > 0 && l.open > most || l.agreed.shut(time.Now()) {
 		l.refuse(r, l.cfg.Settings.Limits.MaxRetryAfterMs)
 		return r
 	}
@@ -531,7 +541,8 @@
 	if r.mayRun == 0 && l.class(r).Effect == policy.Guarded {
 		r.ran, r.ranOn = now, l.table.entry(b)
 	}
-	r.call.RepeatBy = repeatBy // no attempt is out that could read it
+	r.call.RepeatBy = l.agreed.by(index, repeatBy) // no attempt is out that could read it
+	r.call.Outdated.Store(false)
 	r.out++
 	r.mayRun++
 	b.out++
@@ -552,6 +563,9 @@
 	g := Guard{Answered: r.answered, Listed: b != nil && b.addr != "", Timely: until.After(now), Out: r.out, MayRun: r.mayRun,
 		Spent: r.spent, Made: len(r.attempts), Most: l.cfg.Settings.Limits.MaxAttempts, Effect: c.Effect}
 	g.Closed = g.Listed && b.closed.Load()
+	if by := l.agreed.by(len(r.attempts)-1, time.Time{}); !by.IsZero() {
+		g.Lapsed = !now.Before(by)
+	}
 	if g.Listed && !repeatBy.IsZero() {
 		to := l.table.entry(b)
 		g.Expired, g.Foreign = now.After(repeatBy), !InGroup(c.Group, &r.ranOn, &to)
@@ -560,7 +574,12 @@
 }
 
 // class is a request's.
-func (l *Loop) class(r *Request) *policy.Class { return &l.cfg.Settings.Classes[r.call.Class] }
+func (l *Loop) class(r *Request) *policy.Class {
+	if r.class != nil {
+		return r.class
+	}
+	return &l.cfg.Settings.Classes[r.call.Class]
+}
 
 // ended takes the end of an attempt.
 func (l *Loop) ended(r *Request, index int, res *Result) {
@@ -655,9 +674,7 @@
 		kind = policy.ListFull
 	}
 	l.list(list, kind, list.Full)
-	if l.table.usable() {
-		l.ready()
-	}
+	l.tellReady()
 }
 
 func (l *Loop) list(list *membership.List, kind policy.ListKind, full bool) {
@@ -686,9 +703,7 @@
 			l.Post(func() { l.merged(policy.ListOther) })
 		})
 	}
-	if l.table.usable() {
-		l.ready()
-	}
+	l.tellReady()
 }
 
 // tell takes a list into the table and gives it to the module.
--- a/internal/core/table.go
+++ b/internal/core/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/rulebook"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -13,6 +14,7 @@
 	byAddr map[policy.Addr]*Backend // the same
 	banned map[string]bool          // ids that an operator wants left alone, listed or not; upgrade.MaxBans at the most
 	seen   map[string]bool          // ids that were ever listed, as far as maxSeen goes
+	word   *rulebook.Book           // what all agents agree on of servers; nil: nothing
 }
 
 // maxSeen bounds the ids that are remembered as once listed; beyond it only those listed now are known.
@@ -100,9 +102,21 @@
 func (t *table) entry(b *Backend) policy.Entry {
 	e := t.names.Policy(&b.told)
 	e.Server, e.Banned = b.name, t.banned[b.id]
+	if t.word != nil {
+		e.Banned = e.Banned || !t.word.Open(b.id)
+		if w := t.word.Servers[b.id].Weight; w > 0 {
+			e.Weight = w
+		}
+	}
 	return e
 }
 
+// shut tells whether nothing new is to go to a backend.
+func (t *table) shut(b *Backend) bool {
+	e := t.entry(b)
+	return e.Health != policy.Ready || e.Banned
+}
+
 // ban notes that an operator wants nothing new at the backend of an id, or that he does again. It returns the
 // backend if it is listed.
 func (t *table) ban(id string, on bool) *Backend {
@@ -114,7 +128,7 @@
 	if b == nil || b.gone || was == on {
 		return nil
 	}
-	b.closed.Store(on || b.told.Health() != policy.Ready)
+	b.closed.Store(t.shut(b))
 	return b
 }
 
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -28,8 +28,12 @@
 	Unique   bool        // the id is the front's own and never comes again
 
 	// RepeatBy, where it is not zero, is until when the attempt that is made now may be begun: it repeats one
-	// that may have run, and behind that its key is no longer known. The loop's; an attempt's upstream reads it.
+	// that may have run, and behind that its key is no longer known; or behind that the agent's lease is over.
+	// The loop's; an attempt's upstream reads it.
 	RepeatBy time.Time
+	// Outdated says that the attempt that is out was decided by rules that no longer stand: if nothing of it is
+	// written yet, nothing is to be. The loop's; an attempt's upstream reads it.
+	Outdated atomic.Bool
 
 	// Left, where it is not 0, is the time that a streamed call has from its last byte on: a part of it still
 	// comes while it is sent. Deadline is then how long that may take in all.
@@ -158,4 +162,8 @@
 	// merge, in the loop. nil: the roster alone says which backends there are.
 	Nodes func(ctx context.Context, told func(apply func(m *membership.Merge, now float64)))
 	Merge membership.MergeConfig // with Nodes
+
+	// Agreed, where it is set, has the loop act by a book of rules and a lease on it (Adopt, Renew). nil: by its own
+	// file alone.
+	Agreed *Agreed
 }
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +33,8 @@
 	Deadline time.Time
 	// RepeatBy, where it is not zero, is until when the attempt may be begun.
 	RepeatBy time.Time
+	// Outdated, where it is set and true, says that the attempt is not to be begun any more.
+	Outdated *atomic.Bool
 	Budget   *semaphore.Weighted // memory for the answer
 	Probe    bool                // it is no attempt, and not counted as one
 	// Request makes the bytes, once the connection is up.
@@ -139,7 +142,7 @@
 	// The connect may have taken long: the drain grace runs from the telling, so
 	// nothing is begun on a backend that was told to drain meanwhile; and repeats are
 	// dropped for a time only.
-	if ctx.Err() != nil || x.Key.Backend.Closed() || !x.RepeatBy.IsZero() && time.Now().After(x.RepeatBy) {
+	if ctx.Err() != nil || x.Key.Backend.Closed() || !x.RepeatBy.IsZero() && time.Now().After(x.RepeatBy) || x.Outdated != nil && x.Outdated.Load() {
 		reusable = true
 		return core.Result{Status: policy.Moot}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -96,6 +96,14 @@
 	first float64
 }
 
+// Adopt has it go on by other rules: effects, groups, windows, attempts and contract may differ from those it was
+// made with, nothing else. What is out stays out; what is decided from now on goes by them.
+func (b *Balancer) Adopt(set Settings) {
+	if len(set.Classes) == len(b.set.Classes) {
+		b.set.Classes, b.set.Limits.MaxAttempts, b.set.Contract = set.Classes, set.Limits.MaxAttempts, set.Contract
+	}
+}
+
 // Balancer makes the decisions of one agent. It is not safe for concurrent use.
 type Balancer struct {
 	set       Settings
