Keepers: a replicated log of the book of rules, leases by a majority's word, and the rig for processes

Need: versions on which all agents agree need a place that survives the loss of a minority, and proofs with several processes need links, disks and stops under one hand. Change: internal/keeper on go.etcd.io/raft with a log of its own on internal/disk (each fault can be caused there; etcd's WAL brings the whole server's module, bbolt maps its file past any seam); identities drawn with the folder, so that a wiped keeper is another; one that went back is not heard. cmd/ringtrack-keeper; internal/lab/cluster: processes, directed ways, disks, power cuts.

--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -65,17 +65,32 @@
 // wait is for how long a lease is waited for that was given now.
 func wait(leaseMs float64) float64 { return leaseMs * (1 + DriftMost) }
 
+// Hear takes what a holder says of itself, before anything is confirmed: whatever comes, it acts on no lower stage.
+func (d *Desk) Hear(now float64, a Ask) {
+	if h := d.find(now, a.Holder); h != nil {
+		h.has, h.unable = max(h.has, a.Has), a.Unable
+	}
+}
+
+// find is a holder's place, made where there is none; nil: there is no room.
+func (d *Desk) find(now float64, k Holder) *held {
+	h := d.holders[k]
+	if h == nil {
+		if d.sweep(now); len(d.holders) >= MostHolders {
+			return nil
+		}
+		h = &held{}
+		d.holders[k] = h
+	}
+	return h
+}
+
 // Grant answers an ask that was there before a majority confirmed that this keeper leads: at the stage in force, as
 // it is applied now. ok is false where the holder gets none.
 func (d *Desk) Grant(now float64, a Ask, stage uint64) (g Grant, ok bool) {
-	d.sweep(now)
-	h := d.holders[a.Holder]
+	h := d.find(now, a.Holder)
 	if h == nil {
-		if len(d.holders) >= MostHolders {
-			return Grant{}, false
-		}
-		h = &held{}
-		d.holders[a.Holder] = h
+		return Grant{}, false
 	}
 	h.has, h.unable = max(h.has, a.Has), a.Unable
 	if a.Has > stage {
--- /dev/null
+++ b/internal/disk/true.go
@@ -0,0 +1,10 @@
+//go:build !lab
+
+package disk
+
+import "os"
+
+func write(f *os.File, p []byte) (int, error) { return f.Write(p) }
+func sync(f *os.File) error                   { return f.Sync() }
+func moved(from, to string)                   {}
+func gone(name string)                        {}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,563 @@
+// Package keeper is the process that holds the agreed versions: one of 3, 5 or 7 that keep a replicated log of the book
+// of rules and give leases on it. It is thin round a consensus library (go.etcd.io/raft) and agree, which decides. It
+// owns its folder, the links to the other keepers and the calls of agents and operators; every goroutine ends with Run.
+package keeper
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"ringtrack.example/ringtrack/internal/agree"
+	"ringtrack.example/ringtrack/internal/agree/link"
+	"ringtrack.example/ringtrack/internal/clock"
+	"ringtrack.example/ringtrack/internal/disk"
+	"ringtrack.example/ringtrack/internal/rulebook"
+)
+
+const (
+	// heartbeatTicks and electionTicks are raft's, in ticks of tick_ms: a leader that is not heard for 0.4 to 0.8 s is
+	// replaced.
+	heartbeatTicks, electionTicks = 2, 16
+	// transferTime bounds how long a planned end waits for another leader.
+	transferTime = time.Second
+	// mostPending bounds asks and publishes that wait in a keeper.
+	mostPending = agree.MostHolders
+)
+
+// member is one keeper as the log knows it.
+type member struct {
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+}
+
+// state is what entries of the log change, and a snapshot holds.
+type state struct {
+	Book    agree.Book        `json:"book"`
+	Members map[uint64]member `json:"members"`
+}
+
+// Keeper is one process. Its fields belong to the loop, Run's goroutine, but for what is said otherwise.
+type Keeper struct {
+	cfg   *Config
+	dir   *disk.Dir
+	id    *Identity
+	st    *storage
+	rn    *raft.RawNode
+	nonce uint64 // of this start
+	ask   *link.Caller
+	ctx   context.Context
+
+	inbox   chan func()
+	state   state
+	conf    *pb.ConfState
+	applied uint64
+	soft    raft.SoftState
+
+	desk     *agree.Desk // nil unless this keeper leads and has an entry of its own term applied
+	deskTerm uint64
+	proposed uint64  // the stage that was last proposed to be left, and when
+	at       float64 // ms of the steady clock
+	changing float64 // until when a change of members is waited for
+
+	waiting []*ask // have what there is, and wait for something new
+	pending []*ask // wait for the next round
+	round   []*ask // wait for a majority's word that this keeper leads
+	roundID uint64
+	roundAt float64
+	ready   uint64 // index that must be applied for the round; 0: no word yet
+	opens   map[string][]chan result
+
+	peers map[uint64]*peer
+	seen  seen
+	ended sync.WaitGroup
+}
+
+// ask is one that waits for a lease, or with no holder for a read.
+type ask struct {
+	agree.Ask
+	read   bool
+	due    float64
+	answer chan granted // of capacity one
+}
+
+type granted struct {
+	grant agree.Grant
+	terms *rulebook.Terms
+	err   error
+}
+
+type result struct {
+	v   *rulebook.Version
+	err error
+}
+
+var errNotLeading = errors.New("this keeper does not lead")
+
+// Run is a keeper from its start until stop is done, then it hands over what it leads and ends. ready is called with
+// the address once calls are answered.
+func Run(stop context.Context, cfg *Config, ready func(net.Addr)) error {
+	dir, err := disk.Open(cfg.Data)
+	if err != nil {
+		return fmt.Errorf("keeper: data: %w", err)
+	}
+	defer dir.Close()
+	id, err := identify(dir, cfg.Name)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("keeper: listen: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &Keeper{cfg: cfg, dir: dir, id: id, ctx: ctx, ask: link.NewCaller(), inbox: make(chan func(), 1024),
+		state: state{Members: map[uint64]member{}}, opens: map[string][]chan result{}, peers: map[uint64]*peer{}}
+	defer k.ended.Wait()
+	defer cancel()
+	var b [8]byte
+	rand.Read(b[:])
+	for _, v := range b {
+		k.nonce = k.nonce<<8 | uint64(v)
+	}
+	if err := k.seen.load(dir); err != nil {
+		ln.Close()
+		return err
+	}
+	// Identities are asked for before there is anything to vote on, so calls are answered from now on.
+	var whole identityBox
+	whole.set(id)
+	server := &http.Server{Handler: k.handler(&whole), ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second, IdleTimeout: time.Minute,
+		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
+	k.ended.Go(func() { server.Serve(ln) })
+	defer server.Close()
+	if ready != nil {
+		ready(ln.Addr())
+	}
+	if id.Formed == nil && !cfg.Join {
+		mine := *id
+		if err := mine.form(stop, cfg.Members, k.ask); err != nil {
+			if stop.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		if err := write(dir, identityFile, &mine); err != nil {
+			return err
+		}
+		*id = mine
+		whole.set(id)
+		slog.Info("formed", "name", id.Name, "id", id.ID, "members", len(id.Formed))
+	}
+	if err := k.begin(); err != nil {
+		return err
+	}
+	return k.loop(stop)
+}
+
+// begin makes raft's node of what the folder has.
+func (k *Keeper) begin() (err error) {
+	if k.st, err = load(k.dir); err != nil {
+		return err
+	}
+	if k.st.torn > 0 {
+		slog.Warn("the log's end was not whole and is cut off", "bytes", k.st.torn)
+	}
+	snap, err := k.st.Snapshot()
+	if err != nil {
+		return err
+	}
+	if raft.IsEmptySnap(snap) && k.id.Formed != nil {
+		// The very first state is the same at all first members.
+		conf := &pb.ConfState{}
+		for name, id := range k.id.Formed {
+			k.state.Members[id] = member{Name: name, Addr: k.cfg.Members[name]}
+			conf.Voters = append(conf.Voters, id)
+		}
+		slices.Sort(conf.Voters)
+		data, err := json.Marshal(&k.state)
+		if err != nil {
+			return err
+		}
+		first := &pb.Snapshot{Data: data, Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}}
+		if last, _ := k.st.LastIndex(); last > 0 {
+			return fmt.Errorf("%w: there are entries and no snapshot", ErrDamaged)
+		}
+		if err := k.st.snapshot(first); err != nil {
+			return err
+		}
+		if err := k.st.ApplySnapshot(first); err != nil {
+			return err
+		}
+		k.st.SetHardState(&pb.HardState{Term: proto.Uint64(1), Vote: proto.Uint64(0), Commit: proto.Uint64(1)})
+		if err := k.st.rewrite(); err != nil {
+			return err
+		}
+		snap = first
+	}
+	if !raft.IsEmptySnap(snap) {
+		if err := k.restore(snap); err != nil {
+			return err
+		}
+	}
+	k.rn, err = raft.NewRawNode(&raft.Config{ID: k.id.ID, ElectionTick: electionTicks, HeartbeatTick: heartbeatTicks, Storage: k.st,
+		Applied: k.applied, MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 64 << 20, CheckQuorum: true, PreVote: true,
+		StepDownOnRemoval: true, Logger: logger{}})
+	return err
+}
+
+// restore makes a snapshot the state.
+func (k *Keeper) restore(snap *pb.Snapshot) error {
+	var s state
+	if err := json.Unmarshal(snap.GetData(), &s); err != nil {
+		return fmt.Errorf("%w: snapshot: %w", ErrDamaged, err)
+	}
+	k.state, k.conf, k.applied = s, snap.GetMetadata().GetConfState(), snap.GetMetadata().GetIndex()
+	k.connect()
+	return nil
+}
+
+// loop owns all state until stop is done or the disk fails.
+func (k *Keeper) loop(stop context.Context) error {
+	tick := time.NewTicker(time.Duration(k.cfg.TickMs * float64(time.Millisecond)))
+	defer tick.Stop()
+	defer k.failAll(errors.New("this keeper ends"))
+	var over <-chan time.Time
+	stopping := stop.Done()
+	for {
+		select {
+		case <-tick.C:
+			k.rn.Tick()
+			k.tick()
+		case f := <-k.inbox:
+			f()
+			for more := true; more; {
+				select {
+				case f := <-k.inbox:
+					f()
+				default:
+					more = false
+				}
+			}
+		case <-stopping:
+			stopping = nil
+			if to := k.heir(); to != 0 {
+				slog.Info("handing over", "to", k.state.Members[to].Name)
+				k.rn.TransferLeader(to)
+			}
+			over = time.After(transferTime)
+		case <-over:
+			return nil
+		}
+		if err := k.step(); err != nil {
+			return fmt.Errorf("keeper: it ends, for what its disk has now is not known: %w", err)
+		}
+		if stopping == nil && over != nil && k.soft.RaftState != raft.StateLeader {
+			return nil
+		}
+	}
+}
+
+// heir is the voter that is to lead after this keeper; 0: this one does not lead, or there is none.
+func (k *Keeper) heir() (to uint64) {
+	if k.soft.RaftState != raft.StateLeader {
+		return 0
+	}
+	best := uint64(0)
+	for id, p := range k.rn.Status().Progress {
+		if id != k.id.ID && !p.IsLearner && p.RecentActive && p.Match >= best {
+			best, to = p.Match, id
+		}
+	}
+	return to
+}
+
+// step carries out what raft wants: what is to last first, then all else.
+func (k *Keeper) step() error {
+	for k.rn.HasReady() {
+		rd := k.rn.Ready()
+		if err := k.st.save(&rd); err != nil {
+			return err
+		}
+		if rd.SoftState != nil {
+			k.turned(*rd.SoftState)
+		}
+		if !raft.IsEmptySnap(rd.Snapshot) {
+			if err := k.restore(rd.Snapshot); err != nil {
+				return err
+			}
+		}
+		k.send(rd.Messages)
+		for _, e := range rd.CommittedEntries {
+			if err := k.apply(e); err != nil {
+				return err
+			}
+		}
+		for _, r := range rd.ReadStates {
+			if string(r.RequestCtx) == fmt.Sprint(k.roundID) {
+				k.ready = max(r.Index, 1)
+			}
+		}
+		k.rn.Advance(rd)
+	}
+	k.serve()
+	last, _ := k.st.Snapshot()
+	if k.applied-last.GetMetadata().GetIndex() >= compactAt || k.st.size > logAt && k.applied > last.GetMetadata().GetIndex() {
+		data, err := json.Marshal(&k.state)
+		if err != nil {
+			return err
+		}
+		return k.st.compact(k.applied, k.conf, data)
+	}
+	return nil
+}
+
+// turned follows who leads.
+func (k *Keeper) turned(now raft.SoftState) {
+	if now.RaftState != k.soft.RaftState || now.Lead != k.soft.Lead {
+		slog.Info("raft", "state", now.RaftState.String(), "leader", k.state.Members[now.Lead].Name)
+	}
+	k.soft = now
+	if now.RaftState != raft.StateLeader {
+		k.desk = nil
+		k.failAsks(errNotLeading)
+	}
+}
+
+// apply carries out one entry that is committed.
+func (k *Keeper) apply(e *pb.Entry) error {
+	k.applied = e.GetIndex()
+	switch e.GetType() {
+	case pb.EntryNormal:
+		if len(e.GetData()) == 0 {
+			break
+		}
+		var op agree.Op
+		if err := json.Unmarshal(e.GetData(), &op); err != nil {
+			return fmt.Errorf("%w: entry %d: %w", ErrDamaged, e.GetIndex(), err)
+		}
+		was := k.state.Book.Stage
+		v, err := k.state.Book.Apply(&op)
+		id := ""
+		switch {
+		case op.Publish != nil:
+			id = op.Publish.ID
+		case op.Ban != nil:
+			id = op.Ban.ID
+		}
+		for _, c := range k.opens[id] {
+			c <- result{v, err}
+		}
+		delete(k.opens, id)
+		if k.state.Book.Stage != was {
+			slog.Info("in force", "stage", k.state.Book.Stage)
+			k.wake()
+		}
+	case pb.EntryConfChange, pb.EntryConfChangeV2:
+		cc := &pb.ConfChangeV2{}
+		if e.GetType() == pb.EntryConfChange {
+			v1 := &pb.ConfChange{}
+			if err := proto.Unmarshal(e.GetData(), v1); err != nil {
+				return err
+			}
+			cc = v1.AsV2()
+		} else if err := proto.Unmarshal(e.GetData(), cc); err != nil {
+			return err
+		}
+		k.conf = k.rn.ApplyConfChange(cc)
+		k.changed(cc)
+	}
+	// Its own entry of the term says that all of before is applied: from here on this keeper may give leases.
+	if t := k.rn.BasicStatus(); k.soft.RaftState == raft.StateLeader && e.GetTerm() == t.GetTerm() && (k.desk == nil || k.deskTerm != e.GetTerm()) {
+		k.desk, k.deskTerm = agree.NewDesk(clock.Steady(), k.cfg.LeaseMs), e.GetTerm()
+	}
+	return nil
+}
+
+// tick does what time asks for.
+func (k *Keeper) tick() {
+	now := clock.Steady()
+	k.waiting = slices.DeleteFunc(k.waiting, func(a *ask) bool {
+		if now < a.due {
+			return false
+		}
+		k.pending = append(k.pending, a)
+		return true
+	})
+	if len(k.round) > 0 && now-k.roundAt > k.cfg.TickMs*electionTicks {
+		for _, a := range k.round {
+			a.answer <- granted{err: errors.New("no majority of the keepers answers")}
+		}
+		k.round = nil
+	}
+	k.watermarks()
+	if k.desk == nil {
+		return
+	}
+	k.promote(now)
+}
+
+// advance proposes the next stage once nobody acts on a stage before this one.
+func (k *Keeper) advance(now float64) {
+	b := &k.state.Book
+	if k.desk == nil || !b.Wants() {
+		return
+	}
+	if b.Stage == k.proposed && now-k.at < k.cfg.TickMs*electionTicks {
+		return // it is on its way
+	}
+	if may, _, _ := k.desk.Next(now, b.Stage); may {
+		stage := b.Stage
+		if data, err := json.Marshal(&agree.Op{Advance: &stage}); err == nil && k.rn.Propose(data) == nil {
+			k.proposed, k.at = stage, now
+		}
+	}
+}
+
+// wake has all who waited for something new asked for at the next round.
+func (k *Keeper) wake() {
+	k.pending = append(k.pending, k.waiting...)
+	k.waiting = nil
+}
+
+// serve begins and ends rounds: one for all asks that are there, confirmed by a majority after they were.
+func (k *Keeper) serve() {
+	now := clock.Steady()
+	k.advance(now)
+	if k.desk == nil {
+		return
+	}
+	if len(k.round) > 0 && k.ready > 0 && k.applied >= k.ready {
+		for _, a := range k.round {
+			k.grant(now, a)
+		}
+		k.round = nil
+	}
+	if len(k.round) == 0 && len(k.pending) > 0 {
+		k.round, k.pending = k.pending, nil
+		k.roundID++
+		k.ready, k.roundAt = 0, now
+		k.rn.ReadIndex([]byte(fmt.Sprint(k.roundID)))
+		// A single keeper has its own word at once; HasReady says so and step is called again.
+		k.post(func() {})
+	}
+}
+
+// post has the loop run once more, if it is not going to anyway.
+func (k *Keeper) post(f func()) {
+	select {
+	case k.inbox <- f:
+	default:
+	}
+}
+
+func (k *Keeper) grant(now float64, a *ask) {
+	if a.read {
+		a.answer <- granted{}
+		return
+	}
+	b := &k.state.Book
+	if t := b.Terms(); t != nil && !t.Book.May(a.Name) {
+		a.answer <- granted{err: fmt.Errorf("agent %q is not in the list of agents", a.Name)}
+		return
+	}
+	g, ok := k.desk.Grant(now, a.Ask, b.Stage)
+	if !ok {
+		a.answer <- granted{err: fmt.Errorf("no lease: the agent has stage %d, in force is %d", a.Has, b.Stage)}
+		return
+	}
+	out := granted{grant: g}
+	if a.Has != g.Stage {
+		out.terms = b.Terms()
+	}
+	a.answer <- out
+}
+
+// take takes an ask.
+func (k *Keeper) take(a *ask) {
+	switch {
+	case k.soft.RaftState != raft.StateLeader:
+		a.answer <- granted{err: errNotLeading}
+		return
+	case len(k.waiting)+len(k.pending)+len(k.round) >= mostPending:
+		a.answer <- granted{err: errors.New("too many asks wait")}
+		return
+	}
+	now := clock.Steady()
+	if k.desk != nil && !a.read {
+		k.desk.Hear(now, a.Ask)
+	}
+	if !a.read && a.Has == k.state.Book.Stage && a.due > now && k.desk != nil {
+		k.waiting = append(k.waiting, a)
+		return
+	}
+	k.pending = append(k.pending, a)
+}
+
+func (k *Keeper) failAsks(err error) {
+	for _, l := range []*[]*ask{&k.waiting, &k.pending, &k.round} {
+		for _, a := range *l {
+			a.answer <- granted{err: err}
+		}
+		*l = nil
+	}
+}
+
+func (k *Keeper) failAll(err error) {
+	k.failAsks(err)
+	for id, l := range k.opens {
+		for _, c := range l {
+			c <- result{err: err}
+		}
+		delete(k.opens, id)
+	}
+}
+
+// propose hands an entry to raft; the answer comes when it is applied, if ever.
+func (k *Keeper) propose(id string, op *agree.Op, answer chan result) {
+	if k.soft.RaftState != raft.StateLeader {
+		answer <- result{err: errNotLeading}
+		return
+	}
+	if len(k.opens) >= 1024 {
+		answer <- result{err: errors.New("too many publishes wait")}
+		return
+	}
+	data, err := json.Marshal(op)
+	if err == nil {
+		err = k.rn.Propose(data)
+	}
+	if err != nil {
+		answer <- result{err: err}
+		return
+	}
+	k.opens[id] = append(k.opens[id], answer)
+}
+
+// logger is raft's log. Panics are raft's own: what it finds impossible ends the process.
+type logger struct{}
+
+func (logger) Debug(...any)                {}
+func (logger) Debugf(string, ...any)       {}
+func (logger) Info(...any)                 {}
+func (logger) Infof(string, ...any)        {}
+func (logger) Warning(v ...any)            { slog.Warn("raft", "text", fmt.Sprint(v...)) }
+func (logger) Warningf(f string, v ...any) { slog.Warn("raft", "text", fmt.Sprintf(f, v...)) }
+func (logger) Error(v ...any)              { slog.Error("raft", "text", fmt.Sprint(v...)) }
+func (logger) Errorf(f string, v ...any)   { slog.Error("raft", "text", fmt.Sprintf(f, v...)) }
+func (logger) Fatal(v ...any)              { panic(fmt.Sprint(v...)) }
+func (logger) Fatalf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
+func (logger) Panic(v ...any)              { panic(fmt.Sprint(v...)) }
+func (logger) Panicf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
--- /dev/null
+++ b/internal/lab/cluster/cluster.go
@@ -0,0 +1,363 @@
+// Package cluster is the rig for what several processes of the program do together when parts fail: processes of the
+// product's own binaries (built with the tag lab, which only lets disks and clocks be faulty), each with a folder of its
+// own, every directed way between two of them through the lab, under one seeded schedule that can be replayed and
+// shrunk. It judges nothing by what the processes say of themselves. All of it is on loopback.
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/agree/link"
+	"ringtrack.example/ringtrack/internal/rulebook"
+)
+
+// Cluster is what is run.
+type Cluster struct {
+	Dir     string
+	Bin     string // folder of the binaries
+	LeaseMs float64
+
+	mu    sync.Mutex
+	all   map[string]*Process
+	ways  map[[2]string]*way
+	gates map[[2]string]*gate
+	lab   *link.Caller // the lab's own calls, past all faults
+
+	Keepers, Agents []*Process
+}
+
+var built struct {
+	sync.Mutex
+	dir string
+	err error
+}
+
+// Build builds the binaries once a process of the lab and returns their folder, which Clean removes.
+func Build(ctx context.Context) (string, error) {
+	built.Lock()
+	defer built.Unlock()
+	if built.dir != "" || built.err != nil {
+		return built.dir, built.err
+	}
+	dir, err := os.MkdirTemp("", "ringtrack-cluster")
+	if err != nil {
+		return "", err
+	}
+	cmd := exec.CommandContext(ctx, "go", "build", "-tags", "lab", "-o", dir+"/", "ringtrack.example/ringtrack/cmd/ringtrack", "ringtrack.example/ringtrack/cmd/ringtrack-keeper")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		os.RemoveAll(dir)
+		built.err = fmt.Errorf("cluster: build: %w: %s", err, out)
+		return "", built.err
+	}
+	built.dir = dir
+	return dir, nil
+}
+
+// Clean removes what Build built.
+func Clean() {
+	built.Lock()
+	defer built.Unlock()
+	if built.dir != "" {
+		os.RemoveAll(built.dir)
+	}
+	built.dir = ""
+}
+
+// New makes a cluster in a folder, without processes.
+func New(dir, bin string, leaseMs float64) *Cluster {
+	return &Cluster{Dir: dir, Bin: bin, LeaseMs: leaseMs, all: map[string]*Process{}, ways: map[[2]string]*way{},
+		gates: map[[2]string]*gate{}, lab: link.NewCaller()}
+}
+
+// Addrs are n addresses that the kernel chose and that are free again, all held until the last is chosen.
+func Addrs(n int) (addrs []string, err error) {
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		addrs = append(addrs, ln.Addr().String())
+	}
+	return addrs, nil
+}
+
+// Process makes a process of the cluster, which is not started.
+func (c *Cluster) Process(name, addr string, data bool, env []string, args ...string) (*Process, error) {
+	p := &Process{Name: name, Dir: filepath.Join(c.Dir, name), Addr: addr, Env: env, Args: append([]string{filepath.Join(c.Bin, args[0])}, args[1:]...)}
+	if err := os.MkdirAll(p.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	if data {
+		p.Data = filepath.Join(p.Dir, "data")
+		if err := os.MkdirAll(p.Data, 0o700); err != nil {
+			return nil, err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all[name] = p
+	return p, nil
+}
+
+// way is the directed way between two processes.
+func (c *Cluster) way(from, to string) *way {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.ways[[2]string{from, to}]
+	if w == nil {
+		w = newWay()
+		c.ways[[2]string{from, to}] = w
+	}
+	return w
+}
+
+// Via is the address under which one process reaches another that listens at addr.
+func (c *Cluster) Via(from, to, addr string) (string, error) {
+	out, back := c.way(from, to), c.way(to, from)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if g := c.gates[[2]string{from, to}]; g != nil {
+		return g.addr, nil
+	}
+	g, err := newGate(addr, out, back)
+	if err != nil {
+		return "", err
+	}
+	c.gates[[2]string{from, to}] = g
+	return g.addr, nil
+}
+
+// Link has a directed way do this from now on.
+func (c *Cluster) Link(from, to string, m Mode) { c.way(from, to).set(m) }
+
+// Cut cuts, or joins again, a process from and to others, in one direction or both.
+func (c *Cluster) Cut(name string, others []*Process, out, in Mode) {
+	for _, o := range others {
+		if o.Name != name {
+			c.Link(name, o.Name, out)
+			c.Link(o.Name, name, in)
+		}
+	}
+}
+
+// Heal makes all ways pass, disks be without fault and processes run.
+func (c *Cluster) Heal() error {
+	c.mu.Lock()
+	ways := make([]*way, 0, len(c.ways))
+	for _, w := range c.ways {
+		ways = append(ways, w)
+	}
+	all := c.processes()
+	c.mu.Unlock()
+	for _, w := range ways {
+		w.set(Pass)
+	}
+	var errs []error
+	for _, p := range all {
+		if p.Data != "" {
+			errs = append(errs, p.Disk(""))
+		}
+		p.Thaw()
+		errs = append(errs, p.Start())
+	}
+	return errors.Join(errs...)
+}
+
+func (c *Cluster) processes() (all []*Process) {
+	for _, p := range c.all {
+		all = append(all, p)
+	}
+	return all
+}
+
+// Close ends all processes and ways.
+func (c *Cluster) Close() {
+	c.mu.Lock()
+	all := c.processes()
+	gates := c.gates
+	c.gates = nil
+	c.mu.Unlock()
+	for _, p := range all {
+		p.Kill()
+	}
+	for _, g := range gates {
+		g.close()
+	}
+	c.lab.Client.CloseIdleConnections()
+}
+
+// AddKeepers makes n keepers that reach one another through the lab.
+func (c *Cluster) AddKeepers(n int) error {
+	addrs, err := Addrs(n)
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		name := fmt.Sprintf("k%d", i+1)
+		members := map[string]string{}
+		for j := range n {
+			other := fmt.Sprintf("k%d", j+1)
+			if members[other] = addrs[j]; i != j {
+				if members[other], err = c.Via(name, other, addrs[j]); err != nil {
+					return err
+				}
+			}
+		}
+		if _, err := c.keeper(name, addrs[i], members, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddJoiner makes a keeper that waits to be added.
+func (c *Cluster) AddJoiner(name string) (*Process, error) {
+	addrs, err := Addrs(1)
+	if err != nil {
+		return nil, err
+	}
+	members := map[string]string{name: addrs[0]}
+	for _, o := range c.Keepers {
+		if members[o.Name], err = c.Via(name, o.Name, o.Addr); err != nil {
+			return nil, err
+		}
+	}
+	return c.keeper(name, addrs[0], members, true)
+}
+
+func (c *Cluster) keeper(name, addr string, members map[string]string, join bool) (*Process, error) {
+	p, err := c.Process(name, addr, true, nil, "ringtrack-keeper", "run", "--config", "keeper.toml")
+	if err != nil {
+		return nil, err
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "name = %q\nlisten = %q\ndata = %q\njoin = %v\nlease_ms = %v\n[members]\n", name, addr, p.Data, join, c.LeaseMs)
+	for n, a := range members {
+		fmt.Fprintf(&text, "%s = %q\n", n, a)
+	}
+	if err := os.WriteFile(filepath.Join(p.Dir, "keeper.toml"), []byte(text.String()), 0o600); err != nil {
+		return nil, err
+	}
+	c.Keepers = append(c.Keepers, p)
+	return p, nil
+}
+
+// AgentConfig is what an agent is made with beside the rig's own.
+type AgentConfig struct {
+	Settings    json.RawMessage
+	Discovery   string
+	Known       any
+	Peers       int // how many other agents may carry its asks
+	ListLapseMs float64
+	OnLapse     string
+	Env         []string
+}
+
+// AddAgents makes n agents that reach the keepers, and some of each other, through the lab.
+func (c *Cluster) AddAgents(n int, cfg *AgentConfig) error {
+	addrs, err := Addrs(3 * n)
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		name := fmt.Sprintf("a%d", i+1)
+		p, err := c.Process(name, addrs[i], false, nil, "ringtrack")
+		if err != nil {
+			return err
+		}
+		var agreed strings.Builder
+		list := func(key string, addrs []string) {
+			text, _ := json.Marshal(addrs)
+			fmt.Fprintf(&agreed, "%s = %s\n", key, text)
+		}
+		var keepers, peers []string
+		for _, k := range c.Keepers {
+			a, err := c.Via(name, k.Name, k.Addr)
+			if err != nil {
+				return err
+			}
+			keepers = append(keepers, a)
+		}
+		for j := range min(cfg.Peers, n-1) {
+			other := (i + j + 1) % n
+			a, err := c.Via(name, fmt.Sprintf("a%d", other+1), addrs[2*n+other])
+			if err != nil {
+				return err
+			}
+			peers = append(peers, a)
+		}
+		list("keepers", keepers)
+		list("peers", peers)
+		fmt.Fprintf(&agreed, "listen = %q\nlist_lapse_ms = %v\non_lapse = %q\n", addrs[2*n+i], cfg.ListLapseMs, cfg.OnLapse)
+		text, err := json.Marshal(map[string]any{"name": name, "listen": addrs[i], "discovery": cfg.Discovery, "seed": "7", "admin_addr": addrs[n+i],
+			"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}, "known": cfg.Known, "settings": cfg.Settings})
+		if err != nil {
+			return err
+		}
+		err = errors.Join(os.WriteFile(filepath.Join(p.Dir, "agreed.toml"), []byte(agreed.String()), 0o600),
+			os.WriteFile(filepath.Join(p.Dir, "config.json"), text, 0o600))
+		if err != nil {
+			return err
+		}
+		p.Env = append([]string{"PROXY_CONFIG=config.json", "PROXY_AGREED=agreed.toml", "TMPDIR=" + p.Dir}, cfg.Env...)
+		c.Agents = append(c.Agents, p)
+	}
+	return nil
+}
+
+// Call makes the lab's own call to a keeper, past all faults.
+func (c *Cluster) Call(ctx context.Context, k *Process, path string, in, out any) error {
+	return c.lab.Call(ctx, k.Addr, path, http.Header{}, in, out)
+}
+
+// Leader is the keeper that leads, by its own word, and its status.
+func (c *Cluster) Leader(ctx context.Context) (*Process, *link.Status) {
+	var best *link.Status
+	var leader *Process
+	for _, k := range c.Keepers {
+		s := &link.Status{}
+		try, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+		if c.Call(try, k, link.PathStatus, nil, s) == nil && s.Leader == s.Name && (best == nil || s.Term > best.Term) {
+			best, leader = s, k
+		}
+		cancel()
+	}
+	return leader, best
+}
+
+// Until calls f every few ms until it is true; else it says what was waited for.
+func Until(ctx context.Context, what string, within time.Duration, f func() bool) error {
+	over := time.Now().Add(within)
+	for !f() {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if time.Now().After(over) {
+			return fmt.Errorf("cluster: not within %v: %s", within, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil
+}
+
+// Publish publishes a book behind a parent at a keeper.
+func (c *Cluster) Publish(ctx context.Context, k *Process, id string, parent uint64, b *rulebook.Book) (*link.PublishAnswer, error) {
+	text, err := json.Marshal(b)
+	if err != nil {
+		return nil, err
+	}
+	out := &link.PublishAnswer{}
+	return out, c.Call(ctx, k, link.PathPublish, &link.PublishCall{ID: id, Parent: parent, Book: text, Author: "lab", Reason: id}, out)
+}
