--- /dev/null
+++ b/internal/lab/cluster/acts.go
@@ -0,0 +1,240 @@
+package cluster
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/rulebook"
+	"ringtrack.example/ringtrack/internal/rulebook/meet"
+	"ringtrack.example/ringtrack/policy"
+)
+
+// Acts is what the stand-in servers saw, and what was published and said to be in force when. It judges whether any
+// act was one that no stage permits that may have been in force then. It may be used from any goroutine.
+type Acts struct {
+	// Slack is what may pass between an agent's last look and the stand-in's first byte.
+	Slack time.Duration
+	// Own is what the agents' files permit.
+	Own  policy.Settings
+	Zone map[string]string // of servers
+
+	mu       sync.Mutex
+	acts     []act
+	versions []version
+	force    []inForce
+}
+
+// mostActs bounds what is kept.
+const mostActs = 4 << 20
+
+type act struct {
+	server, op string
+	at         time.Time
+}
+
+type version struct {
+	number uint64
+	book   *rulebook.Book
+	sent   time.Time
+	forced time.Time // zero: not yet
+}
+
+type inForce struct {
+	stage uint64
+	at    time.Time
+}
+
+// Saw notes that a request came to a server.
+func (a *Acts) Saw(server, op string, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.acts) < mostActs {
+		a.acts = append(a.acts, act{server, op, at})
+	}
+}
+
+// Published notes a version whose publish was begun at sent.
+func (a *Acts) Published(number uint64, b *rulebook.Book, sent time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.versions = append(a.versions, version{number: number, book: b, sent: sent})
+	slices.SortFunc(a.versions, func(x, y version) int { return int(x.number) - int(y.number) })
+}
+
+// InForce notes that a keeper has said, at this time, that nobody acts on a stage before this one.
+func (a *Acts) InForce(stage uint64, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if n := len(a.force); n > 0 && a.force[n-1].stage >= stage {
+		return
+	}
+	a.force = append(a.force, inForce{stage, at})
+	for i := range a.versions {
+		if v := &a.versions[i]; v.forced.IsZero() && rulebook.Stage(v.number) <= stage {
+			v.forced = at
+		}
+	}
+}
+
+// Took is how long each version took from its publish until it was said to be in force, sorted, and how many were not.
+func (a *Acts) Took() (took []time.Duration, not int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, v := range a.versions {
+		if v.forced.IsZero() {
+			not++
+		} else {
+			took = append(took, v.forced.Sub(v.sent))
+		}
+	}
+	slices.Sort(took)
+	return took, not
+}
+
+// Class is the class of an operation, by its name: AGENT-CLASS-N.
+func Class(op string) string {
+	parts := strings.Split(op, "-")
+	if len(parts) < 3 {
+		return ""
+	}
+	return parts[1]
+}
+
+// Breach is an act that no stage permitted which may have been in force.
+type Breach struct {
+	At   time.Time
+	Op   string
+	Text string
+	// Late is how long before the act the last stage that permits it had ceased to be in force; 0: none ever permitted it.
+	Late time.Duration
+}
+
+// Judged is what came of all acts.
+type Judged struct {
+	Acts, Repeats int
+	Breaches      []Breach
+	// Old is how long after a version's publish the last act came that it forbids, one a version that had any, sorted.
+	Old []time.Duration
+}
+
+// Judge judges all acts so far.
+func (a *Acts) Judge() (j Judged) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	slices.SortStableFunc(a.acts, func(x, y act) int { return x.at.Compare(y.at) })
+	last := map[uint64]time.Duration{}
+	tries := map[string][]act{}
+	for _, x := range a.acts {
+		j.Acts++
+		before := tries[x.op]
+		tries[x.op] = append(before, x)
+		if len(before) > 0 {
+			j.Repeats++
+		}
+		low, high := a.between(x.at)
+		ok := false
+		for s := low; s <= high && !ok; s++ {
+			ok = a.permits(a.terms(s), before, x) == ""
+		}
+		for i := range a.versions {
+			if v := &a.versions[i]; v.sent.Before(x.at) && (i+1 == len(a.versions) || x.at.Before(a.versions[i+1].sent)) && a.permits(v.book, before, x) != "" {
+				last[v.number] = x.at.Sub(v.sent)
+			}
+		}
+		if ok {
+			continue
+		}
+		b := Breach{At: x.at, Op: x.op, Text: fmt.Sprintf("%s at %s, try %d: %s; stages %d to %d could be in force", x.op, x.server, len(before)+1,
+			a.permits(a.terms(low), before, x), low, high)}
+		for s := int(low) - 1; s >= 0; s-- {
+			if a.permits(a.terms(uint64(s)), before, x) == "" {
+				for _, f := range a.force {
+					if f.stage > uint64(s) {
+						b.Late = x.at.Sub(f.at)
+						break
+					}
+				}
+				break
+			}
+		}
+		j.Breaches = append(j.Breaches, b)
+	}
+	for _, d := range last {
+		j.Old = append(j.Old, d)
+	}
+	slices.Sort(j.Old)
+	return j
+}
+
+// between are the lowest and the highest stage that may have been acted on at a time.
+func (a *Acts) between(t time.Time) (low, high uint64) {
+	for _, f := range a.force {
+		if f.at.Add(a.Slack).Before(t) {
+			low = f.stage
+		}
+	}
+	for _, v := range a.versions {
+		if v.sent.Before(t) {
+			high = max(high, rulebook.Stage(v.number))
+		}
+	}
+	return low, max(low, high)
+}
+
+func (a *Acts) book(n uint64) *rulebook.Book {
+	for i := range a.versions {
+		if a.versions[i].number == n {
+			return a.versions[i].book
+		}
+	}
+	return nil
+}
+
+func (a *Acts) terms(stage uint64) *rulebook.Book {
+	if stage%2 == 0 {
+		return a.book(stage / 2)
+	}
+	return meet.Meet(a.book(stage/2), a.book(stage/2+1))
+}
+
+// permits says by itself why a book forbids an act; "": it does not.
+func (a *Acts) permits(b *rulebook.Book, before []act, x act) string {
+	if b == nil {
+		b = &rulebook.Book{}
+	}
+	if slices.Contains(b.Bans, x.server) {
+		return "banned"
+	}
+	if _, in := b.Servers[x.server]; b.Listed && !in {
+		return "not in service"
+	}
+	if len(before) == 0 {
+		return ""
+	}
+	if b.MaxAttempts > 0 && len(before)+1 > b.MaxAttempts || len(before)+1 > a.Own.Limits.MaxAttempts {
+		return "too many attempts"
+	}
+	var own policy.Class
+	for _, c := range a.Own.Classes {
+		if c.Name == Class(x.op) {
+			own = c
+		}
+	}
+	for _, c := range []rulebook.Class{{Effect: own.Effect, Group: own.Group, KeyTTLMs: own.KeyTTLMs}, b.Classes[own.Name]} {
+		switch c.Effect {
+		case policy.SingleShot:
+			return "a repeat of what must not run twice"
+		case policy.Guarded:
+			if c.KeyTTLMs > 0 && x.at.Sub(before[0].at) > time.Duration(c.KeyTTLMs*float64(time.Millisecond)) {
+				return "a repeat past its window"
+			}
+			if c.Group == policy.GroupZone && a.Zone[x.server] != a.Zone[before[0].server] {
+				return "a repeat in another zone"
+			}
+		}
+	}
+	return ""
+}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -282,7 +282,7 @@
 			text, _ := json.Marshal(addrs)
 			fmt.Fprintf(&agreed, "%s = %s\n", key, text)
 		}
-		var keepers, peers []string
+		keepers, peers := []string{}, []string{}
 		for _, k := range c.Keepers {
 			a, err := c.Via(name, k.Name, k.Addr)
 			if err != nil {
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -50,8 +50,12 @@
 	mode   atomic.Int32
 	begun  atomic.Int64
 	sever  atomic.Int64 // counts what was severed
+	saw    atomic.Pointer[func(op string, began time.Time)]
 }
 
+// Saw has f called with the operation of each request that came whole, and when its first byte did.
+func (s *OrderServer) Saw(f func(op string, began time.Time)) { s.saw.Store(&f) }
+
 // severedHead is the part of a request in which it is severed, in bytes: less than any has, so that none is whole.
 const severedHead = 120
 
@@ -107,6 +111,9 @@
 		if id == "" {
 			id = req.URL.Query().Get("op") // of a request without a body
 		}
+		if f := s.saw.Load(); f != nil {
+			(*f)(id, began)
+		}
 		mode := Mode(s.mode.Load())
 		if strings.HasPrefix(id, HeldOp) {
 			mode = Silent
