--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -136,6 +136,29 @@
 // Taken tells whether every lease that holds is on this stage.
 func (d *Desk) Taken(now float64, stage uint64) bool { may, _, _ := d.Next(now, stage); return may }
 
+// Clone is a copy that shares nothing, and State the desk's state in words that are the same for the same state, with
+// times from now on: for model checks.
+func (d *Desk) Clone() *Desk {
+	c := &Desk{leaseMs: d.leaseMs, quiet: d.quiet, holders: make(map[Holder]*held, len(d.holders))}
+	for k, h := range d.holders {
+		copied := *h
+		c.holders[k] = &copied
+	}
+	return c
+}
+
+// State implements the other half of Clone.
+func (d *Desk) State(now float64) string {
+	var lines []string
+	for k, h := range d.holders {
+		if h.until > now {
+			lines = append(lines, fmt.Sprintf("%s/%s:%d,%.3f", k.Name, k.Inc, h.has, h.until-now))
+		}
+	}
+	slices.Sort(lines)
+	return fmt.Sprintf("%.3f %v", max(d.quiet-now, 0), lines)
+}
+
 // Holding is who holds a lease, by name, with its stage.
 func (d *Desk) Holding(now float64) map[string]uint64 {
 	out := map[string]uint64{}
--- a/internal/agree/book.go
+++ b/internal/agree/book.go
@@ -75,6 +75,9 @@
 	return nil
 }
 
+// between makes the step between two versions.
+var between = meet.Meet
+
 // Terms are what is permitted at the stage in force; nil at stage 0.
 func (b *Book) Terms() *rulebook.Terms {
 	switch n := b.Stage / 2; {
@@ -83,7 +86,7 @@
 	case b.Stage%2 == 0:
 		return &rulebook.Terms{Stage: b.Stage, Book: b.book(n)}
 	default:
-		return &rulebook.Terms{Stage: b.Stage, Book: meet.Meet(b.book(n), b.book(n+1))}
+		return &rulebook.Terms{Stage: b.Stage, Book: between(b.book(n), b.book(n+1))}
 	}
 }
 
--- /dev/null
+++ b/internal/agree/link/lab.go
@@ -0,0 +1,34 @@
+//go:build lab
+
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+
+	"ringtrack.example/ringtrack/internal/clock"
+)
+
+// The lab's seeded defects of an agent: its lease counts from the answer; or it keeps a book and, started again, acts on
+// the one it kept first without asking.
+func init() {
+	const kept = "kept-book.json"
+	switch os.Getenv("RINGTRACK_LAB_DEFECT") {
+	case "from-answer":
+		countFrom = func(float64) float64 { return clock.Steady() }
+	case "back-on-start":
+		adopted = func(l *Link, a *RenewAnswer) {
+			if _, err := os.Stat(kept); err != nil && a.Stage > 0 {
+				text, _ := json.Marshal(a)
+				os.WriteFile(kept, text, 0o600)
+			}
+		}
+		began = func(ctx context.Context, l *Link) {
+			var a RenewAnswer
+			if text, err := os.ReadFile(kept); err == nil && json.Unmarshal(text, &a) == nil {
+				l.take(ctx, clock.Steady(), &a)
+			}
+		}
+	}
+}
--- a/internal/agree/link/link.go
+++ b/internal/agree/link/link.go
@@ -89,6 +89,7 @@
 // Run keeps the lease until ctx ends.
 func (l *Link) Run(ctx context.Context) {
 	pause, unable, failed := pauseLeast, "", 0
+	began(ctx, l)
 	for ctx.Err() == nil {
 		peers := len(l.cfg.Peers)
 		if failed < len(l.cfg.Keepers) {
@@ -147,10 +148,19 @@
 	}
 }
 
+// countFrom is the moment from which a lease is counted: a moment before it was asked for.
+var countFrom = func(asked float64) float64 { return asked }
+
+// began is called as a holder starts. A lab build may have it act before it has asked.
+var began = func(context.Context, *Link) {}
+
+// adopted is called with each book that was taken up.
+var adopted = func(l *Link, a *RenewAnswer) {}
+
 // take takes up what was granted.
 func (l *Link) take(ctx context.Context, asked float64, a *RenewAnswer) error {
 	next := l.lease
-	if !next.Take(asked, clock.Steady(), agree.Grant{Stage: a.Stage, LeaseMs: a.LeaseMs}) {
+	if !next.Take(countFrom(asked), clock.Steady(), agree.Grant{Stage: a.Stage, LeaseMs: a.LeaseMs}) {
 		return fmt.Errorf("a grant of stage %d, %.0f ms after it was asked for, with stage %d in hand", a.Stage, clock.Steady()-asked, l.lease.Stage)
 	}
 	until := clock.At(next.Until)
@@ -169,6 +179,7 @@
 			return err
 		}
 		l.figures.Adopted.Add(1)
+		adopted(l, a)
 		slog.Info("agreed: rules taken up", "stage", a.Stage, "left_ms", int(next.Until-clock.Steady()))
 	}
 	l.lease = next
--- a/internal/keeper/identity.go
+++ b/internal/keeper/identity.go
@@ -47,10 +47,15 @@
 			return nil, fmt.Errorf("%w: there is a %s and no %s", ErrDamaged, f, identityFile)
 		}
 	}
+	*id = Identity{Name: name, ID: draw(name)}
+	return id, write(d, identityFile, id)
+}
+
+// draw draws an id for a new folder.
+var draw = func(name string) uint64 {
 	var b [8]byte
 	rand.Read(b[:])
-	*id = Identity{Name: name, ID: binary.BigEndian.Uint64(b[:])>>1 | 1}
-	return id, write(d, identityFile, id)
+	return binary.BigEndian.Uint64(b[:])>>1 | 1
 }
 
 // clusterOf is drawn from the first members' ids.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -70,6 +70,7 @@
 	deskTerm uint64
 	proposed uint64  // the stage that was last proposed to be left, and when
 	at       float64 // ms of the steady clock
+	altered  bool    // the members have changed since the last snapshot: one that joins needs a snapshot that has it
 	changing float64 // until when a change of members is waited for
 
 	waiting []*ask // have what there is, and wait for something new
@@ -314,11 +315,12 @@
 	}
 	k.serve()
 	last, _ := k.st.Snapshot()
-	if k.applied-last.GetMetadata().GetIndex() >= compactAt || k.st.size > logAt && k.applied > last.GetMetadata().GetIndex() {
+	if k.altered || k.applied-last.GetMetadata().GetIndex() >= compactAt || k.st.size > logAt && k.applied > last.GetMetadata().GetIndex() {
 		data, err := json.Marshal(&k.state)
 		if err != nil {
 			return err
 		}
+		k.altered = false
 		return k.st.compact(k.applied, k.conf, data)
 	}
 	return nil
@@ -378,6 +380,7 @@
 		}
 		k.conf = k.rn.ApplyConfChange(cc)
 		k.changed(cc)
+		k.altered = true
 	}
 	// Its own entry of the term says that all of before is applied: from here on this keeper may give leases.
 	if t := k.rn.BasicStatus(); k.soft.RaftState == raft.StateLeader && e.GetTerm() == t.GetTerm() && (k.desk == nil || k.deskTerm != e.GetTerm()) {
--- /dev/null
+++ b/internal/keeper/lab.go
@@ -0,0 +1,21 @@
+//go:build lab
+
+package keeper
+
+import (
+	"hash/fnv"
+	"os"
+)
+
+// The lab's seeded defect: a keeper's identity is its name, so that one whose folder was wiped votes as before; and
+// nobody notes how far it had come.
+func init() {
+	if os.Getenv("RINGTRACK_LAB_DEFECT") == "wiped-votes" {
+		draw = func(name string) uint64 {
+			h := fnv.New64a()
+			h.Write([]byte(name))
+			return h.Sum64()>>1 | 1
+		}
+		watched = false
+	}
+}
--- a/internal/keeper/peer.go
+++ b/internal/keeper/peer.go
@@ -13,6 +13,7 @@
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
+	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 
 	"ringtrack.example/ringtrack/internal/agree/link"
@@ -30,6 +31,7 @@
 type parcel struct {
 	Cluster uint64            `json:"cluster"`
 	From    uint64            `json:"from"`
+	Name    string            `json:"name"` // of the sender: a keeper that joins knows others by name only
 	To      uint64            `json:"to"`
 	Nonce   uint64            `json:"nonce"`           // of the sender's start
 	Last    uint64            `json:"last"`            // the sender's last entry that lasts
@@ -152,7 +154,7 @@
 
 // stamp fills in who sends.
 func (k *Keeper) stamp(t *parcel) {
-	t.Cluster, t.From, t.Nonce = k.id.Cluster, k.id.ID, k.nonce
+	t.Cluster, t.From, t.Name, t.Nonce = k.id.Cluster, k.id.ID, k.id.Name, k.nonce
 	t.Last, _ = k.st.LastIndex()
 	if k.soft.RaftState == raft.StateLeader {
 		t.Acked = maps.Clone(k.seen.Acked)
@@ -198,7 +200,11 @@
 	if t.Cluster != k.id.Cluster {
 		return errors.New("another cluster")
 	}
-	if _, in := k.state.Members[t.From]; !in && len(k.state.Members) > 0 {
+	if _, in := k.state.Members[t.From]; !in && k.applied == 0 {
+		// It joins and has nothing yet: it answers who sends, where its own file says that he is.
+		k.state.Members[t.From] = member{Name: t.Name}
+		k.connect()
+	} else if !in {
 		return errors.New("no member has this id: it was removed, or its folder is not the one that was added")
 	}
 	if why := k.seen.hear(t.From, t.Nonce, t.Last); why != "" {
@@ -244,7 +250,7 @@
 	}
 	s := k.rn.Status()
 	for id, p := range s.Progress {
-		if p.IsLearner && p.RecentActive && p.Match+keepEntries/4 >= s.GetCommit() {
+		if p.IsLearner && p.RecentActive && p.State == tracker.StateReplicate && p.Match+keepEntries/4 >= s.GetCommit() {
 			k.change(pb.ConfChangeAddNode, id, nil)
 		}
 	}
--- a/internal/keeper/seen.go
+++ b/internal/keeper/seen.go
@@ -26,6 +26,9 @@
 	nonces  map[uint64][]uint64 // starts of each id that were heard since this start, the newest last
 }
 
+// watched: keepers that went back are not heard. A lab build may leave it out.
+var watched = true
+
 // mostNonces bounds the starts of a keeper that are told apart.
 const mostNonces = 64
 
@@ -58,7 +61,7 @@
 			return "a later start of this keeper was heard: two processes have one identity, or this is late"
 		}
 	}
-	if last < s.Acked[id] {
+	if watched && last < s.Acked[id] {
 		s.Refused[id] = "its folder went back: it has less than it had acknowledged; replace this keeper"
 		s.dirty = true
 		return s.Refused[id]
--- /dev/null
+++ b/internal/lab/agreemodel/model.go
@@ -0,0 +1,342 @@
+// Package agreemodel checks agree's invariants on a model of the world around it: holders that ask, crash and stand
+// still, messages that are lost, repeated and come in any order, leaders that follow one another and of which an old one
+// may still answer what was confirmed for it. The deciders are the product's own; the world and the judge are here.
+package agreemodel
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"ringtrack.example/ringtrack/internal/agree"
+)
+
+// Defect is one that the lab seeds, each a way in which the deciders could be used wrongly.
+type Defect int
+
+// The defects.
+const (
+	None        Defect = iota
+	NoMeet             // a change goes from version to version, without the stage between
+	FromAnswer         // leases are counted from the answer
+	NoQuiet            // a new leader does not wait for the leases of the old one
+	BackOnStart        // a holder that starts again acts on what it had, without asking
+	WordForIt          // a stage counts as taken up once it was granted
+)
+
+// Defects are all, by name.
+var Defects = map[string]Defect{"no-meet": NoMeet, "from-answer": FromAnswer, "no-quiet": NoQuiet, "back-on-start": BackOnStart, "word-for-it": WordForIt}
+
+const leaseMs = 2 // in the model a tick is a ms
+
+// Bounds are how much may happen in one run.
+type Bounds struct {
+	Holders, Versions                       int
+	Ticks, Elections, Crashes, Repeats, Msg int
+	Drift                                   bool // holders' clocks run as fast and as slow as may be
+}
+
+// message is one on its way. An ask that a leader's majority has confirmed waits at that leader's desk.
+type message struct {
+	holder  int
+	inc     int
+	kind    byte // 'a' ask, 'c' confirmed at a desk, 'g' grant
+	desk    int  // of a confirmed ask
+	asked   float64
+	has     uint64
+	granted agree.Grant
+}
+
+// holder is one name.
+type holder struct {
+	inc   int
+	lease agree.Lease
+	floor uint64 // the highest stage that any start of it acted on
+	asks  int    // asks that it has out
+}
+
+// leader is a desk and the stage that its keeper has applied.
+type leader struct {
+	desk  *agree.Desk
+	stage uint64
+}
+
+// world is one state of the model. The last leader leads.
+type world struct {
+	now     float64
+	stage   uint64 // committed
+	leaders []leader
+	holders []holder
+	msgs    []message
+	left    Bounds
+	defect  Defect
+}
+
+func start(b Bounds, d Defect) *world {
+	w := &world{left: b, defect: d, holders: make([]holder, b.Holders)}
+	w.leaders = []leader{{desk: w.desk()}}
+	return w
+}
+
+func (w *world) desk() *agree.Desk {
+	if w.defect == NoQuiet {
+		return agree.NewDesk(w.now-100*leaseMs, leaseMs)
+	}
+	return agree.NewDesk(w.now, leaseMs)
+}
+
+func (w *world) clone() *world {
+	c := *w
+	c.leaders = make([]leader, len(w.leaders))
+	for i, l := range w.leaders {
+		c.leaders[i] = leader{l.desk.Clone(), l.stage}
+	}
+	c.holders, c.msgs = slices.Clone(w.holders), slices.Clone(w.msgs)
+	return &c
+}
+
+// clock is a holder's own: one runs fast, the next slow, and each began elsewhere.
+func (w *world) clock(i int) float64 {
+	rate := 1.0
+	if w.left.Drift {
+		rate += agree.DriftMost * 0.99 * float64(1-2*(i%2))
+	}
+	return w.now*rate + float64(i)*3600
+}
+
+// key is the state in words, the same for states that can't be told apart by what comes.
+func (w *world) key() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d|%d,%d,%d,%d|", w.stage, w.left.Ticks, w.left.Elections, w.left.Crashes, w.left.Repeats)
+	for i, l := range w.leaders {
+		last := i == len(w.leaders)-1
+		if last || slices.ContainsFunc(w.msgs, func(m message) bool { return m.kind == 'c' && m.desk == i }) {
+			fmt.Fprintf(&b, "L%d:%d %s|", i, l.stage, l.desk.State(w.now))
+		}
+	}
+	for i := range w.holders {
+		h := &w.holders[i]
+		fmt.Fprintf(&b, "H%d,%d,%.3f,%d,%d|", h.inc, h.lease.Stage, max(h.lease.Until-w.clock(i), 0), h.floor, h.asks)
+	}
+	words := make([]string, len(w.msgs))
+	for i, m := range w.msgs {
+		words[i] = fmt.Sprintf("%d.%d%c%d %.3f %d %d", m.holder, m.inc, m.kind, m.desk, m.asked-w.clock(m.holder), m.has, m.granted.Stage)
+	}
+	slices.Sort(words)
+	b.WriteString(strings.Join(words, ";"))
+	return b.String()
+}
+
+// step is something that can happen.
+type step struct {
+	name string
+	do   func(w *world)
+}
+
+func (w *world) steps() (out []step) {
+	lead := len(w.leaders) - 1
+	add := func(name string, do func(w *world)) { out = append(out, step{name, do}) }
+	if w.left.Ticks > 0 {
+		add("tick", func(w *world) { w.left.Ticks--; w.now++ })
+	}
+	for i := range w.holders {
+		h := &w.holders[i]
+		if len(w.msgs) < w.left.Msg && h.asks < 2 {
+			add(fmt.Sprintf("ask %d", i), func(w *world) {
+				h := &w.holders[i]
+				h.asks++
+				w.msgs = append(w.msgs, message{holder: i, inc: h.inc, kind: 'a', asked: w.clock(i), has: h.lease.Stage})
+			})
+		}
+		if w.left.Crashes > 0 && (h.lease.Stage > 0 || h.asks > 0) {
+			add(fmt.Sprintf("crash %d", i), func(w *world) {
+				w.left.Crashes--
+				h := &w.holders[i]
+				was := h.lease
+				h.inc, h.lease, h.asks = h.inc+1, agree.Lease{}, 0
+				if w.defect == BackOnStart {
+					h.lease = agree.Lease{Stage: was.Stage - was.Stage%2, Until: w.clock(i) + leaseMs}
+				}
+			})
+		}
+	}
+	for m := range w.msgs {
+		msg := w.msgs[m]
+		name := fmt.Sprintf("%c of %d.%d", msg.kind, msg.holder, msg.inc)
+		add("deliver "+name, func(w *world) { w.take(m); w.deliver(msg) })
+		if w.left.Repeats > 0 && msg.kind != 'c' {
+			add("repeat "+name, func(w *world) { w.left.Repeats--; w.deliver(msg) })
+		}
+		if msg.kind != 'c' {
+			add("lose "+name, func(w *world) {
+				w.take(m)
+				if msg.inc == w.holders[msg.holder].inc {
+					w.holders[msg.holder].asks--
+				}
+			})
+		}
+	}
+	if w.left.Elections > 0 {
+		add("elect", func(w *world) {
+			w.left.Elections--
+			w.leaders = append(w.leaders, leader{w.desk(), w.stage})
+		})
+	}
+	// The leader has the next stage committed and applied; the others may not know yet.
+	if l := &w.leaders[lead]; l.stage < uint64(2*w.left.Versions) {
+		if may, _, _ := l.desk.Next(w.now, l.stage); may {
+			add("advance", func(w *world) {
+				l := &w.leaders[len(w.leaders)-1]
+				l.stage++
+				if w.defect == NoMeet {
+					l.stage++
+				}
+				w.stage = l.stage
+			})
+		}
+	}
+	return out
+}
+
+func (w *world) take(m int) { w.msgs = slices.Delete(w.msgs, m, m+1) }
+
+func (w *world) deliver(m message) {
+	lead := len(w.leaders) - 1
+	of := agree.Ask{Holder: agree.Holder{Name: fmt.Sprint(m.holder), Inc: fmt.Sprint(m.inc)}, Has: m.has}
+	switch m.kind {
+	case 'a': // the majority's word is had at the moment the ask is there; what comes of it may come much later
+		w.leaders[lead].desk.Hear(w.now, of)
+		m.kind, m.desk = 'c', lead
+		w.msgs = append(w.msgs, m)
+	case 'c':
+		l := &w.leaders[m.desk]
+		g, ok := l.desk.Grant(w.now, of, l.stage)
+		if !ok {
+			if m.inc == w.holders[m.holder].inc {
+				w.holders[m.holder].asks--
+			}
+			return
+		}
+		if w.defect == WordForIt {
+			of.Has = g.Stage
+			l.desk.Hear(w.now, of)
+		}
+		m.kind, m.granted = 'g', g
+		w.msgs = append(w.msgs, m)
+	case 'g':
+		h := &w.holders[m.holder]
+		if m.inc != h.inc {
+			return // the process that asked is gone, and its connection with it
+		}
+		h.asks = max(h.asks-1, 0)
+		asked := m.asked
+		if w.defect == FromAnswer {
+			asked = w.clock(m.holder)
+		}
+		h.lease.Take(asked, w.clock(m.holder), m.granted)
+	}
+}
+
+// judge says which invariant does not hold; "": all do.
+func (w *world) judge() string {
+	low, high := uint64(1<<62), uint64(0)
+	for i := range w.holders {
+		h := &w.holders[i]
+		if !h.lease.Holds(w.clock(i)) {
+			continue
+		}
+		low, high = min(low, h.lease.Stage), max(high, h.lease.Stage)
+		if h.lease.Stage < h.floor {
+			return fmt.Sprintf("invariant 2: holder %d acts on stage %d and did on %d", i, h.lease.Stage, h.floor)
+		}
+		h.floor = h.lease.Stage
+	}
+	if low < high && high-low > 1 {
+		return fmt.Sprintf("invariant 1: stages %d and %d are acted on", low, high)
+	}
+	return ""
+}
+
+// Found is a run that broke an invariant.
+type Found struct {
+	Why  string
+	Path []string
+}
+
+// Exhaust visits every state within the bounds, most at the most, and returns how many there were and the first that
+// breaks an invariant.
+func Exhaust(b Bounds, d Defect, most int) (states int, found *Found) {
+	type node struct {
+		w    *world
+		path []string
+	}
+	first := start(b, d)
+	// By hash: of a million states two share one of 128 bits with a chance under 1e-26.
+	hash := func(w *world) [16]byte {
+		sum := sha256.Sum256([]byte(w.key()))
+		return [16]byte(sum[:16])
+	}
+	seen := map[[16]byte]struct{}{hash(first): {}}
+	queue := []node{{first, nil}}
+	for len(queue) > 0 {
+		n := queue[len(queue)-1] // depth first: memory stays small, and all are visited
+		queue = queue[:len(queue)-1]
+		for _, s := range n.w.steps() {
+			next := n.w.clone()
+			s.do(next)
+			why := next.judge()
+			path := append(slices.Clip(n.path), s.name)
+			if why != "" {
+				return len(seen), &Found{why, path}
+			}
+			k := hash(next)
+			if _, known := seen[k]; known {
+				continue
+			}
+			if len(seen) >= most {
+				return len(seen), nil
+			}
+			seen[k] = struct{}{}
+			queue = append(queue, node{next, path})
+		}
+	}
+	return len(seen), nil
+}
+
+// Random walks runs of steps each, drawn from a seed, and returns how many steps were made and the first run that breaks
+// an invariant.
+func Random(b Bounds, d Defect, runs, steps int, seed uint64) (made int, found *Found) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for range runs {
+		w := start(b, d)
+		w.now = rng.Float64()
+		var path []string
+		for range steps {
+			all := w.steps()
+			if len(all) == 0 {
+				break
+			}
+			s := all[rng.IntN(len(all))]
+			s.do(w)
+			if s.name == "tick" {
+				w.now += rng.Float64() - 0.5 // not on the beat
+			}
+			path = append(path, s.name)
+			made++
+			if why := w.judge(); why != "" {
+				return made, &Found{why, path}
+			}
+		}
+	}
+	return made, nil
+}
+
+// Small is what Exhaust visits whole in CI, Whole and Pairs what the long proof does; Long is for random walks.
+var (
+	Small = Bounds{Holders: 2, Versions: 3, Ticks: 3, Elections: 1, Msg: 1}
+	Pairs = Bounds{Holders: 2, Versions: 2, Ticks: 3, Msg: 2}
+	Whole = Bounds{Holders: 2, Versions: 3, Ticks: 4, Elections: 1, Crashes: 1, Repeats: 1, Msg: 1}
+	Long  = Bounds{Holders: 3, Versions: 6, Ticks: 60, Elections: 6, Crashes: 6, Repeats: 10, Msg: 6, Drift: true}
+)
--- a/internal/lab/cluster/acts.go
+++ b/internal/lab/cluster/acts.go
@@ -120,13 +120,22 @@
 	Old []time.Duration
 }
 
-// Judge judges all acts so far.
+// Judge judges all acts so far. There has to be, for each moment, one stage S that only grows, such that every act is
+// permitted by S or S+1 and S is no lower than what was said to be in force: then no two agents acted on rules that
+// contradict each other. Slack is granted between an act and its arrival at a stand-in.
 func (a *Acts) Judge() (j Judged) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	slices.SortStableFunc(a.acts, func(x, y act) int { return x.at.Compare(y.at) })
+	terms := map[uint64]*rulebook.Book{}
 	last := map[uint64]time.Duration{}
 	tries := map[string][]act{}
+	type needs struct {
+		at    time.Time
+		stage uint64
+	}
+	var recent []needs // acts that are younger than the slack, and the least S that each needs
+	forced := uint64(0)
 	for _, x := range a.acts {
 		j.Acts++
 		before := tries[x.op]
@@ -134,10 +143,24 @@
 		if len(before) > 0 {
 			j.Repeats++
 		}
+		for len(recent) > 0 && recent[0].at.Add(a.Slack).Before(x.at) {
+			forced = max(forced, recent[0].stage)
+			recent = recent[1:]
+		}
 		low, high := a.between(x.at)
-		ok := false
-		for s := low; s <= high && !ok; s++ {
-			ok = a.permits(a.terms(s), before, x) == ""
+		permits := func(s uint64) bool {
+			b, known := terms[s]
+			if !known || a.incomplete(s) {
+				b = a.terms(s)
+				terms[s] = b
+			}
+			return a.permits(b, before, x) == ""
+		}
+		need, ok := uint64(0), false
+		for s := max(low, forced); s <= high && !ok; s++ {
+			if permits(s) || s < high && permits(s+1) {
+				need, ok = s, true
+			}
 		}
 		for i := range a.versions {
 			if v := &a.versions[i]; v.sent.Before(x.at) && (i+1 == len(a.versions) || x.at.Before(a.versions[i+1].sent)) && a.permits(v.book, before, x) != "" {
@@ -145,10 +168,13 @@
 			}
 		}
 		if ok {
+			if need > forced {
+				recent = append(recent, needs{x.at, need})
+			}
 			continue
 		}
-		b := Breach{At: x.at, Op: x.op, Text: fmt.Sprintf("%s at %s, try %d: %s; stages %d to %d could be in force", x.op, x.server, len(before)+1,
-			a.permits(a.terms(low), before, x), low, high)}
+		b := Breach{At: x.at, Op: x.op, Text: fmt.Sprintf("%s at %s, try %d: %s; in force were stages %d to %d, acted on from %d on", x.op, x.server, len(before)+1,
+			a.permits(a.terms(max(low, forced)), before, x), low, high, forced)}
 		for s := int(low) - 1; s >= 0; s-- {
 			if a.permits(a.terms(uint64(s)), before, x) == "" {
 				for _, f := range a.force {
@@ -169,6 +195,9 @@
 	return j
 }
 
+// incomplete tells whether a stage needs a version that was not published.
+func (a *Acts) incomplete(stage uint64) bool { return a.book((stage+1)/2) == nil }
+
 // between are the lowest and the highest stage that may have been acted on at a time.
 func (a *Acts) between(t time.Time) (low, high uint64) {
 	for _, f := range a.force {
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -35,6 +35,8 @@
 	lab   *link.Caller // the lab's own calls, past all faults
 
 	Keepers, Agents []*Process
+
+	replacing sync.Mutex // one keeper at a time
 }
 
 var built struct {
--- /dev/null
+++ b/internal/lab/cluster/hard_test.go
@@ -0,0 +1,94 @@
+package cluster
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A keeper whose folder was wiped does not vote under its old name, one whose folder is of last week is not heard, one
+// whose disk lied neither: a publish that was acknowledged is there when the others are lost as well; each comes back as a
+// new member.
+func TestLostFoldersAreReplaced(t *testing.T) {
+	for _, kind := range []string{Wiped, Back, Lied} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			c, ctx := keepers(t, 3)
+			lead := c.leads(t, ctx)
+			if err := Until(ctx, "all have started", 10*time.Second, func() bool {
+				for _, k := range c.Keepers {
+					if !strings.Contains(k.Log(), "msg=raft") {
+						return false
+					}
+				}
+				return true
+			}); err != nil {
+				t.Fatal(err)
+			}
+			var victim, other *Process
+			for _, k := range c.Keepers {
+				if k != lead && victim == nil {
+					victim = k
+				} else if k != lead {
+					other = k
+				}
+			}
+			week := filepath.Join(c.Dir, "week")
+			if err := victim.Copy(week); err != nil {
+				t.Fatal(err)
+			}
+			// What is acknowledged now only the leader and the victim have.
+			c.Cut(other.Name, c.Keepers, Stall, Stall)
+			if kind == Lied {
+				victim.Disk("lie")
+			}
+			for n := range 3 {
+				c.publish(t, ctx, uint64(n), bans("s-1"))
+			}
+			c.Cut(other.Name, c.Keepers, Pass, Stall) // hears nothing, and may call others
+			switch kind {
+			case Wiped:
+				victim.Kill()
+				if err := victim.Wipe(); err != nil {
+					t.Fatal(err)
+				}
+			case Back:
+				victim.Kill()
+				if err := victim.Restore(week); err != nil {
+					t.Fatal(err)
+				}
+			case Lied:
+				if err := victim.PowerCut(nil); err != nil {
+					t.Fatal(err)
+				}
+				victim.Disk("")
+			}
+			if err := victim.Start(); err != nil {
+				t.Fatal(err)
+			}
+			c.Cut(other.Name, c.Keepers, Pass, Pass)
+			if kind == Wiped {
+				// Nobody who is left has what was acknowledged, so nobody may lead until the old leader is back.
+				lead.Kill()
+				if Until(ctx, "one leads", 1500*time.Millisecond, func() bool { p, _ := c.Leader(ctx); return p != nil }) == nil {
+					t.Error("a keeper leads that lacks what was acknowledged")
+				}
+				if err := lead.Start(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if n := c.publish(t, ctx, 3, bans("s-2")); n != 4 {
+				t.Fatalf("the next has number %d", n)
+			}
+			if err := c.Replace(ctx, victim); err != nil {
+				t.Fatal(err)
+			}
+			// The new one counts: without the other there is still a majority, and it has all.
+			other.Kill()
+			if n := c.publish(t, ctx, 4, bans("s-3")); n != 5 {
+				t.Fatalf("with the new one: %d", n)
+			}
+		})
+	}
+}
--- a/internal/lab/cluster/keepers_test.go
+++ b/internal/lab/cluster/keepers_test.go
@@ -38,6 +38,9 @@
 		t.Fatal(err)
 	}
 	for _, k := range c.Keepers {
+		if d := os.Getenv("RINGTRACK_TEST_DEFECT"); d != "" { // to see that a test finds it
+			k.Env = append(k.Env, "RINGTRACK_LAB_DEFECT="+d)
+		}
 		if err := k.Start(); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -32,8 +32,7 @@
 	log     bytes.Buffer
 	stopped bool
 	Starts  int
-	// Froze and Woke are when it was last stopped and continued.
-	Froze, Woke time.Time
+	woke    []time.Time // when it was continued
 }
 
 // mostProcessLog bounds what is kept of a process's log, in bytes.
@@ -96,10 +95,10 @@
 	}
 	switch s {
 	case syscall.SIGSTOP:
-		p.stopped, p.Froze, p.Woke = true, time.Now(), time.Time{}
+		p.stopped = true
 	case syscall.SIGCONT:
 		if p.stopped {
-			p.Woke = time.Now()
+			p.woke = append(p.woke, time.Now())
 		}
 		p.stopped = false
 	}
@@ -107,6 +106,18 @@
 	return p.ended
 }
 
+// wokeBefore is how long before t it was last continued; negative: never.
+func (p *Process) wokeBefore(t time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.woke) - 1; i >= 0; i-- {
+		if !p.woke[i].After(t) {
+			return t.Sub(p.woke[i])
+		}
+	}
+	return -1
+}
+
 // Freeze stops it where it stands (SIGSTOP), Thaw has it go on.
 func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
 
--- /dev/null
+++ b/internal/lab/cluster/run.go
@@ -0,0 +1,502 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/agree/link"
+	"ringtrack.example/ringtrack/internal/keeper"
+	"ringtrack.example/ringtrack/internal/lab"
+	"ringtrack.example/ringtrack/internal/rulebook"
+	"ringtrack.example/ringtrack/policy"
+)
+
+// Outcome is what came of a run.
+type Outcome struct {
+	Judged
+	Stopped                                   int      // breaches of an agent that was stopped between its last look and the write
+	Lost                                      []string // what was acknowledged and is not there, or is other than it was
+	Versions                                  int
+	Took                                      []time.Duration // from a publish to in force, sorted
+	NotTaken                                  int
+	Unknown                                   int // publishes whose first try had no answer
+	Served, Refused, Failed, Unanswered, Late int64
+	Replaced                                  int
+	Errors                                    []string // of the rig, or of processes that ended where none should
+	Logs                                      map[string]string
+}
+
+// Bad tells whether the run broke what has to hold.
+func (o *Outcome) Bad() bool { return len(o.Breaches) > 0 || len(o.Lost) > 0 || len(o.Errors) > 0 }
+
+// runner is one run.
+type runner struct {
+	c   *Cluster
+	t   *Traffic
+	p   *Plan
+	o   *Outcome
+	mu  sync.Mutex
+	wg  sync.WaitGroup
+	rng *rand.Rand
+}
+
+func (r *runner) err(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.o.Errors) < 20 {
+		r.o.Errors = append(r.o.Errors, fmt.Sprintf(format, args...))
+	}
+}
+
+// Run runs a plan in a folder.
+func Run(ctx context.Context, dir string, p *Plan) (*Outcome, error) {
+	bin, err := Build(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c := New(dir, bin, p.LeaseMs)
+	defer c.Close()
+	t, err := NewTraffic(p.Servers)
+	if err != nil {
+		return nil, err
+	}
+	defer t.Close()
+	if err := c.AddKeepers(p.Keepers); err != nil {
+		return nil, err
+	}
+	if err := t.AddAgents(c, p.Agents, 2, 2*time.Second, link.LapseRefuse); err != nil {
+		return nil, err
+	}
+	r := &runner{c: c, t: t, p: p, o: &Outcome{}, rng: rand.New(rand.NewPCG(p.Seed, 7))}
+	for i, a := range append(slices.Clone(c.Keepers), c.Agents...) {
+		if p.Defect != "" {
+			a.Env = append(a.Env, "RINGTRACK_LAB_DEFECT="+p.Defect)
+		}
+		// Clocks begin an hour apart, and run as fast and as slow as is stated.
+		a.Env = append(a.Env, fmt.Sprintf("RINGTRACK_LAB_CLOCK=%d %v", (i%3-1)*3_600_000, 1+0.019*float64(i%3-1)))
+		if err := a.Start(); err != nil {
+			return nil, err
+		}
+	}
+	for _, a := range c.Agents {
+		if err := Ready(ctx, a, 30*time.Second); err != nil {
+			r.o.Logs = r.logs()
+			return r.o, err
+		}
+	}
+	for _, k := range c.Keepers {
+		if err := k.Copy(filepath.Join(c.Dir, "start-"+k.Name)); err != nil {
+			return nil, err
+		}
+	}
+	t.Clients(ctx, c.Agents, time.Duration(p.PauseMs)*time.Millisecond, p.Seed)
+	run, cancel := context.WithTimeout(ctx, time.Duration(p.RunMs)*time.Millisecond)
+	defer cancel()
+	r.wg.Go(func() { r.watch(run) })
+	r.wg.Go(func() { r.spoil(run) })
+	published := make(chan []known, 1)
+	r.wg.Go(func() { published <- r.publish(run, ctx) })
+	start := time.Now()
+	var faults sync.WaitGroup
+	for _, f := range p.Faults {
+		select {
+		case <-time.After(time.Until(start.Add(time.Duration(f.At) * time.Millisecond))):
+			faults.Go(func() { r.fault(ctx, f) })
+		case <-run.Done():
+		}
+		if run.Err() != nil {
+			break
+		}
+	}
+	<-run.Done()
+	faults.Wait()
+	if err := c.Heal(); err != nil {
+		r.err("heal: %v", err)
+	}
+	r.wg.Wait()
+	r.settle(ctx, <-published)
+	t.Close()
+	t.cancel = nil
+	r.judge()
+	return r.o, nil
+}
+
+func (r *runner) logs() map[string]string {
+	out := map[string]string{}
+	for _, p := range r.c.processes() {
+		out[p.Name] = p.Log()
+	}
+	return out
+}
+
+// watch notes what is said to be in force.
+func (r *runner) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		at := time.Now()
+		if _, s := r.c.Leader(ctx); s != nil && len(s.HeldUp) == 0 {
+			r.t.Acts.InForce(s.Stage, at)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// spoil has one server after the other fail, so that there is something to try again.
+func (r *runner) spoil(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.p.Seed, 5))
+	for ctx.Err() == nil {
+		s := r.t.Servers[rng.IntN(len(r.t.Servers))]
+		s.Set([]lab.Mode{lab.Failing, lab.Breaking}[rng.IntN(2)])
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(100+rng.IntN(200)) * time.Millisecond):
+		}
+		s.Set(lab.Serving)
+	}
+}
+
+// known is a publish and what is known of it.
+type known struct {
+	id     string
+	number uint64 // 0: it was never acknowledged
+	digest string
+	book   *rulebook.Book
+	sent   time.Time
+}
+
+// book draws a book that differs from others in what an agent may do.
+func (r *runner) book(rng *rand.Rand) *rulebook.Book {
+	b := &rulebook.Book{Classes: map[string]rulebook.Class{}}
+	switch rng.IntN(4) {
+	case 0:
+		b.Classes["send"] = rulebook.Class{Effect: policy.SingleShot}
+	case 1:
+		b.Classes["send"] = rulebook.Class{Effect: policy.Guarded, Group: policy.GroupZone, KeyTTLMs: 200 + float64(rng.IntN(3))*300}
+	case 2:
+		b.Classes["send"] = rulebook.Class{Effect: policy.Guarded, Group: policy.GroupAll, KeyTTLMs: 300}
+	}
+	if rng.IntN(3) == 0 {
+		b.MaxAttempts = 1 + rng.IntN(2)
+	}
+	for i := range r.p.Servers {
+		if rng.IntN(3) == 0 && len(b.Bans) < r.p.Servers/3 {
+			b.Bans = append(b.Bans, fmt.Sprintf("s-%02d", i))
+		}
+	}
+	return b
+}
+
+// publish publishes one version behind the other; whose answer does not come is tried again under its id.
+func (r *runner) publish(run, ctx context.Context) (all []known) {
+	rng := rand.New(rand.NewPCG(r.p.Seed, 99))
+	for n := 0; n < r.p.Versions && run.Err() == nil; n++ {
+		k := known{id: fmt.Sprintf("v%d-%d", r.p.Seed, n), book: r.book(rng), sent: time.Now()}
+		k.book.Check()
+		parent := uint64(n)
+		r.t.Acts.Published(parent+1, k.book, k.sent)
+		for try := 0; run.Err() == nil; try++ {
+			at := r.c.Keepers[rng.IntN(len(r.c.Keepers))]
+			call, cancel := context.WithTimeout(run, 600*time.Millisecond)
+			out, err := r.c.Publish(call, at, k.id, parent, k.book)
+			cancel()
+			if err == nil {
+				k.number, k.digest = out.Number, out.Digest
+				break
+			}
+			if f := (*link.Failure)(nil); errors.As(err, &f) && f.Status < 500 && f.Status != http.StatusTooManyRequests {
+				r.mu.Lock()
+				r.o.Lost = append(r.o.Lost, fmt.Sprintf("publish %s behind %d is refused: %v", k.id, parent, err))
+				r.mu.Unlock()
+				return all
+			}
+			if try == 0 {
+				r.o.Unknown++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		all = append(all, k)
+		// Mostly the next comes once this one is in force; now and then it does not wait.
+		wait := time.Now().Add(time.Duration(rng.IntN(3)) * 400 * time.Millisecond)
+		for time.Now().Before(wait) && run.Err() == nil && !r.inForce(rulebook.Stage(k.number)) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+	}
+	return all
+}
+
+func (r *runner) inForce(stage uint64) bool {
+	a := r.t.Acts
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.force) > 0 && a.force[len(a.force)-1].stage >= stage
+}
+
+// settle waits until all is well again and compares what was acknowledged with what is there.
+func (r *runner) settle(ctx context.Context, all []known) {
+	var h link.HistoryAnswer
+	err := Until(ctx, "a keeper leads again, and all that is published is in force", 30*time.Second, func() bool {
+		at := time.Now()
+		k, s := r.c.Leader(ctx)
+		if k == nil || s.Stage < rulebook.Stage(s.Last) || len(s.HeldUp) > 0 {
+			return false
+		}
+		r.t.Acts.InForce(s.Stage, at)
+		try, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		h = link.HistoryAnswer{}
+		return r.c.Call(try, k, link.PathHistory, nil, &h) == nil
+	})
+	if err != nil {
+		r.err("%v", err)
+		return
+	}
+	r.o.Versions = int(h.Dropped) + len(h.Versions)
+	ids := map[string]int{}
+	for _, v := range h.Versions {
+		if ids[v.ID]++; ids[v.ID] > 1 {
+			r.o.Lost = append(r.o.Lost, fmt.Sprintf("publish %s has two numbers, one is %d", v.ID, v.Number))
+		}
+	}
+	for _, k := range all {
+		if k.number == 0 || k.number <= h.Dropped {
+			continue
+		}
+		if i := int(k.number - h.Dropped - 1); i >= len(h.Versions) {
+			r.o.Lost = append(r.o.Lost, fmt.Sprintf("version %d was acknowledged and is gone", k.number))
+		} else if v := h.Versions[i]; v.ID != k.id || v.Digest != k.digest {
+			r.o.Lost = append(r.o.Lost, fmt.Sprintf("version %d was acknowledged as %s %s and is %s %s", k.number, k.id, k.digest, v.ID, v.Digest))
+		}
+	}
+}
+
+// judge sums up.
+func (r *runner) judge() {
+	o, t := r.o, r.t
+	o.Judged = t.Acts.Judge()
+	o.Took, o.NotTaken = t.Acts.Took()
+	// An agent that is stopped between its last look and the write sends when it wakes; no clock of its own can help.
+	by := map[string]*Process{}
+	for _, a := range r.c.Agents {
+		by[a.Name] = a
+	}
+	o.Breaches = slices.DeleteFunc(o.Breaches, func(b Breach) bool {
+		name, _, _ := strings.Cut(b.Op, "-")
+		woke := by[name].wokeBefore(b.At)
+		if woke >= 0 && woke < 50*time.Millisecond {
+			o.Stopped++
+			return true
+		}
+		return false
+	})
+	o.Served, o.Refused, o.Failed, o.Unanswered, o.Late = t.Served.Load(), t.Refused.Load(), t.Failed.Load(), t.Unanswered.Load(), t.Late.Load()
+	if o.Bad() {
+		o.Logs = r.logs()
+	}
+}
+
+// fault does one fault and undoes it.
+func (r *runner) fault(ctx context.Context, f Fault) {
+	last := time.Duration(f.For) * time.Millisecond
+	wait := func() {
+		select {
+		case <-time.After(last):
+		case <-ctx.Done():
+		}
+	}
+	if f.Kind == Serve {
+		for _, s := range r.t.Servers {
+			if s.ID == f.Who {
+				s.Set(map[string]lab.Mode{"failing": lab.Failing, "breaking": lab.Breaking, "silent": lab.Silent}[f.With])
+				wait()
+				s.Set(lab.Serving)
+			}
+		}
+		return
+	}
+	if f.Kind == All {
+		for _, k := range r.c.Keepers {
+			k.Kill()
+		}
+		wait()
+		for _, k := range r.c.Keepers {
+			k.Start()
+		}
+		return
+	}
+	p := r.c.all[f.Who]
+	if p == nil {
+		return
+	}
+	others := r.c.Keepers
+	if p.Data != "" {
+		others = append(slices.Clone(others), r.c.Agents...)
+	}
+	switch f.Kind {
+	case Kill:
+		p.Kill()
+		wait()
+		p.Start()
+	case Term:
+		if err := p.Term(8 * time.Second); err != nil && p.Data != "" && !strings.Contains(p.Log(), "keeper:") {
+			r.err("%s: ended with %v", p.Name, err)
+		}
+		wait()
+		p.Start()
+	case Freeze:
+		p.Freeze()
+		wait()
+		p.Thaw()
+	case OneWay:
+		dir, word, _ := strings.Cut(f.With, " ")
+		out, in := modes[word], Pass
+		if dir == "in" {
+			out, in = in, out
+		}
+		r.c.Cut(p.Name, others, out, in)
+		wait()
+		r.c.Cut(p.Name, others, Pass, Pass)
+	case BothWay:
+		r.c.Cut(p.Name, others, Stall, Stall)
+		wait()
+		r.c.Cut(p.Name, others, Pass, Pass)
+	case Slow:
+		p.Disk("sync-ms 200")
+		wait()
+		p.Disk("")
+	case Sick, FullUp:
+		p.Disk(map[string]string{Sick: "sync-error", FullUp: "full"}[f.Kind])
+		wait()
+		p.Disk("")
+		p.Start() // it has ended, if it wrote meanwhile
+	case Power:
+		if err := p.PowerCut(nil); err != nil {
+			r.err("%s: power cut: %v", p.Name, err)
+		}
+		wait()
+		p.Start()
+	case Loop:
+		for until := time.Now().Add(last); time.Now().Before(until); {
+			p.Kill()
+			p.Start()
+			time.Sleep(100 * time.Millisecond)
+		}
+	case Wiped, Back, Lied, Bitten:
+		r.replace(ctx, f, p)
+	}
+}
+
+// replace does to a keeper's folder what the fault says, starts the keeper as if nothing had been, and then does what
+// the operators' page says: removes it and adds it anew, with an empty folder.
+func (r *runner) replace(ctx context.Context, f Fault, p *Process) {
+	r.c.replacing.Lock()
+	defer r.c.replacing.Unlock()
+	var err error
+	switch f.Kind {
+	case Wiped:
+		p.Kill()
+		err = p.Wipe()
+	case Back:
+		p.Kill()
+		err = p.Restore(filepath.Join(r.c.Dir, "start-"+p.Name))
+	case Lied:
+		p.Disk("lie")
+		time.Sleep(500 * time.Millisecond)
+		err = p.PowerCut(nil)
+		p.Disk("")
+	case Bitten:
+		p.Kill()
+		if err = p.Flip(f.With, r.rng); errors.Is(err, os.ErrNotExist) {
+			err = nil
+		}
+	}
+	if err != nil {
+		r.err("%s: %s: %v", p.Name, f.Kind, err)
+		return
+	}
+	p.Start()
+	select {
+	case <-time.After(time.Duration(f.For) * time.Millisecond):
+	case <-ctx.Done():
+		return
+	}
+	if err := r.c.Replace(ctx, p); err != nil {
+		r.err("%s: replaced after %s: %v", p.Name, f.Kind, err)
+		return
+	}
+	r.mu.Lock()
+	r.o.Replaced++
+	r.mu.Unlock()
+}
+
+// Replace removes a keeper from the members and adds it again with an empty folder.
+func (c *Cluster) Replace(ctx context.Context, p *Process) error {
+	members := func(what string, call *keeper.MembersCall) error {
+		var last error
+		if err := Until(ctx, what, 20*time.Second, func() bool {
+			for _, k := range c.Keepers {
+				if k == p {
+					continue
+				}
+				try, cancel := context.WithTimeout(ctx, 2*time.Second)
+				last = c.Call(try, k, link.PathMembers, call, nil)
+				if cancel(); last == nil {
+					return true
+				}
+				if strings.Contains(last.Error(), "there is no keeper") {
+					last = nil
+					return true
+				}
+			}
+			return false
+		}); err != nil {
+			return fmt.Errorf("%w: %w", err, last)
+		}
+		return nil
+	}
+	in := func(want string) error {
+		return Until(ctx, p.Name+" is "+want, 20*time.Second, func() bool {
+			_, s := c.Leader(ctx)
+			if s == nil {
+				return false
+			}
+			now := "out"
+			for _, m := range s.Members {
+				if name, rest, _ := strings.Cut(m, " "); name == p.Name {
+					now = "in"
+					if strings.HasSuffix(rest, "learner") {
+						now = "learning"
+					}
+				}
+			}
+			return now == want
+		})
+	}
+	if err := errors.Join(members("it is removed", &keeper.MembersCall{Remove: p.Name}), in("out")); err != nil {
+		return err
+	}
+	p.Kill()
+	if err := p.Wipe(); err != nil {
+		return err
+	}
+	file := filepath.Join(p.Dir, "keeper.toml")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, []byte(strings.Replace(string(text), "join = false", "join = true", 1)), 0o600); err != nil {
+		return err
+	}
+	if err := p.Start(); err != nil {
+		return err
+	}
+	return errors.Join(members("it is added", &keeper.MembersCall{Add: p.Name, Addr: p.Addr}), in("in"))
+}
--- /dev/null
+++ b/internal/lab/prove/agreed.go
@@ -0,0 +1,135 @@
+package prove
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/lab/agreemodel"
+	"ringtrack.example/ringtrack/internal/lab/cluster"
+)
+
+// agreedPlan is a run at a scale: 5 keepers, 40 agents and 24 servers in full, 3, 6 and 6 at the least.
+func agreedPlan(o *Options) *cluster.Plan {
+	p := &cluster.Plan{Seed: o.Seed, Keepers: 5, Agents: o.scaled(40, 6), Servers: o.scaled(24, 6), LeaseMs: 1000,
+		RunMs: o.scaled(60_000, 3000), Versions: 2000, PauseMs: o.scaled(40, 10)}
+	if o.Scale < 0.5 {
+		p.Keepers = 3
+	}
+	p.Draw()
+	return p
+}
+
+// Agreed runs keepers, agents and traffic under a schedule of faults: no two agents act on rules that contradict each
+// other, and nothing that was acknowledged is lost.
+func Agreed(ctx context.Context, o *Options) (*Report, error) {
+	p := agreedPlan(o)
+	if o.Defect {
+		p.Defect = "no-meet"
+	}
+	return agreedRun(ctx, o, p)
+}
+
+// AgreedRun runs a plan, as a replay does.
+func AgreedRun(ctx context.Context, o *Options, p *cluster.Plan) (*Report, error) {
+	return agreedRun(ctx, o, p)
+}
+
+func agreedRun(ctx context.Context, o *Options, p *cluster.Plan) (*Report, error) {
+	dir, err := os.MkdirTemp("", "ringtrack-agreed")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	out, err := cluster.Run(ctx, dir, p)
+	r := &Report{Proof: "agreed", Seed: p.Seed, Scale: o.Scale}
+	if err != nil {
+		if out != nil {
+			for name, text := range out.Logs {
+				o.logf("---- %s\n%s", name, text)
+			}
+		}
+		return nil, err
+	}
+	r.add("keepers", float64(p.Keepers), "")
+	r.add("agents", float64(p.Agents), "")
+	r.add("faults", float64(len(p.Faults)), "")
+	r.add("versions", float64(out.Versions), "")
+	r.add("acts", float64(out.Acts), "")
+	r.add("repeats", float64(out.Repeats), "")
+	r.add("contradictions", float64(len(out.Breaches)), "")
+	r.add("by a stop between look and write", float64(out.Stopped), "")
+	r.add("lost or changed", float64(len(out.Lost)), "")
+	r.add("in force p50", millis(percentile(out.Took, 0.5)), " ms")
+	r.add("p99", millis(percentile(out.Took, 0.99)), " ms")
+	r.add("max", millis(percentile(out.Took, 1)), " ms")
+	if n := len(out.Old); n > 0 {
+		r.add("last act by old rules p50", millis(percentile(out.Old, 0.5)), " ms")
+		r.add("max", millis(out.Old[n-1]), " ms")
+	}
+	r.add("second tries of a publish", float64(out.Unknown), "")
+	r.add("keepers replaced", float64(out.Replaced), "")
+	r.add("served", float64(out.Served), "")
+	r.add("refused", float64(out.Refused), "")
+	r.add("failed", float64(out.Failed), "")
+	r.add("no answer", float64(out.Unanswered), "")
+	for i, b := range out.Breaches {
+		if i == 5 {
+			r.short("and %d more", len(out.Breaches)-i)
+			break
+		}
+		r.short("%s (%v late)", b.Text, b.Late.Round(time.Millisecond))
+	}
+	for _, l := range out.Lost {
+		r.short("%s", l)
+	}
+	for _, e := range out.Errors {
+		r.short("%s", e)
+	}
+	if least := 3; out.Versions < least || out.Acts < 100 {
+		r.short("too little happened: %d versions, %d acts", out.Versions, out.Acts)
+	}
+	if len(r.Short) > 0 {
+		keep := filepath.Join(os.TempDir(), fmt.Sprintf("ringtrack-agreed-%d.json", p.Seed))
+		if err := p.Save(keep); err == nil {
+			o.logf("the schedule is in %s; --replay runs it again", keep)
+		}
+		for name, text := range out.Logs {
+			os.WriteFile(filepath.Join(os.TempDir(), fmt.Sprintf("ringtrack-agreed-%d-%s.log", p.Seed, name)), []byte(text), 0o600)
+		}
+	}
+	return r, nil
+}
+
+// AgreedModel checks the deciders of agree on a model: all states within bounds, and random walks beyond.
+func AgreedModel(ctx context.Context, o *Options) (*Report, error) {
+	r := &Report{Proof: "agreed-model", Seed: o.Seed, Scale: o.Scale}
+	d := agreemodel.None
+	if o.Defect {
+		d = agreemodel.NoQuiet
+	}
+	found := func(f *agreemodel.Found) {
+		if f != nil {
+			r.short("%s: %v", f.Why, f.Path)
+		}
+	}
+	for _, b := range []struct {
+		name string
+		agreemodel.Bounds
+	}{{"small", agreemodel.Small}, {"pairs", agreemodel.Pairs}, {"whole", agreemodel.Whole}} {
+		if b.name == "whole" && o.Scale < 1 {
+			continue
+		}
+		n, f := agreemodel.Exhaust(b.Bounds, d, 20_000_000)
+		r.add("states "+b.name, float64(n), "")
+		found(f)
+	}
+	runs := o.scaled(1_000_000, 1000)
+	made, f := agreemodel.Random(agreemodel.Long, d, runs, 150, o.Seed)
+	r.add("random walks", float64(runs), "")
+	r.add("steps", float64(made), "")
+	found(f)
+	return r, ctx.Err()
+}
--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -100,6 +100,8 @@
 
 // All are the proofs, by name.
 var All = []Proof{
+	{"agreed", "5 keepers and 40 agents, a process each, under stops, cuts, kills and lying disks: none acts on rules that contradict another's", 0.15, Agreed},
+	{"agreed-model", "who may act on which version: every state of a small world, a million random walks of a larger one", 0.01, AgreedModel},
 	{"cold", "100 proxies, one cold server: what all send it stays under its fall budget", 1, Cold},
 	{"crowd", "1,000 proxies, 1,000 servers, one drain: time, bytes and CPU, beside go-control-plane's snapshot cache", 0.2, Crowd},
 	{"drains", "1,000 drains under steady requests and with pushes in flight: nothing new later than 250 ms", 0.4, Drains},
