--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ringtrack.example/ringtrack/internal/agree/link"
@@ -28,6 +29,7 @@
 	Bin     string // folder of the binaries
 	LeaseMs float64
 
+	host  string
 	mu    sync.Mutex
 	all   map[string]*Process
 	ways  map[[2]string]*way
@@ -78,14 +80,15 @@
 
 // New makes a cluster in a folder, without processes.
 func New(dir, bin string, leaseMs float64) *Cluster {
-	return &Cluster{Dir: dir, Bin: bin, LeaseMs: leaseMs, all: map[string]*Process{}, ways: map[[2]string]*way{},
+	return &Cluster{host: ownHost(), Dir: dir, Bin: bin, LeaseMs: leaseMs, all: map[string]*Process{}, ways: map[[2]string]*way{},
 		gates: map[[2]string]*gate{}, lab: link.NewCaller()}
 }
 
-// Addrs are n addresses that the kernel chose and that are free again, all held until the last is chosen.
-func Addrs(n int) (addrs []string, err error) {
+// Addrs are n addresses that the kernel chose and that are free again, all held until the last is chosen. They are on a
+// loopback address of this cluster's own, so that nothing else is given one of them until its process listens there.
+func (c *Cluster) Addrs(n int) (addrs []string, err error) {
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", c.host+":0")
 		if err != nil {
 			return nil, err
 		}
@@ -95,6 +98,15 @@
 	return addrs, nil
 }
 
+// hosts counts clusters of this process of the lab.
+var hosts atomic.Uint32
+
+// ownHost is a loopback address that no other cluster has, of this process or, likely, of another.
+func ownHost() string {
+	n := uint32(os.Getpid())*31 + hosts.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 64+n>>14&127, n>>7&127+1, n&127+1)
+}
+
 // Process makes a process of the cluster, which is not started.
 func (c *Cluster) Process(name, addr string, data bool, env []string, args ...string) (*Process, error) {
 	p := &Process{Name: name, Dir: filepath.Join(c.Dir, name), Addr: addr, Env: env, Args: append([]string{filepath.Join(c.Bin, args[0])}, args[1:]...)}
@@ -202,7 +214,7 @@
 
 // AddKeepers makes n keepers that reach one another through the lab.
 func (c *Cluster) AddKeepers(n int) error {
-	addrs, err := Addrs(n)
+	addrs, err := c.Addrs(n)
 	if err != nil {
 		return err
 	}
@@ -226,7 +238,7 @@
 
 // AddJoiner makes a keeper that waits to be added.
 func (c *Cluster) AddJoiner(name string) (*Process, error) {
-	addrs, err := Addrs(1)
+	addrs, err := c.Addrs(1)
 	if err != nil {
 		return nil, err
 	}
@@ -269,7 +281,7 @@
 
 // AddAgents makes n agents that reach the keepers, and some of each other, through the lab.
 func (c *Cluster) AddAgents(n int, cfg *AgentConfig) error {
-	addrs, err := Addrs(3 * n)
+	addrs, err := c.Addrs(3 * n)
 	if err != nil {
 		return err
 	}
