Leases have a second end for the word on servers; versions that wait are gone past; what the proof found is mended

Cause: prove agreed at 40 agents found acts on bans that were lifted or set over 2 s before (agents without a lease went on by their list, which no keeper waited for); a keeper whose clock began below 0 waited for an hour; a holder that asks and never takes up held all up; a publish answered as refused by a keeper that ended. Change: list_ms is the keepers' and is waited for where the word on servers differs; leases on older stages end by themselves; of versions that wait only the last is gone to; a publish that is not applied is not known.

--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -37,29 +37,50 @@
 	Unable string // why it can't take up what it was granted last; "": it can
 }
 
-// Grant is a lease: act on Stage for LeaseMs, counted by the holder's clock from before it asked.
+// Grant is a lease: act on Stage for LeaseMs, counted by the holder's clock from before it asked; and for ListMs more,
+// by the strictest settings, on its word on servers.
 type Grant struct {
 	Stage   uint64
 	LeaseMs float64
+	ListMs  float64
 }
 
+// Words tells whether the word on servers is another anywhere from one stage to a later one. It may say yes where it
+// does not know.
+type Words func(from, to uint64) bool
+
 // Desk gives leases. It is the leading keeper's, and begins anew with each term of it: what it doesn't know then it
 // waits for. Times are ms of the keeper's own steady clock.
 type Desk struct {
-	leaseMs float64
-	quiet   float64 // until when leases of other leaders may hold
-	holders map[Holder]*held
+	leaseMs, listMs float64
+	quiet, quietOn  float64 // until when leases of other leaders may hold, for settings and for servers
+	holders         map[Holder]*held
 }
 
 type held struct {
-	has    uint64  // it acts on no stage under this one
-	until  float64 // behind that no lease of it holds
-	unable string
+	has     uint64 // it acts on no stage under this one
+	granted uint64 // the highest stage that it was granted
+	now     span   // of leases on granted
+	before  span   // of those on lower stages: a holder that is granted more and never takes it up holds them no longer
+	unable  string
+}
+
+// span is until when a lease may hold, and until when its word on servers may be gone by.
+type span struct{ until, lists float64 }
+
+func (s span) most(o span) span { return span{max(s.until, o.until), max(s.lists, o.lists)} }
+
+// under is until when it may act on a stage under this one.
+func (h *held) under(stage uint64) span {
+	if h.granted < stage {
+		return h.now.most(h.before)
+	}
+	return h.before
 }
 
-// NewDesk is a desk that begins to lead at now. Other leaders gave leases of leaseMs at the most until then.
-func NewDesk(now, leaseMs float64) *Desk {
-	return &Desk{leaseMs: leaseMs, quiet: now + wait(leaseMs), holders: map[Holder]*held{}}
+// NewDesk is a desk that begins to lead at now. Other leaders gave leases of these lengths at the most until then.
+func NewDesk(now, leaseMs, listMs float64) *Desk {
+	return &Desk{leaseMs: leaseMs, listMs: listMs, quiet: now + wait(leaseMs), quietOn: now + wait(leaseMs+listMs), holders: map[Holder]*held{}}
 }
 
 // wait is for how long a lease is waited for that was given now.
@@ -79,7 +100,7 @@
 		if d.sweep(now); len(d.holders) >= MostHolders {
 			return nil
 		}
-		h = &held{}
+		h = &held{now: span{now, now}, before: span{now, now}}
 		d.holders[k] = h
 	}
 	return h
@@ -97,8 +118,11 @@
 		// It was told more than this keeper has applied: invariant 2 forbids to lead it back.
 		return Grant{}, false
 	}
-	h.until = max(h.until, now+wait(d.leaseMs))
-	return Grant{Stage: stage, LeaseMs: d.leaseMs}, true
+	if h.granted < stage {
+		h.before, h.granted = h.before.most(h.now), stage
+	}
+	h.now = h.now.most(span{now + wait(d.leaseMs), now + wait(d.leaseMs+d.listMs)})
+	return Grant{Stage: stage, LeaseMs: d.leaseMs, ListMs: d.listMs}, true
 }
 
 // sweep forgets holders whose leases are long over.
@@ -107,39 +131,64 @@
 		return
 	}
 	for k, h := range d.holders {
-		if h.until <= now {
+		if h.now.lists <= now && h.before.lists <= now {
 			delete(d.holders, k)
 		}
 	}
 }
 
-// Next tells whether the stage behind this one may come: then no lease on a stage before it holds. Else hold names who
-// is waited for, sorted, and until when at the latest by what is known now.
-func (d *Desk) Next(now float64, stage uint64) (may bool, until float64, hold []string) {
-	if now < d.quiet {
-		until, hold = d.quiet, append(hold, "leases that another leader gave")
+// Next tells whether the stage behind this one may come: then nobody acts on a stage before this one, by its settings
+// or by a word on servers that the next stage no longer has. Else hold names who is waited for, sorted, and until when
+// at the latest by what is known now.
+func (d *Desk) Next(now float64, stage uint64, words Words) (may bool, until float64, hold []string) {
+	return d.older(now, stage, stage+1, words)
+}
+
+// Taken tells whether all that is acted on is this stage's, and who holds it up.
+func (d *Desk) Taken(now float64, stage uint64, words Words) (taken bool, hold []string) {
+	taken, _, hold = d.older(now, stage, stage, words)
+	return taken, hold
+}
+
+// older finds who acts on a stage before this one, or may go by another word on servers than stage to has.
+func (d *Desk) older(now float64, stage, to uint64, words Words) (none bool, until float64, hold []string) {
+	ends := func(settings, lists float64, has uint64) float64 {
+		if lists > now && words(has, to) {
+			return lists
+		}
+		return settings
+	}
+	if stage > 0 {
+		// Whom another leader gave a lease, and this one does not know, has the stage before at the least, or one with
+		// the same word.
+		if u := ends(d.quiet, d.quietOn, stage-1); u > now {
+			until, hold = u, append(hold, "leases that another leader gave")
+		}
 	}
 	for k, h := range d.holders {
-		if h.until > now && h.has < stage {
-			until = max(until, h.until)
-			if why := k.Name; h.unable != "" {
-				hold = append(hold, fmt.Sprintf("%s: %s", why, h.unable))
-			} else {
-				hold = append(hold, why)
-			}
+		if h.has >= stage {
+			continue
 		}
+		older := h.under(stage)
+		u := ends(older.until, older.lists, h.has)
+		if u <= now {
+			continue
+		}
+		until = max(until, u)
+		line := fmt.Sprintf("%s (start %s) on stage %d, %.0f ms at the most", k.Name, k.Inc, h.has, u-now)
+		if h.unable != "" {
+			line += ": " + h.unable
+		}
+		hold = append(hold, line)
 	}
 	slices.Sort(hold)
 	return len(hold) == 0, until, hold
 }
 
-// Taken tells whether every lease that holds is on this stage.
-func (d *Desk) Taken(now float64, stage uint64) bool { may, _, _ := d.Next(now, stage); return may }
-
 // Clone is a copy that shares nothing, and State the desk's state in words that are the same for the same state, with
 // times from now on: for model checks.
 func (d *Desk) Clone() *Desk {
-	c := &Desk{leaseMs: d.leaseMs, quiet: d.quiet, holders: make(map[Holder]*held, len(d.holders))}
+	c := &Desk{leaseMs: d.leaseMs, listMs: d.listMs, quiet: d.quiet, quietOn: d.quietOn, holders: make(map[Holder]*held, len(d.holders))}
 	for k, h := range d.holders {
 		copied := *h
 		c.holders[k] = &copied
@@ -151,19 +200,20 @@
 func (d *Desk) State(now float64) string {
 	var lines []string
 	for k, h := range d.holders {
-		if h.until > now {
-			lines = append(lines, fmt.Sprintf("%s/%s:%d,%.3f", k.Name, k.Inc, h.has, h.until-now))
+		if h.now.lists > now || h.before.lists > now {
+			lines = append(lines, fmt.Sprintf("%s/%s:%d,%d,%.3f,%.3f,%.3f,%.3f", k.Name, k.Inc, h.has, h.granted,
+				max(h.now.until-now, 0), max(h.now.lists-now, 0), max(h.before.until-now, 0), max(h.before.lists-now, 0)))
 		}
 	}
 	slices.Sort(lines)
-	return fmt.Sprintf("%.3f %v", max(d.quiet-now, 0), lines)
+	return fmt.Sprintf("%.3f %.3f %v", max(d.quiet-now, 0), max(d.quietOn-now, 0), lines)
 }
 
 // Holding is who holds a lease, by name, with its stage.
 func (d *Desk) Holding(now float64) map[string]uint64 {
 	out := map[string]uint64{}
 	for k, h := range d.holders {
-		if h.until > now {
+		if h.now.until > now {
 			if was, in := out[k.Name]; !in || h.has < was {
 				out[k.Name] = h.has
 			}
@@ -176,21 +226,26 @@
 type Lease struct {
 	Stage uint64  // the last that was taken up
 	Until float64 // the lease holds before that
+	Lists float64 // and its word on servers before that
+	Taken bool    // it was given at all; a clock may begin anywhere
 }
 
 // Take counts a grant that was asked for at askedMs, a moment before the ask left. It tells whether the grant is one to
 // act on: one on a lower stage than was taken up before is not (invariant 2), nor one that is over.
 func (l *Lease) Take(askedMs, now float64, g Grant) bool {
-	until := askedMs + g.LeaseMs*(1-DriftMost)
+	until, lists := askedMs+g.LeaseMs*(1-DriftMost), askedMs+(g.LeaseMs+g.ListMs)*(1-DriftMost)
 	if g.Stage < l.Stage || until <= now {
 		return false
 	}
-	if g.Stage > l.Stage {
-		l.Until = until // the older lease was for another stage
+	if g.Stage > l.Stage || !l.Taken {
+		l.Until, l.Lists = until, lists // the older lease was for another stage
 	}
-	l.Stage, l.Until = g.Stage, max(l.Until, until)
+	l.Stage, l.Until, l.Lists, l.Taken = g.Stage, max(l.Until, until), max(l.Lists, lists), true
 	return true
 }
 
 // Holds tells whether the lease holds.
-func (l *Lease) Holds(now float64) bool { return now < l.Until }
+func (l *Lease) Holds(now float64) bool { return l.Taken && now < l.Until }
+
+// HoldsList tells whether servers may be chosen by its word on them.
+func (l *Lease) HoldsList(now float64) bool { return l.Taken && now < l.Lists }
--- a/internal/agree/book.go
+++ b/internal/agree/book.go
@@ -11,7 +11,7 @@
 
 const (
 	// MostHistory bounds the versions that are kept; older ones are in snapshots of before, if anywhere.
-	MostHistory = 256
+	MostHistory = 512
 	// MostAhead bounds versions published and not yet in force.
 	MostAhead = 16
 )
@@ -86,10 +86,32 @@
 	case b.Stage%2 == 0:
 		return &rulebook.Terms{Stage: b.Stage, Book: b.book(n)}
 	default:
-		return &rulebook.Terms{Stage: b.Stage, Book: between(b.book(n), b.book(n+1))}
+		return &rulebook.Terms{Stage: b.Stage, Book: between(b.book(b.Version(n+1).From), b.book(n+1))}
 	}
 }
 
+// Words tells whether the word on servers changes anywhere from one stage to a later one; it is one of agree's Words.
+func (b *Book) Words(from, to uint64) bool {
+	if from/2 < b.Dropped || from == 0 && to > 0 {
+		return true // not known any more, or each agent's own
+	}
+	first := from / 2
+	if from%2 == 1 {
+		if v := b.Version(first + 1); v != nil {
+			first = v.From // it is the step from there
+		}
+	}
+	if first < b.Dropped || first == 0 {
+		return true
+	}
+	for n := first; n < (to+1)/2; n++ {
+		if x, y := b.book(n), b.book(n+1); x == nil || y == nil || !x.SameWord(y) {
+			return true
+		}
+	}
+	return false
+}
+
 // Wants tells whether there is a stage to go to.
 func (b *Book) Wants() bool { return b.Stage < rulebook.Stage(b.Last()) }
 
@@ -99,7 +121,7 @@
 	switch {
 	case op.Advance != nil:
 		if *op.Advance == b.Stage && b.Wants() {
-			b.Stage++
+			b.advance()
 		}
 		return nil, nil
 	case op.Ban != nil:
@@ -110,6 +132,22 @@
 	return nil, fmt.Errorf("agree: an entry without content")
 }
 
+// advance goes to the next stage. From a version it is the step to the last one that the step leaves enough room to; of
+// those that were published meanwhile the others are passed over.
+func (b *Book) advance() {
+	if b.Stage%2 == 1 {
+		b.Stage++
+		return
+	}
+	from, to := b.Stage/2, b.Last()
+	for to > from+1 && meet.Refuse(b.book(from), b.book(to)) != nil {
+		to--
+	}
+	v := b.Version(to)
+	v.From, v.Stepped = from, true
+	b.Stage = rulebook.Stage(to) - 1
+}
+
 func (b *Book) done(id string) *rulebook.Version {
 	for i := range b.Versions {
 		if b.Versions[i].ID == id {
@@ -164,9 +202,20 @@
 	return b.publish(&Publish{ID: o.ID, Parent: b.Last(), Book: next, Author: o.Author, Reason: reason, AtMs: o.AtMs})
 }
 
+// inUse is the oldest version that what is in force, or acted on just before, was made of.
+func (b *Book) inUse() uint64 {
+	n := (b.Stage + 1) / 2
+	for range 2 {
+		if v := b.Version(n); v != nil && v.Stepped {
+			n = v.From
+		}
+	}
+	return n
+}
+
 // trim drops the oldest versions, never one that a stage in force or to come needs.
 func (b *Book) trim() {
-	for len(b.Versions) > MostHistory && b.Versions[0].Number < b.Stage/2 {
+	for len(b.Versions) > MostHistory && b.Versions[0].Number+1 < b.inUse() {
 		b.Versions = slices.Delete(b.Versions, 0, 1)
 		b.Dropped++
 	}
--- a/internal/agree/link/call.go
+++ b/internal/agree/link/call.go
@@ -47,6 +47,7 @@
 type RenewAnswer struct {
 	Stage   uint64          `json:"stage"`
 	LeaseMs float64         `json:"lease_ms"`
+	ListMs  float64         `json:"list_ms"` // for how long behind it the word on servers may be gone by
 	Book    json.RawMessage `json:"book,omitempty"`
 }
 
--- a/internal/agree/link/config.go
+++ b/internal/agree/link/config.go
@@ -19,18 +19,17 @@
 
 // Config is what deploy/agreed.toml says. Keys, units and defaults are on the operators' page.
 type Config struct {
-	Keepers     []string `toml:"keepers"`
-	Peers       []string `toml:"peers"`         // agents that may relay an ask
-	Listen      string   `toml:"listen"`        // where peers bring theirs; "": nowhere
-	CallMs      float64  `toml:"call_ms"`       // for an answer, beside what the keeper may wait
-	WaitMs      float64  `toml:"wait_ms"`       // for how long a keeper may wait for something new
-	ListLapseMs float64  `toml:"list_lapse_ms"` // how long after its lease the agent still sends by the list it knows
-	OnLapse     string   `toml:"on_lapse"`
+	Keepers []string `toml:"keepers"`
+	Peers   []string `toml:"peers"`   // agents that may relay an ask
+	Listen  string   `toml:"listen"`  // where peers bring theirs; "": nowhere
+	CallMs  float64  `toml:"call_ms"` // for an answer, beside what the keeper may wait
+	WaitMs  float64  `toml:"wait_ms"` // for how long a keeper may wait for something new
+	OnLapse string   `toml:"on_lapse"`
 }
 
 // Load reads and checks a file.
 func Load(path string) (*Config, error) {
-	c := &Config{CallMs: 400, WaitMs: 500, ListLapseMs: 10_000, OnLapse: LapseRefuse}
+	c := &Config{CallMs: 400, WaitMs: 500, OnLapse: LapseRefuse}
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, fmt.Errorf("agreed: %w", err)
@@ -56,7 +55,7 @@
 		key         string
 		value       float64
 		least, most float64
-	}{{"call_ms", c.CallMs, 10, 10_000}, {"wait_ms", c.WaitMs, 0, 10_000}, {"list_lapse_ms", c.ListLapseMs, 0, 3_600_000}} {
+	}{{"call_ms", c.CallMs, 10, 10_000}, {"wait_ms", c.WaitMs, 0, 10_000}} {
 		if !(v.value >= v.least && v.value <= v.most) {
 			return nil, fmt.Errorf("agreed: %s: must be %v to %v, is %v", v.key, v.least, v.most, v.value)
 		}
--- a/internal/agree/link/link.go
+++ b/internal/agree/link/link.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	mrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -65,8 +66,10 @@
 
 // New returns a link for an agent of this name.
 func New(cfg *Config, name string, target Target) *Link {
-	return &Link{cfg: cfg, holder: agree.Holder{Name: name, Inc: NewIncarnation()}, target: target, caller: NewCaller(),
+	l := &Link{cfg: cfg, holder: agree.Holder{Name: name, Inc: NewIncarnation()}, target: target, caller: NewCaller(),
 		last: mrand.IntN(len(cfg.Keepers)), relay: make(chan struct{}, relays)}
+	l.until.Store(math.MinInt64 / 2)
+	return l
 }
 
 // Figures are the link's counts.
@@ -160,11 +163,10 @@
 // take takes up what was granted.
 func (l *Link) take(ctx context.Context, asked float64, a *RenewAnswer) error {
 	next := l.lease
-	if !next.Take(countFrom(asked), clock.Steady(), agree.Grant{Stage: a.Stage, LeaseMs: a.LeaseMs}) {
+	if !next.Take(countFrom(asked), clock.Steady(), agree.Grant{Stage: a.Stage, LeaseMs: a.LeaseMs, ListMs: a.ListMs}) {
 		return fmt.Errorf("a grant of stage %d, %.0f ms after it was asked for, with stage %d in hand", a.Stage, clock.Steady()-asked, l.lease.Stage)
 	}
-	until := clock.At(next.Until)
-	lists := until.Add(time.Duration(l.cfg.ListLapseMs * float64(time.Millisecond)))
+	until, lists := clock.At(next.Until), clock.At(next.Lists)
 	if a.Stage == l.lease.Stage && l.figures.Adopted.Load() > 0 {
 		l.target.Renew(ctx, until, lists)
 	} else {
--- a/internal/keeper/api.go
+++ b/internal/keeper/api.go
@@ -178,7 +178,7 @@
 	if g.err != nil {
 		return nil, g.err
 	}
-	out := &link.RenewAnswer{Stage: g.grant.Stage, LeaseMs: g.grant.LeaseMs}
+	out := &link.RenewAnswer{Stage: g.grant.Stage, LeaseMs: g.grant.LeaseMs, ListMs: g.grant.ListMs}
 	if g.terms != nil {
 		var err error
 		if out.Book, err = json.Marshal(g.terms.Book); err != nil {
@@ -202,6 +202,8 @@
 		case errors.Is(r.err, errNotLeading):
 			var out link.PublishAnswer
 			return &out, k.forward(req, in, &out, publishTime)
+		case r.err != nil && !r.applied: // it may still be on its way
+			return nil, r.err
 		case r.err != nil && (errors.Is(r.err, agree.ErrParent) || errors.Is(r.err, agree.ErrAhead)):
 			return nil, r.err
 		case r.err != nil:
@@ -353,7 +355,7 @@
 	if k.desk != nil {
 		now := k.now()
 		s.Holders = maps.Clone(k.desk.Holding(now))
-		_, _, s.HeldUp = k.desk.Next(now, k.state.Book.Stage)
+		_, s.HeldUp = k.desk.Taken(now, k.state.Book.Stage, k.state.Book.Words)
 	}
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -100,9 +100,11 @@
 	err   error
 }
 
+// result is what came of a publish. Unless it was applied an error leaves open whether it will be.
 type result struct {
-	v   *rulebook.Version
-	err error
+	v       *rulebook.Version
+	err     error
+	applied bool
 }
 
 var errNotLeading = errors.New("this keeper does not lead")
@@ -215,7 +217,7 @@
 	}
 	k.rn, err = raft.NewRawNode(&raft.Config{ID: k.id.ID, ElectionTick: electionTicks, HeartbeatTick: heartbeatTicks, Storage: k.st,
 		Applied: k.applied, MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 64 << 20, CheckQuorum: true, PreVote: true,
-		StepDownOnRemoval: true, Logger: logger{}})
+		StepDownOnRemoval: true, DisableProposalForwarding: true, Logger: logger{}})
 	return err
 }
 
@@ -360,7 +362,7 @@
 			id = op.Ban.ID
 		}
 		for _, c := range k.opens[id] {
-			c <- result{v, err}
+			c <- result{v, err, true}
 		}
 		delete(k.opens, id)
 		if k.state.Book.Stage != was {
@@ -384,7 +386,7 @@
 	}
 	// Its own entry of the term says that all of before is applied: from here on this keeper may give leases.
 	if t := k.rn.BasicStatus(); k.soft.RaftState == raft.StateLeader && e.GetTerm() == t.GetTerm() && (k.desk == nil || k.deskTerm != e.GetTerm()) {
-		k.desk, k.deskTerm = agree.NewDesk(clock.Steady(), k.cfg.LeaseMs), e.GetTerm()
+		k.desk, k.deskTerm = agree.NewDesk(clock.Steady(), k.cfg.LeaseMs, k.cfg.ListMs), e.GetTerm()
 	}
 	return nil
 }
@@ -421,7 +423,7 @@
 	if b.Stage == k.proposed && now-k.at < k.cfg.TickMs*electionTicks {
 		return // it is on its way
 	}
-	if may, _, _ := k.desk.Next(now, b.Stage); may {
+	if may, _, _ := k.desk.Next(now, b.Stage, b.Words); may {
 		stage := b.Stage
 		if data, err := json.Marshal(&agree.Op{Advance: &stage}); err == nil && k.rn.Propose(data) == nil {
 			k.proposed, k.at = stage, now
--- a/internal/rulebook/rulebook.go
+++ b/internal/rulebook/rulebook.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -157,19 +158,22 @@
 
 // Version is a book that was published.
 type Version struct {
-	Number uint64 `json:"number"` // from 1 on, without gaps
-	Parent uint64 `json:"parent"` // the number before
-	Digest string `json:"digest"`
-	ID     string `json:"id"` // the publisher's own: a second try of it is the same version
-	Author string `json:"author"`
-	Reason string `json:"reason"`
-	AtMs   int64  `json:"at_ms"` // by the clock of the keeper that took it; for people, decides nothing
-	Book   *Book  `json:"book,omitempty"`
+	Number  uint64 `json:"number"` // from 1 on, without gaps
+	Parent  uint64 `json:"parent"` // the number before
+	From    uint64 `json:"from"`   // the one that was in force before it, once Stepped; those between never were
+	Stepped bool   `json:"stepped"`
+	Digest  string `json:"digest"`
+	ID      string `json:"id"` // the publisher's own: a second try of it is the same version
+	Author  string `json:"author"`
+	Reason  string `json:"reason"`
+	AtMs    int64  `json:"at_ms"` // by the clock of the keeper that took it; for people, decides nothing
+	Book    *Book  `json:"book,omitempty"`
 }
 
-// Terms are what may be acted on at one stage. Stage 2n is version n itself; 2n+1 is what n and n+1 both permit.
-// Stages only grow, by one, and at any time two neighbouring ones are acted on at the most. Stage 0 is before any
-// version: no rules but each agent's own file.
+// Terms are what may be acted on at one stage. Stage 2n is version n itself; 2n-1 is what n and the version in force
+// before it both permit. Stages only grow; of versions that wait while another comes in force only the last is gone to.
+// At any time two neighbouring stages are acted on at the most. Stage 0 is before any version: no rules but each agent's
+// own file.
 type Terms struct {
 	Stage uint64 `json:"stage"`
 	Book  *Book  `json:"book"`
@@ -187,6 +191,11 @@
 	return in || !b.Listed
 }
 
+// SameWord tells whether two books say the same of servers.
+func (b *Book) SameWord(of *Book) bool {
+	return b.Listed == of.Listed && slices.Equal(b.Bans, of.Bans) && maps.Equal(b.Servers, of.Servers)
+}
+
 // May tells whether the book lets an agent of this name hold a lease.
 func (b *Book) May(name string) bool {
 	_, in := slices.BinarySearch(b.Agents, name)
