--- a/internal/lab/cluster/acts.go
+++ b/internal/lab/cluster/acts.go
@@ -71,6 +71,23 @@
 	}
 }
 
+// Len is the number of acts so far, By how many since the from-th came to a server, by agent.
+func (a *Acts) Len() int { a.mu.Lock(); defer a.mu.Unlock(); return len(a.acts) }
+
+// By implements the other half of Len.
+func (a *Acts) By(server string, from int) map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := map[string]int{}
+	for _, x := range a.acts[from:] {
+		if x.server == server {
+			name, _, _ := strings.Cut(x.op, "-")
+			out[name]++
+		}
+	}
+	return out
+}
+
 // Published notes a version whose publish was begun at sent.
 func (a *Acts) Published(number uint64, b *rulebook.Book, sent time.Time) {
 	a.mu.Lock()
--- a/internal/lab/cluster/agents_test.go
+++ b/internal/lab/cluster/agents_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,3 +90,109 @@
 		t.Error("too little happened")
 	}
 }
+
+// A ban at one agent's door is in force at all, also where its end is told at another's; without keepers it holds where it
+// was told, and that is said.
+func TestOneWordForBans(t *testing.T) {
+	c, tr, ctx := fleet(t, 3, 0)
+	door := func(a *Process, word string, want int) {
+		t.Helper()
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+a.Door+"/admin/"+word+"?name=s-02", nil)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%s at %s: %d, not %d", word, a.Name, resp.StatusCode, want)
+		}
+	}
+	// goes tells whether every agent sends to the server now, or none does.
+	goes := func(what string, on bool, of ...*Process) {
+		t.Helper()
+		time.Sleep(250 * time.Millisecond) // what was on its way
+		from := tr.Acts.Len()
+		if err := Until(ctx, what, 10*time.Second, func() bool {
+			if !on {
+				time.Sleep(400 * time.Millisecond)
+				return true
+			}
+			by := tr.Acts.By("s-02", from)
+			for _, a := range of {
+				if by[a.Name] == 0 {
+					return false
+				}
+			}
+			return true
+		}); err != nil {
+			t.Error(err)
+		}
+		if by := tr.Acts.By("s-02", from); !on {
+			for _, a := range of {
+				if by[a.Name] > 0 {
+					t.Errorf("%s: %v", what, by)
+				}
+			}
+		}
+	}
+	goes("at first", true, c.Agents...)
+	door(c.Agents[0], "cordon", http.StatusOK)
+	c.forced(t, ctx, tr, rulebook.Stage(1))
+	goes("banned at one door", false, c.Agents...)
+	door(c.Agents[1], "uncordon", http.StatusOK)
+	c.forced(t, ctx, tr, rulebook.Stage(2))
+	goes("the ban ended at another", true, c.Agents...)
+	for _, k := range c.Keepers {
+		k.Kill()
+	}
+	door(c.Agents[0], "cordon", http.StatusInternalServerError)
+	goes("banned without keepers", false, c.Agents[0])
+	for _, k := range c.Keepers {
+		if err := k.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.leads(t, ctx)
+	door(c.Agents[0], "cordon", http.StatusOK)
+	c.forced(t, ctx, tr, rulebook.Stage(3))
+	goes("banned once they are back", false, c.Agents...)
+}
+
+// An agent that reaches no keeper keeps its lease through a peer that does; alone it goes by the strictest form, refuses
+// once its word on servers is over, and is itself again when it hears.
+func TestAnAskGoesThroughAPeer(t *testing.T) {
+	c, tr, ctx := fleet(t, 3, 2)
+	figure := func(a *Process, name string) int {
+		resp, err := http.Get("http://" + a.Door + "/admin/stats")
+		if err != nil {
+			return -1
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		_, rest, _ := strings.Cut(string(text), "app."+name+"=")
+		n := -1
+		fmt.Sscan(rest, &n)
+		return n
+	}
+	a := c.Agents[0]
+	c.Cut(a.Name, c.Keepers, Stall, Stall)
+	if err := Until(ctx, "it holds a lease by a peer", 10*time.Second, func() bool {
+		return figure(c.Agents[1], "agreed.asks_relayed")+figure(c.Agents[2], "agreed.asks_relayed") > 2 && figure(a, "agreed.lease_ms") > 0
+	}); err != nil {
+		t.Fatal(err)
+	}
+	c.Cut(a.Name, c.Agents, Stall, Stall)
+	if err := Until(ctx, "it refuses, cut off from all", 10*time.Second, func() bool {
+		return figure(a, "agreed.strict") == 1 && figure(a, "agreed.shut") == 1
+	}); err != nil {
+		t.Fatal(err)
+	}
+	refused := tr.Refused.Load()
+	if err := Until(ctx, "its clients are told", 5*time.Second, func() bool { return tr.Refused.Load() > refused }); err != nil {
+		t.Error(err)
+	}
+	c.Cut(a.Name, c.Keepers, Pass, Pass)
+	if err := Until(ctx, "it is itself again", 10*time.Second, func() bool { return figure(a, "agreed.strict") == 0 && figure(a, "agreed.shut") == 0 }); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -326,6 +326,7 @@
 			return err
 		}
 		p.Env = append([]string{"PROXY_CONFIG=config.json", "PROXY_AGREED=agreed.toml", "TMPDIR=" + p.Dir}, cfg.Env...)
+		p.Door = addrs[n+i]
 		c.Agents = append(c.Agents, p)
 	}
 	return nil
--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -24,6 +24,7 @@
 	Args []string // program and arguments
 	Env  []string
 	Addr string // where it answers
+	Door string // where operators call; "": nowhere
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
