--- a/cmd/ringtrack-lab/main.go
+++ b/cmd/ringtrack-lab/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"ringtrack.example/ringtrack/internal/lab/cluster"
 	"ringtrack.example/ringtrack/internal/lab/demo"
 	"ringtrack.example/ringtrack/internal/lab/experiment"
 	"ringtrack.example/ringtrack/internal/lab/prove"
@@ -21,6 +22,7 @@
 type cli struct {
 	Demo       struct{}      `cmd:"" help:"A small fleet, a roster, the agent and clients; takes about 15 s."`
 	Prove      proveCmd      `cmd:"" help:"Run a long proof and print its figures; exit 1 where one falls short."`
+	Replay     replayCmd     `cmd:"" help:"Run a schedule of faults again that a run of 'prove agreed' left."`
 	Experiment experimentCmd `cmd:"" help:"Run scenarios of the emulator under several policies."`
 }
 
@@ -34,6 +36,39 @@
 	Defect bool    `help:"Seed the lab's defect, which the proof is to find."`
 }
 
+type replayCmd struct {
+	File   string `arg:"" type:"existingfile"`
+	Shrink int    `help:"Look for fewer faults that still fall short, with so many runs at the most; they are written to FILE.small."`
+}
+
+func (c *replayCmd) run(ctx context.Context) error {
+	p, err := cluster.LoadPlan(c.File)
+	if err != nil {
+		return err
+	}
+	defer cluster.Clean()
+	o := &prove.Options{Seed: p.Seed, Scale: 1, Log: os.Stderr}
+	r, err := prove.AgreedRun(ctx, o, p)
+	if err != nil {
+		return err
+	}
+	fmt.Println(r.Line())
+	if len(r.Short) == 0 {
+		return nil
+	}
+	if c.Shrink > 0 {
+		small := cluster.Shrink(p, c.Shrink, func(less *cluster.Plan) bool {
+			r, err := prove.AgreedRun(ctx, o, less)
+			return err == nil && len(r.Short) > 0
+		})
+		if err := small.Save(c.File + ".small"); err != nil {
+			return err
+		}
+		fmt.Printf("%d faults of %d are in %s.small\n", len(small.Faults), len(p.Faults), c.File)
+	}
+	return fmt.Errorf("replay %s: falls short", c.File)
+}
+
 type experimentCmd struct {
 	Check struct {
 		File string `arg:"" type:"existingfile"`
@@ -75,6 +110,8 @@
 		return demo.Run(ctx, os.Stdout)
 	case "prove", "prove <name>":
 		return c.Prove.run(ctx)
+	case "replay <file>":
+		return c.Replay.run(ctx)
 	case "experiment check <file>":
 		_, err := experiment.Load(c.Experiment.Check.File)
 		return err
@@ -131,6 +168,7 @@
 	if c.Seed == 0 {
 		c.Seed = uint64(time.Now().UnixNano() % 1e6)
 	}
+	defer cluster.Clean()
 	r, err := p.Run(ctx, &prove.Options{Seed: c.Seed, Scale: c.Scale, Defect: c.Defect, Log: os.Stderr})
 	if err != nil {
 		return fmt.Errorf("prove %s: seed %d: %w", p.Name, c.Seed, err)
--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -103,6 +103,7 @@
 	{"agreed", "5 keepers and 40 agents, a process each, under stops, cuts, kills and lying disks: none acts on rules that contradict another's", 0.15, Agreed},
 	{"agreed-model", "who may act on which version: every state of a small world, a million random walks of a larger one", 0.01, AgreedModel},
 	{"agreed-size", "10, 300 and 3,000 holders at three keepers: time from a publish to in force, CPU, and no storm as the leader dies", 0.1, AgreedSize},
+	{"agreed-histories", "200 histories of publishes and reads while keepers fail and one disk lies: the book is one register (Porcupine)", 0.05, Histories},
 	{"keeper-kills", "1,000 kills and power cuts of keepers under publishing: the log opens, nothing acknowledged is lost", 0.02, KeeperKills},
 	{"cold", "100 proxies, one cold server: what all send it stays under its fall budget", 1, Cold},
 	{"crowd", "1,000 proxies, 1,000 servers, one drain: time, bytes and CPU, beside go-control-plane's snapshot cache", 0.2, Crowd},
