A client that has just come is not closed while descriptors are left; beyond, its request is refused

Answers take seconds there, so that more clients have a request open than a quarter of the descriptors; the only connection without one is then the one that has just come, and it was closed at once. Ruled out: want of descriptors (207 to 244 of 544 to 640 in use), the accept queue (the close is the agent's own). At fault: clientConns.first (a newcomer gives way when nobody else can), clientRoom as the most there may be.

Change: beyond a quarter of the descriptors only idle and long silent connections give way; beyond 7/16 newcomers do, and before that a request is refused when 7/8 of the connections have one open. Thrift the same. The descriptors are shared among the fronts that there are.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,7 +39,7 @@
 	budget := semaphore.NewWeighted(cfg.budget())
 	pool := newPool(cfg)
 	upstream := &httpup.Upstream{Pool: pool, Budget: budget, Reports: cfg.reports()}
-	f := httpfront.New(&cfg.Settings, budget, upstream, cfg.clientRoom())
+	f := httpfront.New(&cfg.Settings, budget, upstream, cfg.clientRoom(), cfg.clientConns())
 	upstreams := []core.Upstream{upstream}
 	tf, tln, err := newThrift(cfg, budget, pool)
 	if err != nil {
@@ -149,7 +149,7 @@
 	slog.Info("listening for Thrift", "addr", ln.Addr().String())
 	limits := thriftwire.Limits{Size: c.FrameLimit, Depth: c.DepthLimit}
 	return &thrift.Front{Upstream: &thriftup.Upstream{Pool: pool, Budget: budget, Limits: limits}, Budget: budget,
-		Table: table, Limits: limits, Most: cfg.clientRoom(), AfterMs: cfg.Settings.Limits.MaxRetryAfterMs}, ln, nil
+		Table: table, Limits: limits, Most: cfg.clientConns(), AfterMs: cfg.Settings.Limits.MaxRetryAfterMs}, ln, nil
 }
 
 func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -218,12 +218,22 @@
 // minSockets leaves a few connections to each side beside the reserve.
 const minSockets = 64
 
-// backendConns is the most connections to backends, clientRoom how many clients may be
-// connected before idle ones give way: less than the third of the descriptors that
-// the clients hold for requests at most. The rest is for the listener, discovery, the
-// log, the runtime's own, and what is just being closed.
+// backendConns is the most connections to backends, clientConns the most of clients, over all fronts. The rest
+// is for the listener, discovery, the log, the runtime's own, and what is just being closed.
 func (c *Config) backendConns() int { return c.Sockets * 7 / 16 }
-func (c *Config) clientRoom() int   { return c.Sockets / 4 }
+func (c *Config) clientConns() int  { return c.Sockets * 7 / 16 / c.fronts() }
+
+// clientRoom is how many clients of a front may be connected before idle ones give way: the application has a
+// limit of its own, and those that stay for nothing leave it none for the next request.
+func (c *Config) clientRoom() int { return c.Sockets / 4 / c.fronts() }
+
+// fronts is the number of fronts that clients connect to.
+func (c *Config) fronts() int {
+	if c.Thrift != "" {
+		return 2
+	}
+	return 1
+}
 
 // newPool makes the pool of connections to backends that all upstreams share. A backend closes at
 // keepalive at the latest; half of it is well before.
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -378,7 +378,7 @@
 		left = c.Left
 	}
 	most := l.cfg.Settings.Limits.OpenCap
-	if left <= 0 || most > 0 && l.open > most || l.agreed.shut(time.Now()) {
+	if left <= 0 || c.NoRoom || most > 0 && l.open > most || l.agreed.shut(time.Now()) {
 		l.refuse(r, l.cfg.Settings.Limits.MaxRetryAfterMs)
 		return r
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -26,6 +26,7 @@
 	Payload  any         // the front's, for its upstream
 	Answer   chan Answer // of capacity one: the loop never waits for a client
 	Unique   bool        // the id is the front's own and never comes again
+	NoRoom   bool        // its front has no connections left for more: it is refused
 
 	// RepeatBy, where it is not zero, is until when the attempt that is made now may be begun: it repeats one
 	// that may have run, and behind that its key is no longer known; or behind that the agent's lease is over.
--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -23,8 +23,13 @@
 // It makes room long before the descriptors run out: the application has a limit of
 // its own, and where all it may hold are connections of callers that asked once and
 // stay, it can't bring another request. Which of them idle for good only it knows.
+//
+// Where nearly all have a request open there is nobody else to give way but those that have just come, and who
+// closes them has lost their requests. So they stay for as long as there are descriptors, and requests are
+// refused before there are none: a part of the connections is left for those that still bring one.
 type clientConns struct {
-	max     int // from here on room is made
+	max     int // from here on those that idle or were silent for long give way
+	most    int // all there may be: from here on newcomers do, too
 	mu      sync.Mutex
 	conns   map[net.Conn]*clientConn // bound: the descriptors; beyond max those without a request go
 	closing int
@@ -53,8 +58,23 @@
 
 type connKey struct{}
 
-func newClientConns(most int) *clientConns {
-	return &clientConns{max: most, conns: map[net.Conn]*clientConn{}}
+// newClientConns makes room from max connections on, and has at most most of them.
+func newClientConns(max, most int) *clientConns {
+	return &clientConns{max: max, most: most, conns: map[net.Conn]*clientConn{}}
+}
+
+// busyPart of the connections may have a request open; the others are for those that still bring one.
+const busyPart = 7.0 / 8
+
+// crowded tells whether too many connections have a request open for one more.
+func (c *clientConns) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	busy := len(c.conns) - c.closing
+	for i := range c.waiting {
+		busy -= c.waiting[i].Len()
+	}
+	return float64(busy) > busyPart*float64(c.most)
 }
 
 // context lets a handler find its connection.
@@ -107,25 +127,32 @@
 	}
 }
 
-// first is the connection to give way next, nil if there is none.
+// first is the connection to give way next, nil if there is none, or only newcomers and room for them.
 func (c *clientConns) first() net.Conn {
 	var oldest net.Conn
+	full, burst := len(c.conns)-c.closing > c.most, false
 	for _, kind := range []int{silent, coming} {
 		e := c.waiting[kind].Front()
 		if e == nil {
 			continue
 		}
 		nc := e.Value.(net.Conn)
-		if c.waiting[kind].Len() > c.max/4 || time.Since(c.conns[nc].since) > newcomer {
+		many := c.waiting[kind].Len() > c.max/4
+		if many && full || time.Since(c.conns[nc].since) > newcomer {
 			return nc
 		}
+		burst = burst || many
 		if oldest == nil || c.conns[nc].since.Before(c.conns[oldest].since) {
 			oldest = nc
 		}
 	}
-	if e := c.waiting[idle].Front(); e != nil {
+	// Many that come at once push out nobody but each other.
+	if e := c.waiting[idle].Front(); e != nil && !burst {
 		return e.Value.(net.Conn)
 	}
+	if !full {
+		return nil
+	}
 	return oldest
 }
 
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -62,8 +62,8 @@
 }
 
 // New returns a front whose calls go out by this upstream. budget is the memory for bodies; beyond room
-// connections those without an open request give way.
-func New(settings *policy.Settings, budget *semaphore.Weighted, upstream core.Upstream, room int) *Front {
+// connections those that idle give way, and there are at most most.
+func New(settings *policy.Settings, budget *semaphore.Weighted, upstream core.Upstream, room, most int) *Front {
 	f := &Front{settings: settings, budget: budget, upstream: upstream, classes: map[string]int{}, tenants: map[string]int{}, served: make(chan struct{})}
 	for i, c := range settings.Classes {
 		f.classes[c.Name] = i
@@ -71,7 +71,7 @@
 	for i, t := range settings.Tenants {
 		f.tenants[t.Name] = i
 	}
-	f.conns = newClientConns(room)
+	f.conns = newClientConns(room, most)
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headTime,
@@ -199,6 +199,7 @@
 	if !f.conns.taken(req.Context()) {
 		panic(http.ErrAbortHandler) // nothing was sent on
 	}
+	c.NoRoom = f.conns.crowded()
 	took := make(chan *core.Request, 1)
 	f.Loop.Post(func() { took <- f.Loop.Take(&c.Call) })
 	select {
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -27,6 +27,9 @@
 	readTime, idleTime, writeTime = 2500 * time.Millisecond, 10 * time.Second, 2 * time.Second
 	// linger is how long connections still come after the front was told to end.
 	linger = 500 * time.Millisecond
+	// busyPart of the connections may have a call open: the others are for those that still bring one, which
+	// could not be told anything if they were closed.
+	busyPart = 7.0 / 8
 )
 
 // Types of the application exceptions by which calls end that no server answered. The first two are
@@ -54,6 +57,7 @@
 	seq    atomic.Uint64
 	mu     sync.Mutex
 	conns  map[*client]struct{}
+	busy   int // connections with an open call
 	ending bool
 	wg     sync.WaitGroup
 }
@@ -204,12 +208,15 @@
 		}
 		f.mu.Lock()
 		c.busy = true
+		f.busy++
+		crowded := float64(f.busy) > busyPart*float64(f.Most)
 		f.mu.Unlock()
 		var ok bool
-		ahead, ok = f.handle(c, m, in)
+		ahead, ok = f.handle(c, m, in, crowded)
 		f.Budget.Release(m.held)
 		f.mu.Lock()
 		c.busy = false
+		f.busy--
 		last := f.ending
 		f.mu.Unlock()
 		if !ok || last {
@@ -288,7 +295,7 @@
 
 // handle takes one call through the core. It returns what the client sent ahead meanwhile, if anything,
 // and false where the connection is to be closed.
-func (f *Front) handle(c *client, m *incoming, in <-chan incoming) (ahead *incoming, ok bool) {
+func (f *Front) handle(c *client, m *incoming, in <-chan incoming, crowded bool) (ahead *incoming, ok bool) {
 	oneway := m.head.Kind == thriftwire.Oneway
 	if m.head.Kind != thriftwire.Call && !oneway {
 		f.except(c, &m.head, Kind, "a message that is no call")
@@ -305,7 +312,7 @@
 			left = float64(int64(fd.Int))
 		}
 	}
-	call := &core.Call{ID: "thrift-" + strconv.FormatUint(f.seq.Add(1), 36), Unique: true, Class: what.class, Via: f.Upstream,
+	call := &core.Call{ID: "thrift-" + strconv.FormatUint(f.seq.Add(1), 36), Unique: true, Class: what.class, Via: f.Upstream, NoRoom: crowded,
 		Deadline: m.at.Add(time.Duration(left * float64(time.Millisecond))), Answer: make(chan core.Answer, 1),
 		Payload: &upstream.Call{Message: m.msg, Head: m.head, Transport: c.t, Oneway: oneway, NeverRan: what.neverRan}}
 	if what.key >= 0 {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -180,7 +180,7 @@
 		serve = func() error { f.Loop = w.Loop; return f.Serve(ln) }
 		shutdown = func() error { f.Shutdown(ln, 3*time.Second); return nil }
 	} else {
-		f := httpfront.New(&cfg.Settings, w.budget, upstream, room)
+		f := httpfront.New(&cfg.Settings, w.budget, upstream, room, room)
 		f.Linger, ready = linger, f.Ready
 		serve = func() error { f.Loop = w.Loop; return f.Serve(ln) }
 		shutdown = func() error { return f.Shutdown(3 * time.Second) }
