Who leaves while its request waits is noticed in each way of leaving; a withdrawal stands

Ruled out: the order of Take and Left in the loop, FIN, RST and half-close with nothing behind (all noticed). Also: a withdrawal ends I/O by a past deadline, which any later SetDeadline undid (the reader of a chunked answer sets two): the attempt stayed out to its own time. And nobody withdrew a long answer whose client had left while its backend gave nothing. At fault: Front.ServeHTTP (the request's context alone), thrift.Front.handle (looks away behind one call sent ahead), conns.Exchange (every caller sets deadlines), Rest.Read.

Thrift reads up to 16 calls ahead. conns.Conn owns its deadlines: once withdrawn, none is set. Rest.Withdraw, for a stream whose client leaves.

--- a/internal/front/http/framing.go
+++ b/internal/front/http/framing.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // framing follows the raw bytes of a client's connection from message to message, to see what net/http settles
@@ -143,17 +145,43 @@
 	mu      sync.Mutex // net/http reads ahead in the background
 	framing framing
 	asked   int // requests that the handler has seen
+	lookout lookout
+}
+
+// newFramedConn follows a connection that has just come.
+func newFramedConn(nc net.Conn) *framedConn {
+	c := &framedConn{Conn: nc, framing: framing{length: -1}}
+	c.lookout = lookout{conn: nc, read: c.follow, left: make(chan struct{})}
+	return c
 }
 
 // Read reads and follows.
 func (c *framedConn) Read(p []byte) (int, error) {
+	if n, err := c.lookout.take(p); n > 0 || err != nil {
+		return n, err
+	}
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	c.framing.feed(p[:n])
-	c.mu.Unlock()
+	c.follow(p[:n])
+	if n == 1 && len(p) == 1 {
+		c.lookout.begin() // this was net/http's look for the client's leaving, and it is over now
+	}
 	return n, err
 }
 
+func (c *framedConn) follow(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.framing.feed(p)
+}
+
+// SetReadDeadline sets it beside the lookout, which has to end its reads as well.
+func (c *framedConn) SetReadDeadline(t time.Time) error { return c.lookout.setReadDeadline(t) }
+
+// SetDeadline sets both.
+func (c *framedConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
 // CloseWrite lets the server end its sending before it closes, as it does on a TCP connection.
 func (c *framedConn) CloseWrite() error {
 	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -178,5 +206,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &framedConn{Conn: nc, framing: framing{length: -1}}, nil
+	return newFramedConn(nc), nil
 }
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -5,6 +5,7 @@
 package http
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -157,8 +158,10 @@
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	now, framed := time.Now(), false
-	if nc, ok := req.Context().Value(connKey{}).(*framedConn); ok {
-		framed = nc.asks()
+	var left <-chan struct{} // closed once the client has left where net/http does not look
+	nc, ok := req.Context().Value(connKey{}).(*framedConn)
+	if ok {
+		framed, left = nc.asks(), nc.lookout.left
 	}
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
@@ -200,21 +203,34 @@
 		panic(http.ErrAbortHandler) // nothing was sent on
 	}
 	c.NoRoom = f.conns.crowded()
+	if ok && body != nil {
+		nc.lookout.begin() // until it is read on
+	}
 	took := make(chan *core.Request, 1)
 	f.Loop.Post(func() { took <- f.Loop.Take(&c.Call) })
 	select {
 	case a := <-c.Answer:
 		defer f.budget.Release(a.Held) // also where a long answer is broken off
+		if s, ok := a.Reply.(*upstream.Stream); ok {
+			defer context.AfterFunc(req.Context(), s.Withdraw)()
+		}
 		if f.write(w, a, c.Class); body != nil {
 			body.finish(w)
 		}
 	case <-req.Context().Done():
-		f.Loop.Post(func() { f.Loop.Left(<-took) })
-		// To return would be to answer 200 with nothing, to a client that has only ended its sending.
-		panic(http.ErrAbortHandler)
+		f.abandon(took)
+	case <-left:
+		f.abandon(took)
 	}
 }
 
+// abandon ends with a request whose client has left.
+func (f *Front) abandon(took <-chan *core.Request) {
+	f.Loop.Post(func() { f.Loop.Left(<-took) })
+	// To return would be to answer 200 with nothing, to a client that has only ended its sending.
+	panic(http.ErrAbortHandler)
+}
+
 // reject answers what can't be used, and closes: who sends one such request sends
 // more, and what stands behind it may be part of it.
 func reject(w http.ResponseWriter, err error) {
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -27,6 +27,8 @@
 	readTime, idleTime, writeTime = 2500 * time.Millisecond, 10 * time.Second, 2 * time.Second
 	// linger is how long connections still come after the front was told to end.
 	linger = 500 * time.Millisecond
+	// mostAhead is how many calls of a connection are read before their turn.
+	mostAhead = 16
 	// busyPart of the connections may have a call open: the others are for those that still bring one, which
 	// could not be told anything if they were closed.
 	busyPart = 7.0 / 8
@@ -67,7 +69,10 @@
 	net.Conn
 	br   *bufio.Reader
 	busy bool // a call is open; under the front's lock
-	t    thriftwire.Transport
+	// ahead are calls that were sent before an earlier one was answered, mostAhead at the most: they are read,
+	// so that a client that leaves behind them is noticed.
+	ahead []incoming
+	t     thriftwire.Transport
 }
 
 // Serve accepts clients until the listener is closed; then it returns nil.
@@ -184,16 +189,21 @@
 		close(over)
 		c.Close()
 		reader.Wait()
+		for i := range c.ahead {
+			f.Budget.Release(c.ahead[i].held) // never taken
+		}
 		f.mu.Lock()
 		delete(f.conns, c)
 		f.mu.Unlock()
 	}()
 	idle := time.NewTimer(idleTime)
 	defer idle.Stop()
-	var ahead *incoming // sent before the last call was answered
 	for {
-		m := ahead
-		if m == nil {
+		var m *incoming
+		if len(c.ahead) > 0 {
+			m = &c.ahead[0]
+			c.ahead = c.ahead[1:]
+		} else {
 			idle.Reset(idleTime)
 			select {
 			case next := <-in:
@@ -211,8 +221,7 @@
 		f.busy++
 		crowded := float64(f.busy) > busyPart*float64(f.Most)
 		f.mu.Unlock()
-		var ok bool
-		ahead, ok = f.handle(c, m, in, crowded)
+		ok := f.handle(c, m, in, crowded)
 		f.Budget.Release(m.held)
 		f.mu.Lock()
 		c.busy = false
@@ -220,9 +229,6 @@
 		last := f.ending
 		f.mu.Unlock()
 		if !ok || last {
-			if ahead != nil {
-				f.Budget.Release(ahead.held) // never taken
-			}
 			return
 		}
 	}
@@ -293,18 +299,18 @@
 	return "refused: nothing ran, come back after " + strconv.FormatFloat(afterMs, 'f', 0, 64) + " ms"
 }
 
-// handle takes one call through the core. It returns what the client sent ahead meanwhile, if anything,
-// and false where the connection is to be closed.
-func (f *Front) handle(c *client, m *incoming, in <-chan incoming, crowded bool) (ahead *incoming, ok bool) {
+// handle takes one call through the core, and keeps what the client sends ahead meanwhile. It returns false where the
+// connection is to be closed.
+func (f *Front) handle(c *client, m *incoming, in <-chan incoming, crowded bool) bool {
 	oneway := m.head.Kind == thriftwire.Oneway
 	if m.head.Kind != thriftwire.Call && !oneway {
 		f.except(c, &m.head, Kind, "a message that is no call")
-		return nil, false
+		return false
 	}
 	what := f.Table.find(m.head.Name)
 	oneway = oneway || what != nil && what.oneway
 	if what == nil {
-		return nil, oneway || f.except(c, &m.head, Unknown, "the method is not listed here")
+		return oneway || f.except(c, &m.head, Unknown, "the method is not listed here")
 	}
 	left := what.deadlineMs
 	if what.deadline >= 0 {
@@ -320,20 +326,23 @@
 	}
 	took := make(chan *core.Request, 1)
 	f.Loop.Post(func() { took <- f.Loop.Take(call) })
-	var a core.Answer
-	select {
-	case a = <-call.Answer:
-	case next := <-in:
-		if next.err != nil && !oneway {
-			// The client has left, or sends what can't be read: nobody waits for the answer.
-			f.Budget.Release(next.held)
-			f.Loop.Post(func() { f.Loop.Left(<-took) })
-			return nil, false
+	for {
+		if len(c.ahead) >= mostAhead || len(c.ahead) > 0 && c.ahead[len(c.ahead)-1].err != nil {
+			in = nil // what is behind waits, unread
+		}
+		select {
+		case a := <-call.Answer:
+			return f.answer(c, m, a, oneway)
+		case next := <-in:
+			if next.err != nil && !oneway {
+				// The client has left, or sends what can't be read: nobody waits for the answer.
+				f.Budget.Release(next.held)
+				f.Loop.Post(func() { f.Loop.Left(<-took) })
+				return false
+			}
+			c.ahead = append(c.ahead, next) // it waits for its turn
 		}
-		ahead = &next // it waits for its turn
-		a = <-call.Answer
 	}
-	return ahead, f.answer(c, m, a, oneway)
 }
 
 // keyOf is the key that a field's value names: the same for the same text over all fronts.
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -53,7 +54,8 @@
 // Rest is the rest of an answer that is passed on as it comes. It owns the connection until it is closed.
 type Rest struct {
 	pool *Pool
-	cn   *Conn
+	mu   sync.Mutex
+	cn   *Conn // nil: closed
 	read func(p []byte) (int, error)
 	keep bool // the connection may carry another request once the answer has ended
 }
@@ -70,20 +72,35 @@
 
 // Read reads on; io.EOF says that the answer has come whole.
 func (r *Rest) Read(p []byte) (int, error) {
-	if r.cn == nil {
+	r.mu.Lock()
+	cn := r.cn
+	r.mu.Unlock()
+	if cn == nil {
 		return 0, net.ErrClosed
 	}
-	r.cn.SetDeadline(time.Now().Add(restTime))
+	cn.SetDeadline(time.Now().Add(restTime))
 	return r.read(p)
 }
 
+// Withdraw has a Read end at once, and each later one. It may be called from any goroutine, and at any time.
+func (r *Rest) Withdraw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cn != nil {
+		r.cn.withdraw()
+	}
+}
+
 // Close ends with the connection: whole says that io.EOF was read.
 func (r *Rest) Close(whole bool) {
+	r.mu.Lock()
 	cn := r.cn
-	if r.cn = nil; cn == nil {
+	r.cn = nil
+	r.mu.Unlock()
+	if cn == nil {
 		return
 	}
-	if whole && r.keep {
+	if whole && r.keep && !cn.withdrawn { // nobody withdraws it any more
 		r.pool.Put(cn)
 	} else {
 		r.pool.Close(cn)
@@ -122,7 +139,7 @@
 	}
 	reusable := false
 	// Withdrawing makes whatever reads or writes end at once.
-	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, cn.withdraw)
 	defer func() {
 		// If the withdrawal has begun its deadline would hit the next user.
 		still := stop()
--- a/internal/upstream/conns/exchange_test.go
+++ b/internal/upstream/conns/exchange_test.go
@@ -80,3 +80,67 @@
 		}
 	}
 }
+
+// A withdrawal stands, whatever deadline is set behind it: the reader of an answer that comes in pieces sets one for
+// each of them, and the attempt would stay out. Its connection is not used again.
+func TestNoDeadlineUndoesAWithdrawal(t *testing.T) {
+	addr := peer(t, func(c net.Conn) { c.Read(make([]byte, 8)) }) // it never answers
+	p, key := New(patience, time.Minute, 8), newKey()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan core.Result, 1)
+	go func() {
+		done <- p.Do(ctx, &Exchange{Key: key, Addr: addr, Sent: time.Now(), Deadline: time.Now().Add(patience),
+			Budget: semaphore.NewWeighted(1), Request: func() net.Buffers { return net.Buffers{[]byte("asked")} },
+			Answer: func(cn *Conn, _ func(int64) error) (core.Result, bool, error) {
+				cancel()
+				_, err := cn.Read(make([]byte, 1)) // ends with the withdrawal: it has come
+				cn.SetDeadline(time.Now().Add(patience))
+				cn.SetReadDeadline(time.Now().Add(patience))
+				if _, err2 := cn.Read(make([]byte, 1)); err2 != nil {
+					err = err2
+				}
+				return core.Result{}, true, err
+			}})
+	}()
+	select {
+	case r := <-done:
+		if r.Status != policy.Cancelled || p.Open() != 0 {
+			t.Errorf("%+v, %d open", r, p.Open())
+		}
+	case <-time.After(patience / 4):
+		t.Fatal("the attempt stays out")
+	}
+}
+
+// The rest of an answer that is withdrawn ends its read at once, and its connection is not used again.
+func TestARestIsWithdrawn(t *testing.T) {
+	addr := peer(t, func(c net.Conn) { c.Read(make([]byte, 8)) })
+	p, key := New(patience, time.Minute, 8), newKey()
+	cn, err := p.Get(t.Context(), key, addr, time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	reading, read := make(chan struct{}), make(chan error, 1)
+	rest := p.NewRest(cn, func(b []byte) (int, error) {
+		close(reading)
+		return cn.Read(b)
+	}, true)
+	go func() {
+		_, err := rest.Read(make([]byte, 1))
+		read <- err
+	}()
+	<-reading
+	rest.Withdraw()
+	select {
+	case err := <-read:
+		if err == nil {
+			t.Error("read something")
+		}
+	case <-time.After(patience / 4):
+		t.Fatal("the read goes on")
+	}
+	if rest.Close(true); p.Idle(key) != 0 || p.Open() != 0 {
+		t.Errorf("%d idle, %d open", p.Idle(key), p.Open())
+	}
+	rest.Withdraw() // late: it touches nobody's connection
+}
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -50,6 +51,35 @@
 	since time.Time // idle since
 	rest  *Rest     // of the answer on it, which will own it
 	slot  int       // how long it idled before its last use, as ages tells times apart
+
+	mu        sync.Mutex
+	withdrawn bool // what reads or writes ends at once, from now on
+}
+
+// withdraw ends whatever reads or writes on the connection, for good: no deadline that is set later undoes it.
+func (c *Conn) withdraw() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.withdrawn = true
+	c.Conn.SetDeadline(time.Unix(1, 0))
+}
+
+// SetDeadline sets both.
+func (c *Conn) SetDeadline(t time.Time) error { return c.deadline(c.Conn.SetDeadline, t) }
+
+// SetReadDeadline sets that of reads.
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.deadline(c.Conn.SetReadDeadline, t) }
+
+// SetWriteDeadline sets that of writes.
+func (c *Conn) SetWriteDeadline(t time.Time) error { return c.deadline(c.Conn.SetWriteDeadline, t) }
+
+func (c *Conn) deadline(set func(time.Time) error, t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.withdrawn {
+		return os.ErrDeadlineExceeded
+	}
+	return set(t)
 }
 
 // ErrTooMany says that all descriptors for backends are in use.
--- a/internal/upstream/http/attempt.go
+++ b/internal/upstream/http/attempt.go
@@ -51,6 +51,9 @@
 // Close ends with the answer, and tells whether io.EOF was read.
 func (s *Stream) Close(whole bool) { s.rest.Close(whole) }
 
+// Withdraw has Read end at once: nobody waits for the rest any more.
+func (s *Stream) Withdraw() { s.rest.Withdraw() }
+
 // Reply is a backend's whole answer.
 type Reply struct {
 	Status int
