Requests without a key go round from the agent's own place, and under one window of the agent

Its requests have no key, a handshake costs 18 to 29 ms of a server's core beside 55 to 99 of the request's, and each was sent to a server drawn at random: to a new connection. Then, in the burst, each of 60 agents had one out at every server, which no server's window can see. At fault: policy.score (random for key 0), hasRoom (a window a server, none for all).

Change: a walk round all servers that each agent begins at its own place, first come first; the requests without a key that are out in all are cut by 0.85 while answers take over 1.5 times the calm time, and grow by one a round. Requests with a key are decided as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -120,7 +120,7 @@
 		usage:    make([]float64, len(set.Tenants)),
 		portions: limits.NewPortions(len(set.Tenants) * len(set.Classes)),
 		warmed:   room.NewWarm(warmMs, warmKeys), fields: room.FieldsOf(set.Report.Names),
-		aimMin: math.Inf(1), lookedAt: math.Inf(-1)}
+		aimMin: math.Inf(1), most: math.Inf(1), lookedAt: math.Inf(-1)}
 	if set.Prices.CrossZone > 0 {
 		b.own = ownStart
 	}
@@ -388,6 +388,9 @@
 // matter are scored, and none are sorted: with hundreds of them that took more than
 // the agent's CPU share.
 func (b *Balancer) pick(r *request) *server {
+	if r.key == 0 && float64(b.inflight) >= b.most {
+		return nil
+	}
 	waits := b.waits(r)
 	for pass := range 6 {
 		// Of each tier those that rest come last, unless most do: then all are crowded.
@@ -446,17 +449,33 @@
 // finds the same order for a key, and a server's share of keys is that of its weight.
 func (b *Balancer) score(r *request, s *server) float64 {
 	x := mix(r.spot ^ s.hash)
-	if r.key == 0 {
-		x = b.rng.Uint64()
-	}
-	u := float64(x>>11) / (1 << 53)
 	w := s.weight * b.coldShare(s)
 	if s.zone == b.set.Zone {
 		w *= b.own
 	}
+	if r.key == 0 {
+		return s.ahead / w
+	}
+	u := float64(x>>11) / (1 << 53)
 	return -math.Log(u+1e-18) / w
 }
 
+// placeServers gives each server its place in the agent's walk round all of them: requests
+// without a key go to the first on it that has room, so that an agent opens as many
+// connections as it has requests out at once, and not one to every server, each for a
+// handshake. The agents begin their walks one after the other.
+func (b *Balancer) placeServers() {
+	round := slices.Clone(b.servers)
+	slices.SortFunc(round, func(x, y *server) int { return cmp.Compare(x.hash, y.hash) })
+	from := (float64(max(b.set.Index, 0)%b.agents()) + 0.5) / float64(b.agents())
+	for i, s := range round {
+		s.ahead = (float64(i)+0.5)/float64(len(round)) - from
+		if s.ahead < 0 {
+			s.ahead++
+		}
+	}
+}
+
 // takes tells whether the server is under its cap in the tier of the request's
 // last pick and has room.
 func (b *Balancer) takes(s *server, r *request) bool {
@@ -828,6 +847,7 @@
 		b.calmLat = mean(b.calmLat, b.fleetLat, b.calmRise(a))
 	}
 	b.learn(s, x)
+	b.widen(x, rtt)
 	if late := b.now > r.aimAt; b.crowded(s, ev.Report) || late {
 		b.weighZone(s, true)
 		b.rest(s)
@@ -852,6 +872,21 @@
 	}
 }
 
+// widen moves how many requests without a key this agent may have out in all. They go
+// wherever there is room, so that an agent with few requests to each of many servers learns
+// by all of them together what it learns of none alone: in a crowd each of hundreds of
+// agents would else have one out at every server, and none of these would ever rest.
+func (b *Balancer) widen(x, rtt float64) {
+	b.lately = mean(b.lately, x, smooth/4)
+	switch limit := min(crowdShare, crowdFactor*b.calmLat); {
+	case b.answers <= learnFor:
+	case b.lately > limit && b.now-b.mostAt > rtt:
+		b.most, b.mostAt = max(min(b.most, float64(b.inflight+1))*0.85, firstWindow), b.now
+	case b.lately < limit && float64(b.inflight+2) > b.most:
+		b.most += 1 / b.most
+	}
+}
+
 // forgive takes back strikes for n served attempts, and one for silence that has ended.
 func (s *server) forgive(n int) {
 	if s.silent {
@@ -1080,6 +1115,7 @@
 		}
 		return forget
 	})
+	b.placeServers()
 }
 
 func (b *Balancer) update(e *Entry) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,6 +16,7 @@
 type server struct {
 	id        Addr
 	hash      uint64
+	ahead     float64 // how far on the agent's walk
 	zone      int
 	cell      int
 	weight    float64
@@ -124,6 +125,9 @@
 	epoch     uint64  // counts changes of tiers and list
 	own       float64 // how much more a server of the own zone weighs
 	inflight  int
+	most      float64 // requests without a key that may be out, and when that was cut last
+	mostAt    float64
+	lately    float64 // mean answer time as a part of the aim, of the last few
 	turned    float64 // part of all attempts that were turned away
 	failing   float64 // part of all attempts that fail
 	load      float64 // mean reported requests for weight one
