A late second answer is nobody else's; a list that was asked for earlier takes back no drain

Found by reading, forced by tests. (1) A backend that sends a second answer some ms late sends it behind the next request, if that goes out on the connection in between: it was taken for that one's answer (the test: "the next request was answered with 'second'"). The look before the write cannot see it. (2) A whole list on the watch counts whatever its version, as a discovery that began anew has lower ones: so did one that was asked for before the list at hand had come, and read after it (a first whole list beside a fetch, after SIGHUP), and a drained server was back. At fault: Pool.Get (uses the youngest connection at once), Loop.onList (full and watch, whoever asked first).

Change: once any connection has brought bytes that nobody asked for, connections settle for 50 ms behind an answer, for a minute, and a new one is opened meanwhile. A list tells when its call began; a lower version is believed only of a call that began after the list at hand had come.

Tests, both ways run: TestALateSecondAnswerIsNobodysElse fails with settle 0, TestOldListIsDropped with the time of the call left out; both pass with them, 50 times under -race.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -53,6 +53,7 @@
 	pending  []policy.Event
 	actions  []policy.Action
 	version  uint64    // of the list
+	since    time.Time // when that version came
 	unknown  bool      // of this discovery no whole list has come yet
 	endBy    time.Time // the process ends: by then what is taken from now on has its answer
 	watching bool
@@ -657,7 +658,9 @@
 
 // onList takes an answer of discovery. A watch and a fetch may cross: what is
 // older than the list at hand is dropped, but for a whole list on the watch,
-// which is how a discovery that started again from nothing says so.
+// which is how a discovery that started again from nothing says so. That one was
+// asked for after the list at hand had come: an older call's answer, read late, is an
+// older list, and would take back a drain.
 func (l *Loop) onList(list *membership.List, watch bool, err error) {
 	if watch && err != nil {
 		l.watching = l.pushed() // there it goes on by itself
@@ -671,7 +674,8 @@
 		}
 		return
 	}
-	if list.Revision < l.version && !(watch && list.Full) {
+	again := watch && list.Full && (list.Asked.IsZero() || !list.Asked.Before(l.since))
+	if list.Revision < l.version && !again {
 		return
 	}
 	kind := policy.ListDelta
@@ -691,7 +695,7 @@
 }
 
 func (l *Loop) list(list *membership.List, kind policy.ListKind, full bool) {
-	l.version, l.unknown = list.Revision, l.unknown && !full
+	l.version, l.since, l.unknown = list.Revision, time.Now(), l.unknown && !full
 	if l.merge != nil {
 		l.merge.Roster(l.now(), list)
 		l.merged(policy.ListDelta)
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -229,6 +229,18 @@
 		if !l.table.byID["s-1"].Closed() {
 			t.Error("an older list took back a drain")
 		}
+		// Nor does one on the watch that was asked for before that came and read after it; a discovery that
+		// started again is asked later.
+		asked := l.since.Add(-time.Millisecond)
+		old := membership.List{Revision: 8, Full: true, Entries: []membership.Entry{target("s-1"), target("s-2")}, Asked: asked}
+		l.onList(&old, true, nil)
+		if !l.table.byID["s-1"].Closed() {
+			t.Error("an older call's answer took back a drain")
+		}
+		old.Asked = l.since.Add(time.Millisecond)
+		if l.onList(&old, true, nil); l.version != 8 || l.table.byID["s-1"].Closed() || l.table.byID["s-2"] == nil {
+			t.Error("a discovery that started again is not believed")
+		}
 		l.onList(&membership.List{Revision: 10, Full: true}, true, nil)
 		if len(l.table.byID) != 0 || len(l.table.byAddr) != 0 {
 			t.Error("a backend that is gone is kept")
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -7,6 +7,7 @@
 
 import (
 	"hash/fnv"
+	"time"
 
 	"ringtrack.example/ringtrack/policy"
 )
@@ -46,6 +47,8 @@
 	Revision uint64  `json:"version"` // of this source only
 	Full     bool    `json:"full"`
 	Entries  []Entry `json:"servers"`
+	// Asked is when the call began that this answers, where the source tells it.
+	Asked time.Time `json:"-"`
 }
 
 // Names gives the module's numbers for the names of zones and of machine kinds.
--- a/internal/membership/roster/roster.go
+++ b/internal/membership/roster/roster.go
@@ -235,6 +235,7 @@
 	if err := d.limit.Wait(d.ctx); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	asked := time.Now()
 	ctx, cancel := context.WithTimeout(d.ctx, within)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
@@ -260,5 +261,6 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	l.Asked = asked
 	return &l, nil
 }
--- a/internal/upstream/conns/exchange_test.go
+++ b/internal/upstream/conns/exchange_test.go
@@ -144,3 +144,47 @@
 	}
 	rest.Withdraw() // late: it touches nobody's connection
 }
+
+// A second answer that comes some ms after the first is not taken for the next request's: once a backend was seen to
+// send what nobody asked for, a connection is left to settle behind each answer, and meanwhile another one is opened.
+func TestALateSecondAnswerIsNobodysElse(t *testing.T) {
+	asked := make(chan net.Conn, 8)
+	addr := peer(t, func(c net.Conn) {
+		for buf := make([]byte, 5); ; {
+			if _, err := io.ReadFull(c, buf); err != nil {
+				return
+			}
+			asked <- c
+		}
+	})
+	p, key := New(patience, time.Minute, 8), newKey()
+	do := func(behind string, meanwhile func(c net.Conn)) string {
+		got := make([]byte, 6)
+		done := make(chan core.Result, 1)
+		go func() {
+			done <- p.Do(t.Context(), &Exchange{Key: key, Addr: addr, Sent: time.Now(), Deadline: time.Now().Add(patience),
+				Budget: semaphore.NewWeighted(1), Request: func() net.Buffers { return net.Buffers{[]byte("asked")} },
+				Answer: func(cn *Conn, _ func(int64) error) (core.Result, bool, error) {
+					_, err := io.ReadFull(cn.BR, got)
+					return core.Result{Status: policy.OK}, true, err
+				}})
+		}()
+		c := <-asked
+		meanwhile(c)
+		io.WriteString(c, "answer"+behind)
+		if r := <-done; r.Status != policy.OK {
+			t.Fatalf("%+v", r)
+		}
+		return string(got)
+	}
+	do("second", func(net.Conn) {}) // in one segment: seen at once, and its connection closed
+	var first net.Conn
+	do("", func(c net.Conn) { first = c })
+	if p.Idle(key) != 1 {
+		t.Fatalf("%d idle", p.Idle(key))
+	}
+	got := do("", func(net.Conn) { io.WriteString(first, "second") }) // the request is out by now
+	if got != "answer" {
+		t.Errorf("the next request was answered with %q", got)
+	}
+}
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,6 +34,8 @@
 	idle map[Key][]*Conn // bound: max connections; a key with none has no entry
 	open int
 	ages ages
+	// unasked is when a connection last brought bytes that nobody had asked for.
+	unasked time.Time
 }
 
 // Key tells which connections may be used for one another: those to one backend, on which one kind of
@@ -82,6 +85,13 @@
 	return set(t)
 }
 
+const (
+	// settle is how long a connection is left alone behind an answer before it is used again, for unaskedFor
+	// after any connection brought bytes that nobody had asked for: a second answer may come some ms after the
+	// first, behind the next request's last byte, and nothing in it tells whose it is.
+	settle, unaskedFor = 50 * time.Millisecond, time.Minute
+)
+
 // ErrTooMany says that all descriptors for backends are in use.
 var ErrTooMany = errors.New("no descriptor left for a connection")
 
@@ -143,11 +153,20 @@
 		if len(list) == 0 {
 			break
 		}
-		cn := list[len(list)-1]
-		p.keep(key, list[:len(list)-1])
+		at := len(list) - 1
+		if !p.unasked.IsZero() && time.Since(p.unasked) < unaskedFor {
+			for at >= 0 && time.Since(list[at].since) < settle {
+				at--
+			}
+			if at < 0 {
+				break // those there are have not settled
+			}
+		}
+		cn := list[at]
+		p.keep(key, slices.Delete(list, at, at+1))
 		p.mu.Unlock()
 		age := time.Since(cn.since)
-		if cn.addr == addr && age < p.keepalive && p.ages.usable(age) && quiet(cn) {
+		if cn.addr == addr && age < p.keepalive && p.ages.usable(age) && p.quiet(cn) {
 			cn.slot = ageSlot(age)
 			return cn, nil
 		}
@@ -202,7 +221,7 @@
 func (p *Pool) Put(cn *Conn) {
 	cn.SetDeadline(time.Time{})
 	cn.since = time.Now()
-	if cn.key.Backend.Closed() || !quiet(cn) {
+	if cn.key.Backend.Closed() || !p.quiet(cn) {
 		p.Close(cn)
 		return
 	}
@@ -254,8 +273,9 @@
 // quiet tells whether a connection on which nothing is asked is still open and
 // silent. One that the peer closed, or that brings bytes nobody asked for, must not
 // carry a request: it would end as a reset, or take those bytes for its answer.
-func quiet(cn *Conn) bool {
+func (p *Pool) quiet(cn *Conn) bool {
 	if cn.BR.Buffered() > 0 {
+		p.brought()
 		return false
 	}
 	sc, ok := cn.Conn.(syscall.Conn)
@@ -269,13 +289,22 @@
 	good := false
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		good = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if good = errors.Is(err, syscall.EAGAIN); n > 0 {
+			p.brought()
+		}
 		return true
 	})
 	return err == nil && good
 }
 
+// brought notes bytes that nobody had asked for.
+func (p *Pool) brought() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unasked = time.Now()
+}
+
 // Ours tells whether a connection failed for want of something here.
 func Ours(err error) bool {
 	return errors.Is(err, ErrTooMany) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
--- a/internal/upstream/conns/pool_test.go
+++ b/internal/upstream/conns/pool_test.go
@@ -87,7 +87,7 @@
 		x := get(t, p, key, addr)
 		if addr != silent {
 			<-did
-			for end := time.Now().Add(patience); quiet(x) && time.Now().Before(end); {
+			for end := time.Now().Add(patience); p.quiet(x) && time.Now().Before(end); {
 				time.Sleep(time.Millisecond) // what was done there arrives
 			}
 			// As it came back whole before that.
