A connection on which a request has come unread is not closed as idle or as too old

Found by reading: closeIdle, at an end of service, and whoever makes room close connections by the state that the server last told. A request that has come and was not read yet is then lost with its connection: some us on an idle machine, as long as the agent waits for its share of the core on a busy one. At fault: clientConns.closeIdle and first (state of the server's, not of the socket). Change: the socket is asked (a peek) before it is closed; what has brought something is on its way, and its own answer closes it. Beyond the most connections there may be the oldest goes all the same. Test: TestAnUnreadRequestKeepsItsConnection fails with the look taken out ("2 of two were closed"), passes with it, 50 times under -race.

--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -118,21 +119,47 @@
 	nc.Close() // the server's read then fails, and it reports the close
 }
 
-// closeIdle closes the connections between requests.
+// closeIdle closes the connections between requests. One on which a request has come that the server has not read
+// yet is none of them: who closes it loses that request. It is on its way, and its answer closes the connection.
 func (c *clientConns) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for e := c.waiting[idle].Front(); e != nil; e = c.waiting[idle].Front() {
-		c.shut(e.Value.(net.Conn))
+	for e := c.waiting[idle].Front(); e != nil; {
+		nc := e.Value.(net.Conn)
+		if e = e.Next(); !unread(nc) {
+			c.shut(nc)
+		}
 	}
 }
 
+// unread tells whether something has come on a connection that nobody has read yet.
+func unread(nc net.Conn) bool {
+	if f, ok := nc.(*framedConn); ok {
+		nc = f.Conn
+	}
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	came := false
+	_ = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		came = err == nil && n > 0
+	})
+	return came
+}
+
 // first is the connection to give way next, nil if there is none, or only newcomers and room for them.
 func (c *clientConns) first() net.Conn {
 	var oldest net.Conn
 	full, burst := len(c.conns)-c.closing > c.most, false
 	for _, kind := range []int{silent, coming} {
-		e := c.waiting[kind].Front()
+		e := c.candidate(kind, full)
 		if e == nil {
 			continue
 		}
@@ -147,7 +174,7 @@
 		}
 	}
 	// Many that come at once push out nobody but each other.
-	if e := c.waiting[idle].Front(); e != nil && !burst {
+	if e := c.candidate(idle, full); e != nil && !burst {
 		return e.Value.(net.Conn)
 	}
 	if !full {
@@ -156,6 +183,16 @@
 	return oldest
 }
 
+// candidate is the oldest connection of a kind that may be closed: one that has brought what nobody has read yet
+// is on its way to be served, and goes only where there is no room at all.
+func (c *clientConns) candidate(kind int, full bool) *list.Element {
+	e := c.waiting[kind].Front()
+	for !full && e != nil && unread(e.Value.(net.Conn)) {
+		e = e.Next()
+	}
+	return e
+}
+
 // taken tells that the handler's connection has brought a whole request: it stays
 // until that is answered. One that has just been made to give way can't carry an answer
 // any more, and its client sends the request again: then taken returns false.
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -145,3 +145,45 @@
 		t.Errorf("after it was taken: %v", err)
 	}
 }
+
+// A kept connection on which a request has come that the server has not read yet is not closed as idle at an end of
+// service; one on which nothing has come is.
+func TestAnUnreadRequestKeepsItsConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c := newClientConns(8, 8)
+	pair := func() (ours, theirs net.Conn) {
+		theirs, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ours, err = framedListener{ln}.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ours.Close(); theirs.Close() })
+		for _, s := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
+			c.track(ours, s)
+		}
+		return ours, theirs
+	}
+	brings, client := pair()
+	pair()
+	io.WriteString(client, "GET")
+	for end := time.Now().Add(10 * time.Second); !unread(brings) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // until it has come
+	}
+	if c.closeIdle(); c.closing != 1 || c.conns[brings].closing {
+		t.Errorf("%d of two were closed, the one with a request %v", c.closing, c.conns[brings].closing)
+	}
+	got := make([]byte, 3)
+	if _, err := io.ReadFull(brings, got); err != nil || string(got) != "GET" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if c.closeIdle(); c.closing != 2 { // read by nobody here, it is idle again
+		t.Errorf("%d closed", c.closing)
+	}
+}
