--- a/internal/front/rules_test.go
+++ b/internal/front/rules_test.go
@@ -250,6 +250,28 @@
 		w.Ledger.Answered(r.Op, lab.Failed, time.Now()) // it left by itself
 		until(t, "nobody noticed", func() bool { return w.Figures().Gone == 1 })
 	}},
+	{name: "a client that leaves behind what it sent ahead", run: func(t *testing.T, w *world.World) {
+		w.Set(lab.Silent)
+		c := dial(t, w)
+		r := w.Request("order", long)
+		if err := w.Send(c, r); err != nil {
+			t.Fatal(err)
+		}
+		until(t, "no call came", func() bool { return w.Begun() > 0 })
+		for range 2 { // whole calls, whose turn never comes
+			c.Write(w.Protocol.Encode(w.Request("order", long)))
+		}
+		from := time.Now()
+		c.Close()
+		w.Ledger.Answered(r.Op, lab.Failed, time.Now()) // it left by itself
+		until(t, "nobody noticed", func() bool { f := w.Figures(); return f.Gone+f.Failed == 1 })
+		if f := w.Figures(); f.Gone != 1 || f.Taken != 1 {
+			t.Errorf("noticed only as its time was over, %v later: %+v", time.Since(from), f)
+		}
+		if n := w.Begun(); n != 1 {
+			t.Errorf("%d calls were sent on", n)
+		}
+	}},
 	{name: "a call cut off in the midst never goes out", run: func(t *testing.T, w *world.World) {
 		whole := w.Protocol.Encode(w.Request("order", long))
 		for _, n := range []int{1, 3, 5, len(whole) / 2, len(whole) - 1} {
