A client's leaving is told once: noticed twice, it ended the process

Found by reading the change once more, forced by a test: who hangs up behind more than 16 KiB is noticed by the socket; where the answer wins and the server reads on to the end of the bytes, a second look notices the same, and closed the closed channel: "panic: close of closed channel", the process ends. At fault: lookout.run, two places that close. Change: one owner of the close (leave). Ruled out: two looks at a time (begin starts none while one runs).

--- a/internal/front/http/framing.go
+++ b/internal/front/http/framing.go
@@ -151,7 +151,7 @@
 // newFramedConn follows a connection that has just come.
 func newFramedConn(nc net.Conn) *framedConn {
 	c := &framedConn{Conn: nc, framing: framing{length: -1}}
-	c.lookout = lookout{conn: nc, read: c.follow, left: make(chan struct{})}
+	c.lookout.conn, c.lookout.read, c.lookout.left = nc, c.follow, make(chan struct{})
 	return c
 }
 
--- a/internal/front/http/lookout.go
+++ b/internal/front/http/lookout.go
@@ -33,8 +33,12 @@
 	end   chan struct{} // closed to have it end; nil: it does not run
 	over  chan struct{} // closed once it has
 	left  chan struct{} // closed once the client has left
+	once  sync.Once     // closes it: who has hung up comes to the end of its bytes, too
 }
 
+// leave tells that the client has left.
+func (l *lookout) leave() { l.once.Do(func() { close(l.left) }) }
+
 // begin begins to look. It does nothing where it runs already, or the client has left.
 func (l *lookout) begin() {
 	l.mu.Lock()
@@ -60,7 +64,7 @@
 			case <-time.After(hungUpEvery):
 			}
 			if hungUp(l.conn) {
-				close(l.left)
+				l.leave()
 				return
 			}
 			continue
@@ -71,7 +75,7 @@
 		l.ahead = append(l.ahead, buf[:n]...)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			l.err = err
-			close(l.left)
+			l.leave()
 		}
 		l.mu.Unlock()
 		if err != nil {
