Keepers: a writer beside the loop; a change costs the leader no square of the agents

Need: at 470 agents a change of settings came into force after 8.2 s of 8 on a busy machine; the leader looked at each holder for each holder, and its loop waited for its disk, so that heartbeats were late and elections followed. Cause: Desk.older, Book.Terms (a look at all holders for each), keeper.step (two syncs in a row before any heartbeat); traced with the loop's own stamps. Ruled out: the links, the answers' size. Change: agree.Behind (an index, pure), a cache of terms, keeper.writer beside the loop; no election under 60 ticks while the disk is slow. The rig's links and addresses as its tests ask.

--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -55,6 +55,7 @@
 	leaseMs, listMs float64
 	quiet, quietOn  float64 // until when leases of other leaders may hold, for settings and for servers
 	holders         map[Holder]*held
+	behind          behind
 }
 
 type held struct {
@@ -63,6 +64,7 @@
 	now     span   // of leases on granted
 	before  span   // of those on lower stages: a holder that is granted more and never takes it up holds them no longer
 	unable  string
+	listed  bool // it is in behind.ring
 }
 
 // span is until when a lease may hold, and until when its word on servers may be gone by.
@@ -122,6 +124,7 @@
 		h.before, h.granted = h.before.most(h.now), stage
 	}
 	h.now = h.now.most(span{now + wait(d.leaseMs), now + wait(d.leaseMs+d.listMs)})
+	d.behind.list(now, h)
 	return Grant{Stage: stage, LeaseMs: d.leaseMs, ListMs: d.listMs}, true
 }
 
@@ -133,6 +136,7 @@
 	for k, h := range d.holders {
 		if h.now.lists <= now && h.before.lists <= now {
 			delete(d.holders, k)
+			d.behind = behind{} // one that is forgotten is not to stay in it; it is made anew when it is next needed
 		}
 	}
 }
@@ -185,7 +189,7 @@
 	return len(hold) == 0, until, hold
 }
 
-// Clone is a copy that shares nothing, and State the desk's state in words that are the same for the same state, with
+// Clone is a copy that shares nothing (what MayAdvance keeps is made anew), and State the desk's state in words that are the same for the same state, with
 // times from now on: for model checks.
 func (d *Desk) Clone() *Desk {
 	c := &Desk{leaseMs: d.leaseMs, listMs: d.listMs, quiet: d.quiet, quietOn: d.quietOn, holders: make(map[Holder]*held, len(d.holders))}
--- a/internal/agree/book.go
+++ b/internal/agree/book.go
@@ -90,6 +90,28 @@
 	}
 }
 
+// Basis is what terms are made of: the stage, and the digests of the versions that it stands between ("": none). Books
+// with the same basis have the same terms, as no version changes (invariant 3).
+type Basis struct {
+	Stage    uint64
+	From, To string
+}
+
+// Basis returns that of Terms as they are now.
+func (b *Book) Basis() Basis {
+	to := b.Version((b.Stage + 1) / 2)
+	if to == nil {
+		return Basis{Stage: b.Stage}
+	}
+	out := Basis{Stage: b.Stage, To: to.Digest}
+	if b.Stage%2 == 1 {
+		if from := b.Version(to.From); from != nil {
+			out.From = from.Digest
+		}
+	}
+	return out
+}
+
 // Words tells whether the word on servers changes anywhere from one stage to a later one; it is one of agree's Words.
 func (b *Book) Words(from, to uint64) bool {
 	if from/2 < b.Dropped || from == 0 && to > 0 {
--- a/internal/agree/book_test.go
+++ b/internal/agree/book_test.go
@@ -90,3 +90,35 @@
 		t.Errorf("bans lost others' word: %v", v.Book.Bans)
 	}
 }
+
+// Terms between two versions are made of both: a basis that named one alone would be the same for two books that are not.
+func TestABasisNamesBothVersions(t *testing.T) {
+	step := func(from, to string) *Book {
+		b := published(t, from)
+		b.step(t, 1)
+		b.step(t, 2)
+		if _, err := b.Apply(&Op{Publish: &Publish{ID: "to", Parent: 1, Book: &rulebook.Book{Bans: []string{to}}}}); err != nil {
+			t.Fatal(err)
+		}
+		b.step(t, 3)
+		return b
+	}
+	if b := (&Book{}).Basis(); b != (Basis{}) {
+		t.Errorf("before the first version it is %+v", b)
+	}
+	if x, y := step("a", "x").Basis(), step("a", "x").Basis(); x != y {
+		t.Errorf("%+v and %+v are of the same", x, y)
+	}
+	if x, y := step("a", "x").Basis(), step("b", "x").Basis(); x == y {
+		t.Errorf("from a and from b it is %+v", x)
+	}
+	if x, y := step("a", "x").Basis(), step("a", "y").Basis(); x == y {
+		t.Errorf("to x and to y it is %+v", x)
+	}
+	b := step("a", "x")
+	was := b.Basis()
+	b.step(t, 4)
+	if b.Basis() == was {
+		t.Errorf("stages 3 and 4 have %+v", was)
+	}
+}
--- a/internal/agree/link/call.go
+++ b/internal/agree/link/call.go
@@ -94,6 +94,16 @@
 	Holders map[string]uint64 `json:"holders,omitempty"` // the leader's: stage that each acts on
 	HeldUp  []string          `json:"held_up,omitempty"` // whom the next stage waits for
 	Refused map[string]string `json:"refused,omitempty"` // keepers that are not heard, and why
+	Loop    Loop              `json:"loop"`
+}
+
+// Loop is what held a keeper up since its start, and how often it began or brought about an election.
+type Loop struct {
+	LongestMs   map[string]float64 `json:"longest_ms"` // by kind, see docs/operators/agreed.md
+	LostTicks   int64              `json:"lost_ticks"`
+	Queue       int                `json:"queue"`        // the most calls that waited for the loop
+	Elections   int64              `json:"elections"`    // that it began, for it had not heard a leader
+	SteppedDown int64              `json:"stepped_down"` // times that it led and did no more
 }
 
 // Failure is an answer that is no 200.
@@ -107,8 +117,11 @@
 // Caller makes calls to one address after another.
 type Caller struct{ Client *http.Client }
 
+// MaxConns is the most connections that an agent's caller has to an address.
+const MaxConns = 8
+
 // NewCaller returns one with few connections, as an agent needs.
-func NewCaller() *Caller { return NewCallerOf(8) }
+func NewCaller() *Caller { return NewCallerOf(MaxConns) }
 
 // NewCallerOf returns one that makes so many calls at once to an address, for a keeper that carries others' asks.
 func NewCallerOf(most int) *Caller {
--- a/internal/agree/link/link.go
+++ b/internal/agree/link/link.go
@@ -89,15 +89,26 @@
 	return l.cfg.Peers[i-k], true
 }
 
+// next is whom to ask behind a number of calls in a row that failed: each keeper once, then the peers, and so on.
+func (l *Link) next(failed int) int {
+	k, all := len(l.cfg.Keepers), len(l.cfg.Keepers)+len(l.cfg.Peers)
+	switch turn := failed % all; {
+	case turn == 0:
+		return 0
+	case turn < k:
+		return (l.last + 1) % k
+	case turn == k:
+		return k
+	default:
+		return l.last + 1
+	}
+}
+
 // Run keeps the lease until ctx ends.
 func (l *Link) Run(ctx context.Context) {
 	pause, unable, failed := pauseLeast, "", 0
 	began(ctx, l)
 	for ctx.Err() == nil {
-		peers := len(l.cfg.Peers)
-		if failed < len(l.cfg.Keepers) {
-			peers = 0 // a keeper may still answer
-		}
 		addr, peer := l.addr(l.last)
 		call := &RenewCall{Name: l.holder.Name, Inc: l.holder.Inc, Has: l.lease.Stage, Unable: unable, WaitMs: l.cfg.WaitMs}
 		if failed > 0 || unable != "" {
@@ -132,7 +143,7 @@
 			if failed++; failed == 1 {
 				slog.Warn("agreed: no answer", "addr", addr, "err", err)
 			}
-			l.last = (l.last + 1) % (len(l.cfg.Keepers) + peers)
+			l.last = l.next(failed)
 		}
 		if err == nil {
 			if failed > 0 {
--- a/internal/keeper/api.go
+++ b/internal/keeper/api.go
@@ -65,6 +65,10 @@
 				return
 			}
 			w.Header().Set("Content-Type", "application/json")
+			if text, ready := out.(encoded); ready {
+				w.Write(text)
+				return
+			}
 			json.NewEncoder(w).Encode(out)
 		})
 	}
@@ -178,14 +182,10 @@
 	if g.err != nil {
 		return nil, g.err
 	}
-	out := &link.RenewAnswer{Stage: g.grant.Stage, LeaseMs: g.grant.LeaseMs, ListMs: g.grant.ListMs}
-	if g.terms != nil {
-		var err error
-		if out.Book, err = json.Marshal(g.terms.Book); err != nil {
-			return nil, err
-		}
+	if g.text != nil {
+		return encoded(g.text), nil
 	}
-	return out, nil
+	return &link.RenewAnswer{Stage: g.grant.Stage, LeaseMs: g.grant.LeaseMs, ListMs: g.grant.ListMs}, nil
 }
 
 // proposal puts an entry to the loop and waits until it is applied.
@@ -333,7 +333,7 @@
 func (k *Keeper) tell(s *link.Status) {
 	b := k.rn.BasicStatus()
 	*s = link.Status{Name: k.cfg.Name, ID: k.id.ID, Leader: k.state.Members[k.soft.Lead].Name, Term: b.GetTerm(), Applied: k.applied,
-		Stage: k.state.Book.Stage, Last: k.state.Book.Last(), Refused: map[string]string{}}
+		Stage: k.state.Book.Stage, Last: k.state.Book.Last(), Refused: map[string]string{}, Loop: k.holds.status()}
 	for id, m := range k.state.Members {
 		word := m.Name + " " + m.Addr
 		if slices.Contains(k.conf.GetLearners(), id) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -32,6 +32,10 @@
 	// heartbeatTicks and electionTicks are raft's, in ticks of tick_ms: a leader that is not heard for 0.4 to 0.8 s is
 	// replaced.
 	heartbeatTicks, electionTicks = 2, 16
+	// stallTicks is for how long a keeper whose disk does not answer is like any other; from then on it is silent, so that
+	// a leader is replaced. With the election and the wait for leases that a new leader does not know, as deployed
+	// (1.5 + 0.8 + 5.1 s), a change is then still in force within 8 s; a shorter disk's pause costs less than an election.
+	stallTicks = 60
 	// transferTime bounds how long a planned end waits for another leader.
 	transferTime = time.Second
 	// mostPending bounds asks and publishes that wait in a keeper.
@@ -62,10 +66,18 @@
 	ctx   context.Context
 
 	inbox   chan func()
+	disk    *writer
+	begun   uint64 // jobs that the writer was given,
+	ended   uint64 // and those that came back
+	voted   uint64 // the last of them with a term or vote: nothing is sent before it lasts
+	held    []*pb.Message
+	still   int    // ticks since one came back, where any are on their way
+	stillAt uint64 // ended at the last tick
 	state   state
 	conf    *pb.ConfState
 	applied uint64
 	soft    raft.SoftState
+	terms   termsCache
 
 	desk     *agree.Desk // nil unless this keeper leads and has an entry of its own term applied
 	deskTerm uint64
@@ -83,10 +95,15 @@
 	opens   map[string][]chan result
 
 	peers map[uint64]*peer
+	carry func(*peer, context.Context) // a peer's goroutine
 	seen  seen
-	ended sync.WaitGroup
+	holds holds
+	on    sync.WaitGroup // the goroutines
 }
 
+// hand gives the disk's writer a job. A lab build has one that waits for it in its place.
+var hand = (*Keeper).enqueue
+
 // long is a time long ago: a clock may begin anywhere.
 var long = math.Inf(-1)
 
@@ -100,7 +117,7 @@
 
 type granted struct {
 	grant agree.Grant
-	terms *rulebook.Terms
+	text  []byte // the whole answer, shared and read only, where the holder needs the terms too; else nil
 	err   error
 }
 
@@ -130,17 +147,10 @@
 		return fmt.Errorf("keeper: listen: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	k := &Keeper{cfg: cfg, dir: dir, id: id, ctx: ctx, ask: link.NewCallerOf(mostCalls), inbox: make(chan func(), 1024),
-		state: state{Members: map[uint64]member{}}, opens: map[string][]chan result{}, peers: map[uint64]*peer{},
-		at: long, changing: long}
-	k.seen.at = long
-	defer k.ended.Wait()
+	k := newKeeper(ctx, cfg, dir, id)
+	k.carry = (*peer).run
+	defer k.on.Wait()
 	defer cancel()
-	var b [8]byte
-	rand.Read(b[:])
-	for _, v := range b {
-		k.nonce = k.nonce<<8 | uint64(v)
-	}
 	if err := k.seen.load(dir); err != nil {
 		ln.Close()
 		return err
@@ -150,7 +160,7 @@
 	whole.set(id)
 	server := &http.Server{Handler: k.handler(&whole), ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second, IdleTimeout: time.Minute,
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
-	k.ended.Go(func() { server.Serve(ln) })
+	k.on.Go(func() { server.Serve(ln) })
 	defer server.Close()
 	if ready != nil {
 		ready(ln.Addr())
@@ -176,6 +186,20 @@
 	return k.loop(stop)
 }
 
+// newKeeper is one that has not begun.
+func newKeeper(ctx context.Context, cfg *Config, dir *disk.Dir, id *Identity) *Keeper {
+	k := &Keeper{cfg: cfg, dir: dir, id: id, ctx: ctx, ask: link.NewCallerOf(mostCalls), inbox: make(chan func(), 1024),
+		state: state{Members: map[uint64]member{}}, opens: map[string][]chan result{}, peers: map[uint64]*peer{},
+		at: long, changing: long}
+	k.seen.at, k.holds = long, newHolds()
+	var b [8]byte
+	rand.Read(b[:])
+	for _, v := range b {
+		k.nonce = k.nonce<<8 | uint64(v)
+	}
+	return k
+}
+
 // begin makes raft's node of what the folder has.
 func (k *Keeper) begin() (err error) {
 	if k.st, err = load(k.dir); err != nil {
@@ -204,14 +228,7 @@
 		if last, _ := k.st.LastIndex(); last > 0 {
 			return fmt.Errorf("%w: there are entries and no snapshot", ErrDamaged)
 		}
-		if err := k.st.snapshot(first); err != nil {
-			return err
-		}
-		if err := k.st.ApplySnapshot(first); err != nil {
-			return err
-		}
-		k.st.SetHardState(&pb.HardState{Term: proto.Uint64(1), Vote: proto.Uint64(0), Commit: proto.Uint64(1)})
-		if err := k.st.rewrite(); err != nil {
+		if err := k.st.first(first); err != nil {
 			return err
 		}
 		snap = first
@@ -221,9 +238,10 @@
 			return err
 		}
 	}
+	k.disk = newWriter(k.st.file)
 	k.rn, err = raft.NewRawNode(&raft.Config{ID: k.id.ID, ElectionTick: electionTicks, HeartbeatTick: heartbeatTicks, Storage: k.st,
 		Applied: k.applied, MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 64 << 20, CheckQuorum: true, PreVote: true,
-		StepDownOnRemoval: true, DisableProposalForwarding: true, Logger: logger{}})
+		AsyncStorageWrites: true, StepDownOnRemoval: true, DisableProposalForwarding: true, Logger: logger{}})
 	return err
 }
 
@@ -243,22 +261,25 @@
 	tick := time.NewTicker(time.Duration(k.cfg.TickMs * float64(time.Millisecond)))
 	defer tick.Stop()
 	defer k.failAll(errors.New("this keeper ends"))
+	k.on.Go(k.disk.run)
+	defer close(k.disk.jobs)
 	var over <-chan time.Time
 	stopping := stop.Done()
 	for {
+		from := k.now()
 		select {
 		case <-tick.C:
-			k.rn.Tick()
-			k.tick()
+			from = k.now()
+			if err := k.ticked(); err != nil {
+				return err
+			}
 		case f := <-k.inbox:
-			f()
-			for more := true; more; {
-				select {
-				case f := <-k.inbox:
-					f()
-				default:
-					more = false
-				}
+			from = k.now()
+			k.hear(f)
+		case j := <-k.disk.done:
+			from = k.now()
+			if err := k.lasts(j); err != nil {
+				return err
 			}
 		case <-stopping:
 			stopping = nil
@@ -271,8 +292,9 @@
 			return nil
 		}
 		if err := k.step(); err != nil {
-			return fmt.Errorf("keeper: it ends, for what its disk has now is not known: %w", err)
+			return err
 		}
+		k.holds.took(holdTurn, from, k.now())
 		if stopping == nil && over != nil && k.soft.RaftState != raft.StateLeader {
 			return nil
 		}
@@ -293,52 +315,170 @@
 	return to
 }
 
-// step carries out what raft wants: what is to last first, then all else.
+// hear carries out the calls that wait, f before them. Of those that come meanwhile it leaves the rest to the next turn.
+func (k *Keeper) hear(f func()) {
+	from, n := k.now(), len(k.inbox)
+	if f != nil {
+		f()
+		k.holds.queued(n + 1)
+	}
+	for range n {
+		(<-k.inbox)()
+	}
+	k.holds.took(holdInbox, from, k.now())
+}
+
+// step carries out what raft wants: the disk makes last what is to, and what must not be known before that waits for it.
+// All else goes on: an answer of the disk that takes long holds up neither ticks nor heartbeats.
 func (k *Keeper) step() error {
-	for k.rn.HasReady() {
+	for k.rn.HasReady() && k.begun-k.ended < mostJobs {
 		rd := k.rn.Ready()
-		if err := k.st.save(&rd); err != nil {
-			return err
-		}
 		if rd.SoftState != nil {
 			k.turned(*rd.SoftState)
 		}
-		if !raft.IsEmptySnap(rd.Snapshot) {
-			if err := k.restore(rd.Snapshot); err != nil {
-				return err
+		var out, applied []*pb.Message
+		for _, m := range rd.Messages {
+			switch m.GetTo() {
+			case raft.LocalAppendThread:
+				if err := k.save(&rd, m.GetResponses()); err != nil {
+					return err
+				}
+			case raft.LocalApplyThread:
+				applied = m.GetResponses()
+			default:
+				out = append(out, m)
 			}
 		}
-		k.send(rd.Messages)
+		k.emit(out)
 		for _, e := range rd.CommittedEntries {
 			if err := k.apply(e); err != nil {
 				return err
 			}
 		}
+		for _, m := range applied {
+			k.rn.Step(m)
+		}
 		for _, r := range rd.ReadStates {
 			if string(r.RequestCtx) == fmt.Sprint(k.roundID) {
 				k.ready = max(r.Index, 1)
 			}
 		}
-		k.rn.Advance(rd)
 	}
 	k.serve()
-	last, _ := k.st.Snapshot()
-	if k.altered || k.applied-last.GetMetadata().GetIndex() >= compactAt || k.st.size > logAt && k.applied > last.GetMetadata().GetIndex() {
+	due := k.altered || k.applied-k.st.base >= compactAt || k.st.size > logAt
+	if due && k.applied > k.st.base && k.st.snaps == 0 && k.begun-k.ended < mostJobs {
 		data, err := json.Marshal(&k.state)
 		if err != nil {
 			return err
 		}
 		k.altered = false
-		return k.st.compact(k.applied, k.conf, data)
+		j, err := k.st.compact(k.applied, k.conf, data)
+		if err != nil {
+			return err
+		}
+		return hand(k, j)
+	}
+	return nil
+}
+
+// save has the disk make last what raft has of new; then raft hears of it, and others the responses.
+func (k *Keeper) save(rd *raft.Ready, responses []*pb.Message) error {
+	j, voted, err := k.st.save(rd)
+	if err != nil {
+		return err
+	}
+	if voted {
+		k.voted = k.begun + 1
+	}
+	lasts, snap := j.then, rd.Snapshot
+	j.then = func() error {
+		if err := lasts(); err != nil {
+			return err
+		}
+		if !raft.IsEmptySnap(snap) {
+			if err := k.restore(snap); err != nil {
+				return err
+			}
+		}
+		for _, m := range responses {
+			if m.GetTo() == k.id.ID {
+				k.rn.Step(m)
+			} else {
+				k.send(m)
+			}
+		}
+		return nil
+	}
+	return hand(k, j)
+}
+
+// enqueue gives the disk's writer a job, and goes on.
+func (k *Keeper) enqueue(j *job) error {
+	k.begun++
+	k.disk.jobs <- j
+	return nil
+}
+
+// await gives the disk's writer a job and waits until it has come back.
+func (k *Keeper) await(j *job) error {
+	k.begun++
+	k.disk.jobs <- j
+	for {
+		back := <-k.disk.done
+		if err := k.lasts(back); err != nil || back == j {
+			return err
+		}
+	}
+}
+
+// lasts takes a job back.
+func (k *Keeper) lasts(j *job) error {
+	k.ended++
+	kind := holdSave
+	if j.do != nil {
+		kind = holdKept
+	}
+	k.holds.took(kind, j.began, j.over)
+	if j.err != nil {
+		return fmt.Errorf("keeper: it ends, for what its disk has now is not known: %w", j.err)
+	}
+	if k.ended == k.voted {
+		held := k.held
+		k.held = nil
+		k.emit(held)
+	}
+	if j.then != nil {
+		return j.then()
 	}
 	return nil
 }
 
+// stalled tells whether the disk has not answered for so long that this keeper is to be taken for one that is dead.
+func (k *Keeper) stalled() bool { return k.still >= stallTicks }
+
+// emit sends what raft lets be known before its entries last. Who has not kept its term and vote could lead, or vote,
+// twice in the same term, so all waits for these.
+func (k *Keeper) emit(msgs []*pb.Message) {
+	for _, m := range msgs {
+		switch {
+		case k.stalled():
+			if m.GetType() == pb.MsgSnap {
+				k.rn.ReportSnapshot(m.GetTo(), raft.SnapshotFailure)
+			}
+		case k.ended < k.voted:
+			k.held = append(k.held, m)
+		default:
+			k.send(m)
+		}
+	}
+}
+
 // turned follows who leads.
 func (k *Keeper) turned(now raft.SoftState) {
 	if now.RaftState != k.soft.RaftState || now.Lead != k.soft.Lead {
 		slog.Info("raft", "state", now.RaftState.String(), "leader", k.state.Members[now.Lead].Name)
 	}
+	k.told(k.soft, now)
 	k.soft = now
 	if now.RaftState != raft.StateLeader {
 		k.desk = nil
@@ -397,9 +537,27 @@
 	return nil
 }
 
+// ticked takes a tick. What lies there by then is carried out before it: a leader whose word does is not one that is
+// silent, and a disk that has answered none that does not.
+func (k *Keeper) ticked() error {
+	k.hear(nil)
+	for range len(k.disk.done) {
+		if err := k.lasts(<-k.disk.done); err != nil {
+			return err
+		}
+	}
+	k.tick()
+	return nil
+}
+
 // tick does what time asks for.
 func (k *Keeper) tick() {
 	now := clock.Steady()
+	k.holds.tick(now, k.cfg.TickMs, k.cfg.TickMs*electionTicks*2)
+	k.rn.Tick()
+	if k.still++; k.begun == k.ended || k.ended != k.stillAt {
+		k.still, k.stillAt = 0, k.ended
+	}
 	k.waiting = slices.DeleteFunc(k.waiting, func(a *ask) bool {
 		if now < a.due {
 			return false
@@ -429,7 +587,7 @@
 	if b.Stage == k.proposed && now-k.at < k.cfg.TickMs*electionTicks {
 		return // it is on its way
 	}
-	if may, _, _ := k.desk.Next(now, b.Stage, b.Words); may {
+	if k.desk.MayAdvance(now, b.Stage, b.Words) {
 		stage := b.Stage
 		if data, err := json.Marshal(&agree.Op{Advance: &stage}); err == nil && k.rn.Propose(data) == nil {
 			k.proposed, k.at = stage, now
@@ -480,7 +638,7 @@
 		return
 	}
 	b := &k.state.Book
-	if t := b.Terms(); t != nil && !t.Book.May(a.Name) {
+	if t := k.terms.of(b); t != nil && !t.Book.May(a.Name) {
 		a.answer <- granted{err: fmt.Errorf("agent %q is not in the list of agents", a.Name)}
 		return
 	}
@@ -491,7 +649,7 @@
 	}
 	out := granted{grant: g}
 	if a.Has != g.Stage {
-		out.terms = b.Terms()
+		out.text, out.err = k.terms.answer(b, g)
 	}
 	a.answer <- out
 }
--- a/internal/keeper/lab.go
+++ b/internal/keeper/lab.go
@@ -7,9 +7,12 @@
 	"os"
 )
 
-// The lab's seeded defect: a keeper's identity is its name, so that one whose folder was wiped votes as before; and
-// nobody notes how far it had come.
+// The lab's seeded defects: the loop waits for its disk, as it did once; or a keeper's identity is its name, so that one
+// whose folder was wiped votes as before, and nobody notes how far it had come.
 func init() {
+	if os.Getenv("RINGTRACK_LAB_DEFECT") == "loop-waits" {
+		hand = (*Keeper).await
+	}
 	if os.Getenv("RINGTRACK_LAB_DEFECT") == "wiped-votes" {
 		draw = func(name string) uint64 {
 			h := fnv.New64a()
--- a/internal/keeper/peer.go
+++ b/internal/keeper/peer.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"maps"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.etcd.io/raft/v3"
@@ -23,6 +24,8 @@
 	pathRaft = "/v1/raft"
 	// peerQueue bounds messages on their way to one keeper, peerTime a call with them. What is dropped raft sends again.
 	peerQueue, peerTime = 256, time.Second
+	// beatQueue bounds heartbeats and their answers on their way, which wait for none of the others.
+	beatQueue = 64
 	// mostParcel bounds what one call brings, in bytes: a snapshot and a little.
 	mostParcel = mostSnap * 3 / 2
 )
@@ -39,11 +42,13 @@
 	Msgs    [][]byte          `json:"msgs"`
 }
 
-// peer is the way to one other keeper. run's goroutine makes the calls.
+// peer is the way to one other keeper. run's goroutines make the calls, one at a time of each queue: a heartbeat does not
+// wait until the other has taken entries or a snapshot.
 type peer struct {
 	k       *Keeper
 	id      uint64
 	addr    string
+	beats   chan *pb.Message
 	queue   chan *pb.Message
 	refused string // the loop's: why that keeper does not hear this one
 	cancel  context.CancelFunc
@@ -58,9 +63,9 @@
 			p.cancel()
 		}
 		ctx, cancel := context.WithCancel(k.ctx)
-		p := &peer{k: k, id: id, addr: k.addr(id), queue: make(chan *pb.Message, peerQueue), cancel: cancel}
+		p := &peer{k: k, id: id, addr: k.addr(id), beats: make(chan *pb.Message, beatQueue), queue: make(chan *pb.Message, peerQueue), cancel: cancel}
 		k.peers[id] = p
-		k.ended.Go(func() { p.run(ctx) })
+		k.on.Go(func() { k.carry(p, ctx) })
 	}
 	maps.DeleteFunc(k.peers, func(id uint64, p *peer) bool {
 		if _, in := k.state.Members[id]; in {
@@ -80,35 +85,45 @@
 	return m.Addr
 }
 
-// send hands messages to the ways; what finds no room is dropped.
-func (k *Keeper) send(msgs []*pb.Message) {
-	for _, m := range msgs {
-		p := k.peers[m.GetTo()]
-		if p == nil {
-			continue
-		}
-		select {
-		case p.queue <- m:
-		default:
-			if m.GetType() == pb.MsgSnap {
-				k.rn.ReportSnapshot(p.id, raft.SnapshotFailure)
-			}
+// send hands a message to its way; what finds no room is dropped.
+func (k *Keeper) send(m *pb.Message) {
+	p := k.peers[m.GetTo()]
+	if p == nil {
+		return
+	}
+	queue := p.queue
+	if m.GetType() == pb.MsgHeartbeat || m.GetType() == pb.MsgHeartbeatResp {
+		queue = p.beats
+	}
+	select {
+	case queue <- m:
+	default:
+		if m.GetType() == pb.MsgSnap {
+			k.rn.ReportSnapshot(p.id, raft.SnapshotFailure)
 		}
 	}
 }
 
 func (p *peer) run(ctx context.Context) {
+	var beats sync.WaitGroup
+	beats.Go(func() { p.carry(ctx, p.beats) })
+	p.carry(ctx, p.queue)
+	beats.Wait()
+}
+
+// carry makes the calls of one queue.
+func (p *peer) carry(ctx context.Context, queue chan *pb.Message) {
 	for {
 		var msgs []*pb.Message
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-p.queue:
+		case m := <-queue:
 			msgs = append(msgs, m)
 		}
 		for more := true; more && len(msgs) < 64; {
 			select {
-			case m := <-p.queue:
+			case m := <-queue:
 				msgs = append(msgs, m)
 			default:
 				more = false
@@ -192,8 +207,9 @@
 	if k.id.Cluster == 0 && k.cfg.Join {
 		mine := *k.id
 		mine.Cluster = t.Cluster
-		if err := write(k.dir, identityFile, &mine); err != nil {
-			return err
+		var err error
+		if failed := k.await(&job{do: func() error { err = write(k.dir, identityFile, &mine); return nil }}); failed != nil || err != nil {
+			return errors.Join(failed, err)
 		}
 		*k.id = mine
 	}
@@ -219,6 +235,9 @@
 		if m.GetFrom() != t.From {
 			return errors.New("a message of another keeper")
 		}
+		if m.GetFrom() == k.soft.Lead && (m.GetType() == pb.MsgHeartbeat || m.GetType() == pb.MsgApp) {
+			k.holds.lead(k.now())
+		}
 		k.rn.Step(m) // what does not fit raft drops
 	}
 	return nil
--- a/internal/keeper/seen.go
+++ b/internal/keeper/seen.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"encoding/json"
 	"log/slog"
 
 	"go.etcd.io/raft/v3"
@@ -92,10 +93,18 @@
 		}
 		k.seen.told(now)
 	}
-	if now := clock.Steady(); k.seen.dirty && now-k.seen.at > seenEvery {
+	if now := clock.Steady(); k.seen.dirty && now-k.seen.at > seenEvery && k.begun-k.ended < mostJobs {
 		k.seen.dirty, k.seen.at = false, now
-		if err := write(k.dir, seenFile, &k.seen); err != nil {
+		text, err := json.Marshal(&k.seen)
+		if err != nil {
 			slog.Warn("how far the others had come is not kept", "err", err)
+			return
 		}
+		hand(k, &job{do: func() error {
+			if err := k.dir.Replace(seenFile, seal(text)); err != nil {
+				slog.Warn("how far the others had come is not kept", "err", err)
+			}
+			return nil
+		}})
 	}
 }
--- a/internal/keeper/storage.go
+++ b/internal/keeper/storage.go
@@ -75,18 +75,25 @@
 	return d.Replace(name, seal(text))
 }
 
-// storage is raft's log and snapshot: in memory, as raft reads it, and on the disk, before anything of it is told to
-// anybody.
+// storage is raft's log and snapshot. In memory, as raft reads it, it has what lasts, and belongs to the loop; on the disk
+// it is the writer's, once that runs, and begun before anything of it is told to anybody.
 type storage struct {
 	*raft.MemoryStorage
-	dir  *disk.Dir
-	file *disk.File
-	size int64
+	dir   *disk.Dir
+	file  *file
+	size  int64         // bytes of the log, with what the writer was given
+	base  uint64        // index of the snapshot
+	given *pb.HardState // the last that the writer was given
+	ways  [][]byte      // records that the writer was given and that do not last yet
+	snaps int           // snapshots of the leader that it was given and that do not last yet
 	// at the start
 	startTerm, startLast uint64
 	torn                 int64 // bytes that were cut off the log's end
 }
 
+// file is the log's, which is another one after each time that the log was written anew.
+type file struct{ *disk.File }
+
 // load reads what the folder has. A log that ends within a record was being written as the process died: what is not
 // whole was never acknowledged and is cut off. A record that is whole and wrong, or has others behind it, is damage.
 func load(d *disk.Dir) (*storage, error) {
@@ -117,11 +124,15 @@
 		return nil, err
 	}
 	s.torn = int64(len(text) - at)
-	if s.file, err = d.Append(logFile, int64(at)); err != nil {
+	f, err := d.Append(logFile, int64(at))
+	if err != nil {
 		return nil, err
 	}
-	s.size = int64(at)
+	s.file, s.size = &file{f}, int64(at)
+	snap, _ := s.Snapshot()
+	s.base = snap.GetMetadata().GetIndex()
 	state, _, _ := s.InitialState()
+	s.given = state
 	s.startTerm = state.GetTerm()
 	s.startLast, _ = s.LastIndex()
 	return s, nil
@@ -211,102 +222,162 @@
 	return out, nil
 }
 
-// save makes what raft has of new last. An error ends the keeper: what the disk has then is unknown.
-func (s *storage) save(rd *raft.Ready) error {
-	if !raft.IsEmptySnap(rd.Snapshot) {
-		if err := s.snapshot(rd.Snapshot); err != nil {
-			return err
+// appendReady appends the records of what raft has of new.
+func appendReady(out []byte, rd *raft.Ready) (_ []byte, err error) {
+	for _, e := range rd.Entries {
+		if out, err = appendRecord(out, recEntry, e); err != nil {
+			return nil, err
 		}
-		if err := s.ApplySnapshot(rd.Snapshot); err != nil {
-			return err
+	}
+	if !raft.IsEmptyHardState(rd.HardState) {
+		return appendRecord(out, recState, rd.HardState)
+	}
+	return out, nil
+}
+
+// save is the job that makes what raft has of new last; its then has raft read it. voted tells whether term or vote are
+// among it.
+func (s *storage) save(rd *raft.Ready) (j *job, voted bool, err error) {
+	j = &job{sync: rd.MustSync}
+	snap := !raft.IsEmptySnap(rd.Snapshot)
+	if snap {
+		text, err := sealSnapshot(rd.Snapshot)
+		if err != nil {
+			return nil, false, err
 		}
-		if err := s.rewrite(); err != nil {
-			return err
+		// The log begins anew behind it.
+		log, err := appendRecord(nil, recState, s.given)
+		if err == nil {
+			log, err = appendReady(log, rd)
 		}
-	}
-	var out []byte
-	var err error
-	for _, e := range rd.Entries {
-		if out, err = appendRecord(out, recEntry, e); err != nil {
-			return err
+		if err != nil {
+			return nil, false, err
+		}
+		j.do = func() error { return s.anew(text, log) }
+		s.size = int64(len(log))
+		s.ways = nil // the log that they go to is replaced
+		s.snaps++
+	} else {
+		if j.records, err = appendReady(nil, rd); err != nil {
+			return nil, false, err
+		}
+		s.size += int64(len(j.records))
+		if len(j.records) > 0 {
+			s.ways = append(s.ways, j.records)
 		}
 	}
 	if !raft.IsEmptyHardState(rd.HardState) {
-		if out, err = appendRecord(out, recState, rd.HardState); err != nil {
-			return err
+		voted = rd.HardState.GetTerm() != s.given.GetTerm() || rd.HardState.GetVote() != s.given.GetVote()
+		s.given = rd.HardState
+	}
+	entries, state, snapshot, records := rd.Entries, rd.HardState, rd.Snapshot, j.records
+	j.then = func() error {
+		if len(s.ways) > 0 && len(records) > 0 && &s.ways[0][0] == &records[0] {
+			s.ways = s.ways[1:]
+		}
+		if snap {
+			if err := s.ApplySnapshot(snapshot); err != nil {
+				return err
+			}
+			s.base = snapshot.GetMetadata().GetIndex()
+			s.snaps--
+		}
+		if !raft.IsEmptyHardState(state) {
+			s.SetHardState(state)
 		}
+		return s.Append(entries)
 	}
-	if len(out) == 0 {
-		return nil
+	return j, voted, nil
+}
+
+func sealSnapshot(snap *pb.Snapshot) ([]byte, error) {
+	text, err := proto.Marshal(snap)
+	return seal(text), err
+}
+
+// anew replaces the snapshot and the log.
+func (s *storage) anew(snap, log []byte) error {
+	if err := s.dir.Replace(snapFile, snap); err != nil {
+		return err
 	}
-	if _, err := s.file.Write(out); err != nil {
+	if err := s.dir.Replace(logFile, log); err != nil {
 		return err
 	}
-	s.size += int64(len(out))
-	if rd.MustSync {
-		if err := s.file.Sync(); err != nil {
-			return err
-		}
+	if err := s.file.Close(); err != nil {
+		return err
 	}
-	if !raft.IsEmptyHardState(rd.HardState) {
-		s.SetHardState(rd.HardState)
+	f, err := s.dir.Append(logFile, int64(len(log)))
+	if err == nil {
+		s.file.File = f
 	}
-	return s.Append(rd.Entries)
+	return err
 }
 
-func (s *storage) snapshot(snap *pb.Snapshot) error {
-	text, err := proto.Marshal(snap)
+// first makes the very first snapshot last, before there is a writer.
+func (s *storage) first(snap *pb.Snapshot) error {
+	text, err := sealSnapshot(snap)
+	if err != nil {
+		return err
+	}
+	if err := s.ApplySnapshot(snap); err != nil {
+		return err
+	}
+	s.given = &pb.HardState{Term: proto.Uint64(1), Vote: proto.Uint64(0), Commit: proto.Uint64(1)}
+	s.SetHardState(s.given)
+	s.base = snap.GetMetadata().GetIndex()
+	log, err := s.text()
 	if err != nil {
 		return err
 	}
-	return s.dir.Replace(snapFile, seal(text))
+	s.size = int64(len(log))
+	return s.anew(text, log)
 }
 
-// compact makes state, as it is behind entry index, the snapshot, and lets go of most entries before.
-func (s *storage) compact(index uint64, conf *pb.ConfState, state []byte) error {
+// compact is the job that makes state, as it is behind entry index, the snapshot; most entries before are let go of.
+func (s *storage) compact(index uint64, conf *pb.ConfState, state []byte) (*job, error) {
 	snap, err := s.CreateSnapshot(index, conf, state)
 	if err != nil {
-		return err
-	}
-	if err := s.snapshot(snap); err != nil {
-		return err
+		return nil, err
 	}
+	s.base = index
 	if first, _ := s.FirstIndex(); index > keepEntries && index-keepEntries > first {
 		if err := s.Compact(index - keepEntries); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return s.rewrite()
+	text, err := sealSnapshot(snap)
+	if err != nil {
+		return nil, err
+	}
+	log, err := s.text()
+	if err != nil {
+		return nil, err
+	}
+	s.size = int64(len(log))
+	return &job{do: func() error { return s.anew(text, log) }}, nil
 }
 
-// rewrite writes the log anew, with what the memory has of it.
-func (s *storage) rewrite() error {
+// text is the log written anew: what the memory has of it, which lasts, and behind it what is on its way.
+func (s *storage) text() (out []byte, err error) {
 	first, _ := s.FirstIndex()
 	last, _ := s.LastIndex()
-	var out []byte
-	var err error
 	if last >= first {
 		entries, err := s.Entries(first, last+1, 1<<62)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		for _, e := range entries {
 			if out, err = appendRecord(out, recEntry, e); err != nil {
-				return err
+				return nil, err
 			}
 		}
 	}
 	state, _, _ := s.InitialState()
 	if out, err = appendRecord(out, recState, state); err != nil {
-		return err
+		return nil, err
 	}
-	if err := s.dir.Replace(logFile, out); err != nil {
-		return err
+	for _, records := range s.ways {
+		out = append(out, records...)
 	}
-	if err := s.file.Close(); err != nil {
-		return err
-	}
-	s.size = int64(len(out))
-	s.file, err = s.dir.Append(logFile, s.size)
-	return err
+	return out, nil
 }
--- a/internal/lab/acceptor.go
+++ b/internal/lab/acceptor.go
@@ -3,17 +3,19 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // Acceptor is the listener of a stand-in: it serves each connection in a goroutine and owns them all.
 type Acceptor struct {
 	Addr string
 
-	ln    net.Listener
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	over  bool
-	wg    sync.WaitGroup
+	ln       net.Listener
+	accepted atomic.Int64
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	over     bool
+	wg       sync.WaitGroup
 }
 
 // Accept listens on a port that the kernel chooses; serve need not close its connection.
@@ -29,6 +31,7 @@
 			if err != nil {
 				return
 			}
+			a.accepted.Add(1)
 			a.mu.Lock()
 			if a.over {
 				c.Close()
@@ -48,6 +51,9 @@
 	return a, nil
 }
 
+// Accepted is the number of connections so far.
+func (a *Acceptor) Accepted() int64 { return a.accepted.Load() }
+
 // Cut resets all connections.
 func (a *Acceptor) Cut() {
 	a.mu.Lock()
--- a/internal/lab/agreemodel/model.go
+++ b/internal/lab/agreemodel/model.go
@@ -129,6 +129,7 @@
 	msgs    []message
 	left    Bounds
 	defect  Defect
+	differs string // where the desk's index and its holders gave two answers
 }
 
 func (l *log) wordsBut(d Defect) agree.Words {
@@ -256,7 +257,11 @@
 		})
 	}
 	if l.log.book.Wants() {
-		if may, _, _ := l.desk.Next(w.now, l.log.book.Stage, l.log.wordsBut(w.defect)); may {
+		may := l.desk.MayAdvance(w.now, l.log.book.Stage, l.log.wordsBut(w.defect))
+		if all, _, hold := l.desk.Next(w.now, l.log.book.Stage, l.log.wordsBut(w.defect)); all != may && w.differs == "" {
+			w.differs = fmt.Sprintf("whether stage %d may be left: %v by the index, held up by %v", l.log.book.Stage, may, hold)
+		}
+		if may {
 			add("advance", func(w *world) {
 				l := &w.leaders[len(w.leaders)-1]
 				l.log = l.log.advance(w.defect)
@@ -307,6 +312,9 @@
 
 // judge says which invariant does not hold; "": all do.
 func (w *world) judge() string {
+	if w.differs != "" {
+		return w.differs
+	}
 	l := w.leaders[len(w.leaders)-1].log // has every stage there ever was
 	low, high := len(l.stages), 0
 	least, most := uint64(1<<62), uint64(0)
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -29,6 +29,7 @@
 	Bin     string // folder of the binaries
 	LeaseMs float64
 	ListMs  float64
+	TickMs  float64 // of keepers; 0: their default
 
 	host  string
 	mu    sync.Mutex
@@ -42,41 +43,55 @@
 	replacing sync.Mutex // one keeper at a time
 }
 
-var built struct {
+// binaries are the folder of what was built in one way, once a process of the lab.
+type binaries struct {
 	sync.Mutex
-	dir string
-	err error
+	args []string
+	dir  string
+	err  error
 }
 
-// Build builds the binaries once a process of the lab and returns their folder, which Clean removes.
-func Build(ctx context.Context) (string, error) {
-	built.Lock()
-	defer built.Unlock()
-	if built.dir != "" || built.err != nil {
-		return built.dir, built.err
+var (
+	labBuilt     = binaries{args: []string{"-tags", "lab"}}
+	productBuilt = binaries{args: []string{"-ldflags=-linkmode=external"}} // as README has it
+)
+
+// Build builds the binaries with the tag lab, once a process of the lab, and returns their folder, which Clean removes.
+func Build(ctx context.Context) (string, error) { return labBuilt.build(ctx) }
+
+// BuildProduct is Build of the binaries as they are delivered: their disks and clocks can't be made faulty.
+func BuildProduct(ctx context.Context) (string, error) { return productBuilt.build(ctx) }
+
+func (b *binaries) build(ctx context.Context) (string, error) {
+	b.Lock()
+	defer b.Unlock()
+	if b.dir != "" || b.err != nil {
+		return b.dir, b.err
 	}
 	dir, err := os.MkdirTemp("", "ringtrack-cluster")
 	if err != nil {
 		return "", err
 	}
-	cmd := exec.CommandContext(ctx, "go", "build", "-tags", "lab", "-o", dir+"/", "ringtrack.example/ringtrack/cmd/ringtrack", "ringtrack.example/ringtrack/cmd/ringtrack-keeper")
-	if out, err := cmd.CombinedOutput(); err != nil {
+	args := append(append([]string{"build"}, b.args...), "-o", dir+"/", "ringtrack.example/ringtrack/cmd/ringtrack", "ringtrack.example/ringtrack/cmd/ringtrack-keeper")
+	if out, err := exec.CommandContext(ctx, "go", args...).CombinedOutput(); err != nil {
 		os.RemoveAll(dir)
-		built.err = fmt.Errorf("cluster: build: %w: %s", err, out)
-		return "", built.err
+		b.err = fmt.Errorf("cluster: build: %w: %s", err, out)
+		return "", b.err
 	}
-	built.dir = dir
+	b.dir = dir
 	return dir, nil
 }
 
-// Clean removes what Build built.
+// Clean removes what Build and BuildProduct built.
 func Clean() {
-	built.Lock()
-	defer built.Unlock()
-	if built.dir != "" {
-		os.RemoveAll(built.dir)
+	for _, b := range []*binaries{&labBuilt, &productBuilt} {
+		b.Lock()
+		if b.dir != "" {
+			os.RemoveAll(b.dir)
+		}
+		b.dir = ""
+		b.Unlock()
 	}
-	built.dir = ""
 }
 
 // New makes a cluster in a folder, without processes.
@@ -157,6 +172,13 @@
 // Link has a directed way do this from now on.
 func (c *Cluster) Link(from, to string, m Mode) { c.way(from, to).set(m) }
 
+// Bytes is how many bytes were sent on a directed way, without those of TCP and IP.
+func (c *Cluster) Bytes(from, to string) int64 { return c.way(from, to).bytes.Load() }
+
+// Watch has f called with what is sent on a directed way, in pieces as they come, from several goroutines. f is not to
+// keep them.
+func (c *Cluster) Watch(from, to string, f func([]byte)) { c.way(from, to).saw.Store(&f) }
+
 // Cut cuts, or joins again, a process from and to others, in one direction or both.
 func (c *Cluster) Cut(name string, others []*Process, out, in Mode) {
 	for _, o := range others {
@@ -258,7 +280,11 @@
 		return nil, err
 	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "name = %q\nlisten = %q\ndata = %q\njoin = %v\nlease_ms = %v\nlist_ms = %v\n[members]\n", name, addr, p.Data, join, c.LeaseMs, c.ListMs)
+	fmt.Fprintf(&text, "name = %q\nlisten = %q\ndata = %q\njoin = %v\nlease_ms = %v\nlist_ms = %v\n", name, addr, p.Data, join, c.LeaseMs, c.ListMs)
+	if c.TickMs > 0 {
+		fmt.Fprintf(&text, "tick_ms = %v\n", c.TickMs)
+	}
+	fmt.Fprintln(&text, "[members]")
 	for n, a := range members {
 		fmt.Fprintf(&text, "%s = %q\n", n, a)
 	}
@@ -272,6 +298,7 @@
 // AgentConfig is what an agent is made with beside the rig's own.
 type AgentConfig struct {
 	Settings  json.RawMessage
+	Own       func(i int) json.RawMessage // settings of the i-th; nil: Settings
 	Discovery string
 	Known     any
 	Peers     int // how many other agents may carry its asks
@@ -315,8 +342,12 @@
 		list("keepers", keepers)
 		list("peers", peers)
 		fmt.Fprintf(&agreed, "listen = %q\non_lapse = %q\n", addrs[2*n+i], cfg.OnLapse)
+		settings := cfg.Settings
+		if cfg.Own != nil {
+			settings = cfg.Own(i)
+		}
 		text, err := json.Marshal(map[string]any{"name": name, "listen": addrs[i], "discovery": cfg.Discovery, "seed": "7", "admin_addr": addrs[n+i],
-			"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}, "known": cfg.Known, "settings": cfg.Settings})
+			"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}, "known": cfg.Known, "settings": settings})
 		if err != nil {
 			return err
 		}
--- a/internal/lab/cluster/link.go
+++ b/internal/lab/cluster/link.go
@@ -1,9 +1,11 @@
 package cluster
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,8 +26,12 @@
 
 func (m Mode) String() string { return modeNames[m] }
 
-// delayed is what Delay adds.
-const delayed = 300 * time.Millisecond
+const (
+	// delayed is what Delay adds.
+	delayed = 300 * time.Millisecond
+	// acceptPause is waited behind a connection that could not be accepted.
+	acceptPause = 10 * time.Millisecond
+)
 
 // way is one direction between two processes, over all connections that either opened.
 type way struct {
@@ -33,6 +39,8 @@
 	mode    Mode
 	changed chan struct{}
 	conns   map[*net.TCPConn]bool
+	bytes   atomic.Int64
+	saw     atomic.Pointer[func([]byte)]
 }
 
 func newWay() *way { return &way{changed: make(chan struct{}), conns: map[*net.TCPConn]bool{}} }
@@ -82,6 +90,10 @@
 		}
 		n, err := from.Read(buf)
 		if n > 0 {
+			w.bytes.Add(int64(n))
+			if saw := w.saw.Load(); saw != nil {
+				(*saw)(buf[:n])
+			}
 			// What is on its way as the mode changes is held up by the new one, too.
 			for m, changed = w.now(); m == Stall; m, changed = w.now() {
 				select {
@@ -139,18 +151,26 @@
 		return nil, err
 	}
 	g := &gate{addr: ln.Addr().String(), ln: ln.(*net.TCPListener), to: to, out: out, back: back, over: make(chan struct{})}
-	g.wg.Go(func() {
-		for {
-			c, err := g.ln.AcceptTCP()
-			if err != nil {
-				return
-			}
-			g.wg.Go(func() { g.join(c) })
-		}
-	})
+	g.wg.Go(func() { g.accept(g.ln.AcceptTCP) })
 	return g, nil
 }
 
+// accept joins connections until there are none to come. One that can't be accepted, as with no descriptor left, does not
+// shut the gate.
+func (g *gate) accept(next func() (*net.TCPConn, error)) {
+	for {
+		c, err := next()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		g.wg.Go(func() { g.join(c) })
+	}
+}
+
 func (g *gate) join(c *net.TCPConn) {
 	defer c.Close()
 	if m, _ := g.out.now(); m == Reset {
--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -80,6 +80,16 @@
 // Runs tells whether it runs, also while it is stopped.
 func (p *Process) Runs() bool { p.mu.Lock(); defer p.mu.Unlock(); return p.cmd != nil }
 
+// PID is the process's id of this start; 0: it does not run.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Log is what it wrote last.
 func (p *Process) Log() string { p.mu.Lock(); defer p.mu.Unlock(); return p.log.String() }
 
@@ -247,3 +257,20 @@
 	system, _ := strconv.Atoi(fields[12])
 	return time.Duration(user+system) * 10 * time.Millisecond // USER_HZ is 100 on Linux
 }
+
+// RSS is the memory that it has resident now, in bytes.
+func (p *Process) RSS() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	kb := int64(0)
+	fmt.Sscan(rest, &kb)
+	return kb << 10
+}
