--- a/cmd/ringtrack-lab/main.go
+++ b/cmd/ringtrack-lab/main.go
@@ -16,6 +16,7 @@
 	"ringtrack.example/ringtrack/internal/lab/demo"
 	"ringtrack.example/ringtrack/internal/lab/experiment"
 	"ringtrack.example/ringtrack/internal/lab/prove"
+	"ringtrack.example/ringtrack/internal/lab/scale"
 )
 
 // cli is the command line.
@@ -23,6 +24,7 @@
 	Demo       struct{}      `cmd:"" help:"A small fleet, a roster, the agent and clients; takes about 15 s."`
 	Prove      proveCmd      `cmd:"" help:"Run a long proof and print its figures; exit 1 where one falls short."`
 	Replay     replayCmd     `cmd:"" help:"Run a schedule of faults again that a run of 'prove agreed' left."`
+	Scale      scaleCmd      `cmd:"" help:"Measure what a size needs: slopes, what they foretell, what is measured."`
 	Experiment experimentCmd `cmd:"" help:"Run scenarios of the emulator under several policies."`
 }
 
@@ -84,6 +86,7 @@
 
 func main() {
 	prove.Child()
+	scale.Child()
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "ringtrack-lab:", err)
 		if _, ok := err.(*kong.ParseError); ok {
@@ -110,6 +113,8 @@
 		return demo.Run(ctx, os.Stdout)
 	case "prove", "prove <name>":
 		return c.Prove.run(ctx)
+	case "scale", "scale <name>":
+		return c.Scale.run(ctx)
 	case "replay <file>":
 		return c.Replay.run(ctx)
 	case "experiment check <file>":
@@ -148,6 +153,56 @@
 	return nil
 }
 
+type scaleCmd struct {
+	Name  string  `arg:"" optional:"" help:"Which test; --list tells them."`
+	List  bool    `help:"All tests, a line each."`
+	Quick bool    `help:"The same, scaled to under 40 s on two cores."`
+	Seed  uint64  `default:"1" help:"Of all that is drawn."`
+	Scale float64 `default:"1" help:"Of sizes and times, above 0 and at most 10."`
+	JSON  bool    `help:"Print the report as JSON."`
+
+	SlowDisk bool `help:"Of control: only changes at the aimed size, while all keepers' disks are slow."`
+	Defect   bool `help:"Seed the lab's defect, which the test is to find."`
+}
+
+func (c *scaleCmd) run(ctx context.Context) error {
+	if c.List {
+		for _, t := range scale.All {
+			fmt.Printf("%-18s %s\n", t.Name, t.About)
+		}
+		return nil
+	}
+	t, ok := scale.Find(c.Name)
+	if !ok {
+		return fmt.Errorf("scale %s: there is no such test; --list tells them", c.Name)
+	}
+	if !(c.Scale > 0 && c.Scale <= 10) {
+		return fmt.Errorf("--scale: must be above 0 and at most 10, is %v", c.Scale)
+	}
+	if c.SlowDisk && t.Name != "control" {
+		return fmt.Errorf("scale %s: --slow-disk is for control", t.Name)
+	}
+	if c.Defect && t.Defect == "" {
+		return fmt.Errorf("scale %s: --defect: there is none", t.Name)
+	}
+	if c.Quick {
+		c.Scale *= t.Quick
+	}
+	defer cluster.Clean()
+	r, err := t.Run(ctx, &scale.Options{Seed: c.Seed, Scale: c.Scale, Log: os.Stderr, SlowDisk: c.SlowDisk, Defect: c.Defect})
+	if err != nil {
+		return fmt.Errorf("scale %s: seed %d: %w", t.Name, c.Seed, err)
+	}
+	if c.JSON {
+		fmt.Println(r.JSON())
+	}
+	fmt.Print(r)
+	if len(r.Short) > 0 {
+		return fmt.Errorf("scale %s: seed %d: falls short", t.Name, c.Seed)
+	}
+	return nil
+}
+
 func (c *proveCmd) run(ctx context.Context) error {
 	if c.List {
 		for _, p := range prove.All {
--- a/internal/lab/prove/crowd.go
+++ b/internal/lab/prove/crowd.go
@@ -16,10 +16,12 @@
 	bytes float64       // to all proxies
 	cpu   time.Duration // of the service's process
 	rss   int64         // its largest, KiB
+	quiet float64       // % of a core while nothing changes,
+	acks  float64       // and responses a second that proxies acknowledged
 }
 
 // drainsOf measures some drains of one service before a crowd.
-func drainsOf(ctx context.Context, ours bool, k kind, proxies, servers, drains int) (cost, error) {
+func drainsOf(ctx context.Context, ours bool, k kind, proxies, servers, drains int, quiet time.Duration) (cost, error) {
 	var c cost
 	spec := fmt.Sprint("peer ", servers)
 	var roster *lab.Roster
@@ -49,6 +51,17 @@
 	if err != nil {
 		return c, err
 	}
+	if quiet > 0 {
+		from, acks := time.Now(), crowd.acks()
+		time.Sleep(quiet)
+		now, err := p.usage()
+		if err != nil {
+			return c, err
+		}
+		span := time.Since(from).Seconds()
+		c.quiet, c.acks = 100*(now.CPU-before.CPU)/span, float64(crowd.acks()-acks)/span
+		before = now
+	}
 	bytes := crowd.received()
 	entries := paper(servers)
 	var lasts []time.Duration
@@ -94,7 +107,11 @@
 		one = delta
 	}
 	run := func(name string, ours bool, k kind, proxies, servers int) (cost, error) {
-		c, err := drainsOf(ctx, ours, k, proxies, servers, drains)
+		quiet := time.Duration(0)
+		if name == "incremental" {
+			quiet = time.Duration(o.scaled(20_000, 200)) * time.Millisecond
+		}
+		c, err := drainsOf(ctx, ours, k, proxies, servers, drains, quiet)
 		if err != nil {
 			return c, fmt.Errorf("%s: %w", name, err)
 		}
@@ -102,6 +119,10 @@
 		r.add(name+"_bytes", c.bytes, "")
 		r.add(name+"_cpu", millis(c.cpu), "ms")
 		r.add(name+"_rss", float64(c.rss)/1024, "MiB")
+		if quiet > 0 {
+			r.add(name+"_quiet_cpu", c.quiet, "% of a core")
+			r.add(name+"_quiet_acks", c.acks, "/s")
+		}
 		o.logf("%s: %d proxies, %d servers: last ack %v, %.0f bytes, %v CPU, %d KiB", name, proxies, servers, c.last, c.bytes, c.cpu, c.rss)
 		return c, nil
 	}
--- a/internal/lab/prove/keepers.go
+++ b/internal/lab/prove/keepers.go
@@ -18,6 +18,11 @@
 
 // keeperRig starts n keepers and waits until one leads.
 func keeperRig(ctx context.Context, n int, leaseMs float64, defect string) (*cluster.Cluster, func(), error) {
+	return keeperRigOf(ctx, n, leaseMs, 0, defect)
+}
+
+// keeperRigOf is keeperRig of keepers with another tick than the default.
+func keeperRigOf(ctx context.Context, n int, leaseMs, tickMs float64, defect string) (*cluster.Cluster, func(), error) {
 	bin, err := cluster.Build(ctx)
 	if err != nil {
 		return nil, nil, err
@@ -27,6 +32,7 @@
 		return nil, nil, err
 	}
 	c := cluster.New(dir, bin, leaseMs)
+	c.TickMs = tickMs
 	end := func() { c.Close(); os.RemoveAll(dir) }
 	if err := c.AddKeepers(n); err != nil {
 		end()
--- a/internal/lab/prove/light.go
+++ b/internal/lab/prove/light.go
@@ -282,6 +282,15 @@
 	return out, nil
 }
 
+// acks is how many responses were acknowledged.
+func (c *crowd) acks() int64 {
+	sum := int64(0)
+	for _, l := range c.all {
+		sum += int64(l.acks.Load())
+	}
+	return sum
+}
+
 func (c *crowd) received() int64 {
 	sum := int64(0)
 	for _, l := range c.all {
--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -105,6 +105,7 @@
 	{"agreed-size", "10, 300 and 3,000 holders at three keepers: time from a publish to in force, CPU, and no storm as the leader dies", 0.1, AgreedSize},
 	{"agreed-histories", "200 histories of publishes and reads while keepers fail and one disk lies: the book is one register (Porcupine)", 0.05, Histories},
 	{"keeper-kills", "1,000 kills and power cuts of keepers under publishing: the log opens, nothing acknowledged is lost", 0.02, KeeperKills},
+	{"keeper-slow-disk", "60 publishes while disks of keepers take 900 ms for each sync: the leader stays, as nobody is dead", 0.12, KeeperSlowDisk},
 	{"cold", "100 proxies, one cold server: what all send it stays under its fall budget", 1, Cold},
 	{"crowd", "1,000 proxies, 1,000 servers, one drain: time, bytes and CPU, beside go-control-plane's snapshot cache", 0.2, Crowd},
 	{"drains", "1,000 drains under steady requests and with pushes in flight: nothing new later than 250 ms", 0.4, Drains},
--- /dev/null
+++ b/internal/lab/scale/admin_test.go
@@ -0,0 +1,55 @@
+package scale
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// What each call costs is told at each size, and none of it for nothing.
+func TestAdminEndpointIsTold(t *testing.T) {
+	t.Parallel()
+	r, err := adminTest.Run(t.Context(), &Options{Seed: 3, Scale: adminTest.Smallest})
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := map[string]Line{}
+	for _, l := range r.Lines {
+		told[l.Name] = l
+	}
+	for _, call := range []string{"health", "figures", "a ban and its lifting"} {
+		for _, of := range []string{"processor time", "bytes", "time p50"} {
+			l, ok := told[call+", "+of]
+			if !ok || len(l.Points) != len(listed)-1 || l.Measured <= 0 {
+				t.Errorf("%s, %s: %+v", call, of, l)
+			}
+			for _, p := range l.Points {
+				if p.Value <= 0 {
+					t.Errorf("%s: %+v", l.Name, p)
+				}
+			}
+		}
+	}
+}
+
+// A call that is answered with anything but 200 is none that counts.
+func TestAdminCallsThatAreRefused(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	defer s.Close()
+	s.Config.SetKeepAlivesEnabled(false)
+	c := &adminCaller{addr: s.Listener.Addr().String()}
+	if err := c.call(http.MethodPut, "/admin/cordon?name=b-1"); err == nil || !strings.Contains(err.Error(), "404") {
+		t.Error(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.addr = ln.Addr().String()
+	ln.Close()
+	if err := c.call(http.MethodGet, "/admin/health"); err == nil {
+		t.Error("nobody listens")
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/control.go
@@ -0,0 +1,247 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/rulebook"
+)
+
+// The aimed size, and what control may use of an agent's machine.
+const (
+	aimAgents    = 470
+	aimChanges   = 280 // a day
+	aimInForce   = 8 * time.Second
+	aimCPU       = 4.9 // % of a core
+	aimMB, aimKB = 32.0, 7.0
+)
+
+const (
+	// quickScale is the scale under which leases and the spread of first calls are shorter than deployed, so that
+	// waiting for them fits; small is that under which the test only shows that it works: its figures mean nothing.
+	quickScale, small = 0.3, 0.05
+)
+
+// times are those of the scale: as deploy/keeper.toml and the contract have them, or shorter.
+func (o *Options) times() controlTimes {
+	switch {
+	case o.Scale < small:
+		return controlTimes{of: 4, askWithinMs: 2000, leaseMs: 400, listMs: 200}
+	case o.Scale < quickScale:
+		return controlTimes{of: 4, askWithinMs: 2000, leaseMs: 900, listMs: 900}
+	}
+	return controlTimes{of: o.scaled(2*aimAgents, 1), askWithinMs: 10_000, leaseMs: 2000, listMs: 3000}
+}
+
+// scaled is n at the scale, and least at the least.
+func (o *Options) scaled(n, least int) int { return max(int(float64(n)*o.Scale), least) }
+
+// sizeCost is what was measured at one size: a quiet time, and what one change cost beyond it.
+type sizeCost struct {
+	rate
+	keeperMs, leaderMs float64 // processor time of a change
+	realMs, hollowMs   float64 // of an agent
+	realKB, hollowKB   float64 // bytes of a change, an agent
+	asksEach           float64 // asks during a change, an agent
+	againEach          float64 // those of them that wait for nothing: behind a failed one
+	elections          float64 // of keepers during all the changes
+	took               inForce
+	tools              map[string]toolCost
+}
+
+// Control measures what the control of a deployment needs: agents, keepers and discovery, quiet and a change, at three
+// sizes, then at the aimed one and at twice that; and at the aimed one, how long a change takes until it is in force
+// everywhere while parts are gone, and what their return costs.
+func Control(ctx context.Context, o *Options) (*Report, error) {
+	if o.SlowDisk {
+		return slowDisks(ctx, o)
+	}
+	defect := ""
+	if o.Defect {
+		defect = noWait
+	}
+	r := &Report{Test: "control", Seed: o.Seed, Scale: o.Scale}
+	sizes := []int{o.scaled(60, 7), o.scaled(120, 9), o.scaled(240, 12)}
+	aim, beyond := o.scaled(aimAgents, 18), o.scaled(2*aimAgents, 0)
+	reals := o.scaled(10, 1)
+	rig, err := newControlRig(ctx, o, defect, o.times())
+	if err != nil {
+		return nil, err
+	}
+	defer rig.end()
+	check := []int{aim}
+	if beyond > aim && o.Scale >= small {
+		check = append(check, beyond)
+	}
+	costs, elections := map[int]*sizeCost{}, 0
+	for _, n := range slices.Concat(sizes, check) {
+		if err := rig.grow(ctx, n, reals); err != nil {
+			r.short("at %d agents: %v", n, err)
+			break // what was measured so far is told all the same
+		}
+		changes := o.scaled(10, 1)
+		if n > aim {
+			changes = o.scaled(3, 1)
+		}
+		c, err := rig.cost(ctx, changes)
+		if err != nil {
+			r.short("at %d agents: %v", n, err)
+			break
+		}
+		costs[n] = c
+		if c.tools, err = rig.tools(ctx); err != nil {
+			r.short("at %d agents: tools: %v", n, err)
+		}
+		o.logf("%d agents: %.1f asks/s, agent %.2f %%, keepers %.1f %%; a change: in force %v, busiest keeper %.0f ms, %.2f asks an agent, %.2f of them behind a failed one; %.0f terms of keepers",
+			n, c.asks, c.realCPU, c.keeperCPU, percentile(c.took.everywhere(), 0.5), c.leaderMs, c.asksEach, c.againEach, c.elections)
+		elections += rig.elections(ctx, fmt.Sprintf("up to %d agents", n))
+		if n == aim {
+			elections += rig.phases(ctx, r, c)
+		}
+	}
+	check = slices.DeleteFunc(check, func(n int) bool { return costs[n] == nil })
+	if len(check) == 0 {
+		return r, ctx.Err()
+	}
+	for _, at := range check {
+		for _, l := range slices.Concat(controlLines, toolLines()) {
+			var points []Point
+			for _, n := range sizes {
+				points = append(points, Point{float64(n), l.of(costs[n])})
+			}
+			r.Lines = append(r.Lines, Fit(l.name, l.unit, points, float64(at), l.of(costs[at])))
+		}
+	}
+	c := costs[aim]
+	perDay := func(of float64) float64 { return of * aimChanges }
+	r.add(fmt.Sprintf("%d changes a day (by %d measured), processor of an agent", aimChanges, len(c.took)), perDay(c.realMs)/1000, "s a day")
+	r.add("bytes of an agent", perDay(c.realKB)/1024, "MB a day")
+	r.add("processor of all keepers", perDay(c.keeperMs)/1000, "s a day")
+	r.add("quiet, by the hour (from a shorter time): processor of an agent", c.realCPU*36, "s an hour")
+	r.add("bytes of an agent", c.rate.realKB*3600/1024, "MB an hour")
+	r.add("processor of all keepers", c.keeperCPU*36, "s an hour")
+	r.add("elections that keepers told of, those of keepers that were killed among them", float64(elections), "")
+	r.add("state of a keeper on its disk", c.keeperStateKB, "KB")
+	if o.Scale < small { // a stretch of 0.1 s: one of the 10 ms by which processor time is counted is more than the bound
+		c.realCPU, c.hollowCPU = 0, 0
+	}
+	for _, b := range []struct {
+		what        string
+		value, most float64
+	}{{"processor of an agent, % of a core", c.realCPU, aimCPU}, {"memory of an agent, MB", c.realMB, aimMB}, {"bytes of an agent, KB/s", c.rate.realKB, aimKB},
+		{"processor of a hollow agent, % of a core", c.hollowCPU, aimCPU}, {"memory of a hollow agent, MB", c.hollowMB, aimMB},
+		{"bytes of a hollow agent, KB/s", c.rate.hollowKB, aimKB}} {
+		if b.value > b.most {
+			r.short("at %d agents: %s: %.3g, %.3g at the most", aim, b.what, b.value, b.most)
+		}
+	}
+	return r, rig.judge(r)
+}
+
+func (r *Report) short(format string, args ...any) {
+	r.Short = append(r.Short, fmt.Sprintf(format, args...))
+}
+
+// controlLine is a figure that grows with the number of agents.
+type controlLine struct {
+	name, unit string
+	of         func(*sizeCost) float64
+}
+
+var controlLines = []controlLine{
+	{"agent, processor", "% of a core", func(c *sizeCost) float64 { return c.realCPU }},
+	{"agent, memory", "MB", func(c *sizeCost) float64 { return c.realMB }},
+	{"agent, bytes", "KB/s", func(c *sizeCost) float64 { return c.rate.realKB }},
+	{"hollow agent, processor", "% of a core", func(c *sizeCost) float64 { return c.hollowCPU }},
+	{"hollow agent, memory kept", "MB", func(c *sizeCost) float64 { return c.hollowMB }},
+	{"hollow agent, bytes", "KB/s", func(c *sizeCost) float64 { return c.rate.hollowKB }},
+	{"discovery, calls", "/s", func(c *sizeCost) float64 { return c.discoveryCalls }},
+	{"discovery, bytes", "KB/s", func(c *sizeCost) float64 { return c.discoveryKB }},
+	{"keepers, asks", "/s", func(c *sizeCost) float64 { return c.asks }},
+	{"keepers, processor of all 5", "% of a core", func(c *sizeCost) float64 { return c.keeperCPU }},
+	{"keeper, processor of the busiest", "% of a core", func(c *sizeCost) float64 { return c.leaderCPU }},
+	{"keeper, memory of the largest", "MB", func(c *sizeCost) float64 { return c.keeperMB }},
+	{"keepers, bytes with agents", "KB/s", func(c *sizeCost) float64 { return c.agentsToKeeperKB }},
+	{"keepers, bytes among them", "KB/s", func(c *sizeCost) float64 { return c.keeperKB }},
+	{"a change, processor of all 5 keepers", "ms", func(c *sizeCost) float64 { return c.keeperMs }},
+	{"a change, processor of the busiest keeper", "ms", func(c *sizeCost) float64 { return c.leaderMs }},
+	{"a change, asks of an agent", "", func(c *sizeCost) float64 { return c.asksEach }},
+	{"a change, asks of an agent behind a failed one", "", func(c *sizeCost) float64 { return c.againEach }},
+	{"changes, terms of keepers that began meanwhile", "", func(c *sizeCost) float64 { return c.elections }},
+	{"a change, processor of an agent", "ms", func(c *sizeCost) float64 { return c.realMs }},
+	{"a change, processor of a hollow agent", "ms", func(c *sizeCost) float64 { return c.hollowMs }},
+	{"a change, bytes of a hollow agent", "KB", func(c *sizeCost) float64 { return c.hollowKB }},
+}
+
+// cost measures a stretch in which nothing changes, and then some changes.
+func (r *controlRig) cost(ctx context.Context, changes int) (*sizeCost, error) {
+	a := r.usage()
+	select {
+	case <-time.After(time.Duration(max(8*r.o.Scale, 0.1) * float64(time.Second))):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	b, before := r.usage(), r.term(ctx)
+	took, err := r.changes(ctx, changes, r.Keepers, r.names(nil))
+	if err != nil {
+		return nil, err
+	}
+	d, elections := r.usage(), r.term(ctx)-before
+	// What hollow agents hold is counted behind a collection: of a process with many of them, what is not yet collected
+	// says nothing of one.
+	b.hollowRSS = 0
+	for _, z := range r.zones {
+		if err := r.call(z, http.MethodPost, "/collect", nil); err != nil {
+			return nil, err
+		}
+		b.hollowRSS += z.p.RSS() - z.bare
+	}
+	c := &sizeCost{rate: r.rate(&a, &b), took: took, elections: elections}
+	with := r.rate(&b, &d)
+	// Of a percent of a core over so many seconds, and of KB a second: what one change took beyond the quiet time.
+	each := with.span / float64(changes)
+	// 0 is less than the clock's 10 ms tell.
+	beyond := func(with, quiet, unit float64) float64 { return max(unit*each*(with-quiet), 0) }
+	c.keeperMs, c.leaderMs = beyond(with.keeperCPU, c.keeperCPU, 10), beyond(with.leaderCPU, c.leaderCPU, 10)
+	c.realMs, c.hollowMs = beyond(with.realCPU, c.realCPU, 10), beyond(with.hollowCPU, c.hollowCPU, 10)
+	c.asksEach, c.againEach = float64(d.asks-b.asks)/float64(changes*r.n), float64(d.again-b.again)/float64(changes*r.n)
+	c.realKB, c.hollowKB = beyond(with.realKB, c.rate.realKB, 1), beyond(with.hollowKB, c.rate.hollowKB, 1)
+	return c, nil
+}
+
+// judge tells whether every book that a hollow agent's data path was given is the one that was published, and whether
+// all the rest came to them.
+func (r *controlRig) judge(rep *Report) error {
+	for _, z := range r.zones {
+		s, err := r.state(z)
+		if err != nil {
+			return err
+		}
+		for stage, digests := range s.Books {
+			for digest, n := range digests {
+				if stage%2 == 0 && digest != bookOf(stage/2).Digest() {
+					rep.short("%s: %d agents were given %s as version %d", z.p.Name, n, digest, stage/2)
+				}
+			}
+		}
+		if n := s.Books[rulebook.Stage(r.version)]; len(n) != 1 {
+			rep.short("%s: the last version came to its agents as %v", z.p.Name, n)
+		}
+	}
+	return nil
+}
+
+// lapses is how many leases were renewed behind their end, of hollow agents since their last start.
+func (r *controlRig) lapses() (n int, err error) {
+	for _, z := range r.zones {
+		s, err := r.state(z)
+		if err != nil {
+			return 0, err
+		}
+		n += s.Lapses
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/lab/scale/controlslow.go
@@ -0,0 +1,156 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/lab/cluster"
+	"ringtrack.example/ringtrack/internal/rulebook"
+)
+
+const (
+	// slowSyncMs is what each sync of a keeper takes, ms. Longest writes of 0.41 s were seen on a machine at load 45.
+	slowSyncMs = 300
+	// smallTickMs and smallSyncMs are those of the smallest form: beside CI's other work a keeper may be without a core
+	// for 0.4 s, so its election times (16 to 32 ticks) are longer, and a sync is longer than all but the longest of them.
+	smallTickMs, smallSyncMs = 40, 28 * smallTickMs
+)
+
+// slowDisks has the changes of a healthy deployment of the aimed size, and of those of its days that bring changes, come
+// in force while each sync of each keeper is slow, and tells for each how long they took and how many terms of keepers
+// began. Nobody is dead for a slow disk alone, so where no keeper is lost or cut off no term begins. The processes are of
+// the lab's build; its defect is the keepers' loop as it was before there was a writer beside it.
+func slowDisks(ctx context.Context, o *Options) (*Report, error) {
+	r := &Report{Test: "control, slow disks", Seed: o.Seed, Scale: o.Scale}
+	times, defect := o.times(), ""
+	times.syncMs = slowSyncMs
+	if o.Scale < small {
+		times.tickMs, times.syncMs = smallTickMs, smallSyncMs
+	}
+	if o.Defect {
+		defect = loopWaits
+	}
+	rig, err := newControlRig(ctx, o, defect, times)
+	if err != nil {
+		return nil, err
+	}
+	defer rig.end()
+	n := o.scaled(aimAgents, 18)
+	if err := rig.grow(ctx, n, o.scaled(10, 1)); err != nil {
+		return nil, err
+	}
+	rig.elections(ctx, fmt.Sprintf("up to %d agents, disks not slow", n))
+	if err := rig.disks(true); err != nil {
+		return nil, err
+	}
+	quiet, err := rig.quiet(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range slices.Concat([]controlPhase{{"healthy", 0, (*controlRig).healthy}}, controlPhases) {
+		if p.name == "start" { // it brings no change
+			continue
+		}
+		before, err := rig.lastTerm(ctx)
+		if err != nil {
+			return nil, err
+		}
+		phase, stop := ctx, func() {}
+		if o.Scale < small {
+			phase, stop = rig.untilTerm(ctx, before)
+		}
+		failed, from := p.run(rig, phase, r, quiet), time.Now()
+		stop()
+		if failed != nil {
+			r.short("%s: %v", p.name, failed)
+		}
+		after, err := rig.lastTerm(ctx)
+		if err != nil {
+			return nil, err
+		}
+		told := rig.elections(ctx, p.name)
+		r.add(p.name+": terms of keepers that began", after-before, "")
+		r.add("elections that keepers told of", float64(told), "")
+		if after > before && p.name != "region" && p.name != "keepers" {
+			r.short("%s: %.0f terms of keepers began, and none was dead", p.name, after-before)
+		}
+		if o.Scale < small {
+			break
+		}
+		if failed != nil {
+			if err := rig.recover(ctx); err != nil {
+				r.short("behind %s: %v", p.name, err)
+				rig.elections(ctx, "behind "+p.name)
+				break // what was measured so far is told all the same
+			}
+			r.add("until all was well again, disks not slow meanwhile", time.Since(from).Seconds(), "s")
+		}
+	}
+	return r, ctx.Err()
+}
+
+// untilTerm is a context that ends with a term behind the given one: the smallest form is over then.
+func (r *controlRig) untilTerm(ctx context.Context, before float64) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		for ctx.Err() == nil {
+			if now, err := r.lastTerm(ctx); err == nil && now > before {
+				cancel()
+			}
+			sleep(ctx, 50*time.Millisecond)
+		}
+	})
+	return ctx, func() { cancel(); watch.Wait() }
+}
+
+// quiet measures a stretch in which nothing changes.
+func (r *controlRig) quiet(ctx context.Context) (*sizeCost, error) {
+	a := r.usage()
+	if err := sleep(ctx, time.Duration(max(8*r.o.Scale, 0.1)*float64(time.Second))); err != nil {
+		return nil, err
+	}
+	b := r.usage()
+	return &sizeCost{rate: r.rate(&a, &b)}, nil
+}
+
+// healthy has some changes come in force while nothing is gone.
+func (r *controlRig) healthy(ctx context.Context, rep *Report, _ *sizeCost) error {
+	took, err := r.changes(ctx, r.o.scaled(10, 1), r.Keepers, r.names(nil))
+	if len(took) > 0 {
+		r.report(rep, "healthy", took)
+	}
+	return err
+}
+
+// disks has the keepers' disks be slow from now on, or not.
+func (r *controlRig) disks(slow bool) error {
+	words := ""
+	if slow {
+		words = fmt.Sprintf("sync-ms %d", r.times.syncMs)
+	}
+	var errs []error
+	for _, k := range r.Keepers {
+		errs = append(errs, k.Disk(words))
+	}
+	return errors.Join(errs...)
+}
+
+// recover brings all that is gone or cut off back while disks are not slow, until all agents have the last version, and
+// then has the disks be slow again.
+func (r *controlRig) recover(ctx context.Context) error {
+	if err := r.Heal(); err != nil {
+		return err
+	}
+	if err := cluster.Until(ctx, "the keepers are back", 30*time.Second, func() bool { return r.up(ctx, r.Keepers, rulebook.Stage(r.version)) }); err != nil {
+		return err
+	}
+	if _, err := r.held(ctx, r.names(nil), rulebook.Stage(r.version), time.Now(), 60*time.Second); err != nil {
+		return err
+	}
+	return r.disks(true)
+}
--- /dev/null
+++ b/internal/lab/scale/controltools.go
@@ -0,0 +1,127 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"ringtrack.example/ringtrack/internal/rulebook"
+)
+
+// toolNames are the operators' calls that are measured, each a process of the product.
+var toolNames = []string{"holders", "show", "publish"}
+
+// toolCost is what one run of a tool used.
+type toolCost struct {
+	cpuMs, mb, kb, ms float64 // kb is to and from keepers, ms from its start to its end
+}
+
+// tools runs each tool once, a few times where it changes nothing, and returns the cheapest run by processor time: what
+// else the machine did is in all of them.
+func (r *controlRig) tools(ctx context.Context) (map[string]toolCost, error) {
+	var addrs []string
+	for _, k := range r.Keepers {
+		addr, err := r.Via("tools", k.Name, k.Addr)
+		if err != nil {
+			return nil, err
+		}
+		addrs = append(addrs, addr)
+	}
+	bytes := func() (sum int64) {
+		for _, k := range r.Keepers {
+			sum += r.Bytes("tools", k.Name) + r.Bytes(k.Name, "tools")
+		}
+		return sum
+	}
+	run := func(args ...string) (c toolCost, out string, err error) {
+		ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+		defer cancel()
+		cmd := exec.CommandContext(ctx, filepath.Join(r.Bin, "ringtrack-keeper"), args...)
+		cmd.Env = append(os.Environ(), "RINGTRACK_KEEPERS="+strings.Join(addrs, ","))
+		from, before := time.Now(), bytes()
+		var text strings.Builder
+		cmd.Stdout, cmd.Stderr = &text, &text
+		if err := cmd.Start(); err != nil {
+			return c, "", err
+		}
+		most, ended := make(chan float64, 1), make(chan struct{})
+		go func() { most <- mostMemory(cmd.Process.Pid, ended) }()
+		err = cmd.Wait()
+		close(ended)
+		if err != nil {
+			return c, "", fmt.Errorf("%v: %w: %s", args, err, tail(text.String(), 300))
+		}
+		c = toolCost{ms: ms(time.Since(from)), kb: float64(bytes()-before) / 1024, cpuMs: ms(cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime())}
+		c.mb = <-most
+		return c, text.String(), nil
+	}
+	costs := map[string]toolCost{}
+	for _, name := range []string{"holders", "show"} {
+		for i := range 3 {
+			c, out, err := run(name)
+			if err != nil {
+				return nil, err
+			}
+			if n := strings.Count(out, " stage "); name == "holders" && n < r.n {
+				return nil, fmt.Errorf("holders tells of %d, there are %d", n, r.n)
+			}
+			if i == 0 || c.cpuMs < costs[name].cpuMs {
+				costs[name] = c
+			}
+		}
+	}
+	next := r.version + 1
+	text, err := toml.Marshal(bookOf(next))
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(r.dir, "book.toml")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return nil, err
+	}
+	c, _, err := run("publish", file, "--parent", fmt.Sprint(r.version), "--author", "lab", "--reason", "cost")
+	if err != nil {
+		return nil, err
+	}
+	r.version, costs["publish"] = next, c
+	_, err = r.held(ctx, r.names(nil), rulebook.Stage(next), time.Now(), 30*time.Second)
+	return costs, err
+}
+
+// mostMemory is the most MB that a process had, as it was seen each half millisecond until it ended: what the kernel tells
+// of a process that has ended counts in who started it.
+func mostMemory(pid int, ended chan struct{}) (mb float64) {
+	for {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		if _, rest, ok := strings.Cut(string(text), "VmHWM:"); ok && err == nil {
+			var kb float64
+			fmt.Sscan(rest, &kb)
+			mb = max(mb, kb/1024)
+		}
+		select {
+		case <-ended:
+			return mb
+		case <-time.After(500 * time.Microsecond):
+		}
+	}
+}
+
+// toolLines are the tools' costs as figures of a size.
+func toolLines() (lines []controlLine) {
+	for _, name := range toolNames {
+		for _, x := range []struct {
+			what, unit string
+			of         func(toolCost) float64
+		}{{"processor", "ms", func(c toolCost) float64 { return c.cpuMs }}, {"memory", "MB", func(c toolCost) float64 { return c.mb }},
+			{"bytes", "KB", func(c toolCost) float64 { return c.kb }}, {"time", "ms", func(c toolCost) float64 { return c.ms }}} {
+			lines = append(lines, controlLine{"ringtrack-keeper " + name + ", " + x.what, x.unit, func(c *sizeCost) float64 { return x.of(c.tools[name]) }})
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/lab/scale/datapath.go
@@ -0,0 +1,774 @@
+package scale
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/lab"
+	"ringtrack.example/ringtrack/internal/lab/cluster"
+	"ringtrack.example/ringtrack/internal/lab/world"
+	"ringtrack.example/ringtrack/internal/membership"
+)
+
+const (
+	// callsPerS is the rate at which each way is called, changesPerS that of the list's changes.
+	callsPerS, changesPerS = 120, 10
+	// warmPerS is the rate before that, warmCalls the calls for each backend: connections are open by then, as they are
+	// where calls have come for longer than a run lasts. What is opened later was idle for keptFor.
+	warmPerS, warmCalls = 1500, 2
+	// wayClients is the connections that share a way's calls.
+	wayClients = 4
+	// addedAim is what an agent may add to 99 calls in 100.
+	addedAim = 570 * time.Microsecond
+	// mostTimesPlain bounds what the agent's fastest calls take, one in twenty, by what the plain proxy's do in the same
+	// run. What else the machine does falls on both ways, and on these calls least: on a machine with 64 threads for 8
+	// cores quartiles were no measure of either.
+	mostTimesPlain, fastest = 4, 0.05
+	// judgedScale is the scale from which the aim is judged: below there are too few calls for 99 in 100 of them.
+	judgedScale = 0.1
+	// callTime is what a call may take: far more than it should, so that a slow machine fails none.
+	callTime = 5 * time.Second
+	// keptFor is how long the agent keeps an idle connection to a backend: half of keepaliveMs.
+	keptFor = 15 * time.Second
+	// readyTime is for a process to come up.
+	readyTime = 20 * time.Second
+	// mostIdle is for how long a client's connection may idle to be used again: the agent closes it after 10 s.
+	mostIdle = 5 * time.Second
+	// chained is the agents in a chain.
+	chained = 6
+	// idleTime, callsTime and changesTime are for each size, chainTime for the chains, at scale 1.
+	idleTime, callsTime, changesTime, chainTime = 7 * time.Second, 18 * time.Second, 6 * time.Second, 20 * time.Second
+)
+
+// listed are the backends listed: a line is fitted to all but the last, which it foretells.
+var listed = []int{chained, 100, 470, 940}
+
+var dataPathTest = Test{Name: "data-path", Quick: 0.18, Smallest: 0.01, Defect: "each agent's backends take 20 ms more",
+	About: "What the agent adds to a call beside a plain proxy, and what it uses, by backends listed; six in a chain.",
+	Run: func(ctx context.Context, o *Options) (*Report, error) {
+		d := &dataPath{o: o, r: &Report{Test: "data-path", Seed: o.Seed, Scale: o.Scale}}
+		if o.Defect {
+			d.late = 20 * time.Millisecond
+		}
+		return d.run(ctx)
+	}}
+
+// dataPath is one run. Each size, and then the chain, has processes of the product's own binary (built with the tag
+// lab, which changes nothing of an agent without the lab's variables), called at a steady rate in turns with a plain
+// proxy in a process of its own and with the backends themselves: what the machine and the client cost falls on all
+// three alike. Client, backends and roster are the lab's own process.
+type dataPath struct {
+	o *Options
+	r *Report
+	// late is the seeded defect: backends take so much longer behind the agent.
+	late time.Duration
+
+	c       *cluster.Cluster
+	rng     *rand.Rand
+	servers []*lab.OrderServer
+	figures series
+}
+
+// The ways on which calls go. An operation's name begins with its way's, by which a backend knows on which it came.
+const (
+	byAgent = iota
+	byPlain
+	byItself
+	ways
+)
+
+var wayNames = [ways]string{"agent", "plain", "direct"}
+
+// way is one of them.
+type way struct {
+	addrs  []string        // where clients connect
+	pid    int             // of the process on the way; 0: none
+	took   []time.Duration // from the first byte written to the last one read
+	calm   []time.Duration // that, of the half of the calls in which threads waited least for a core
+	waited []time.Duration // for how long those of the process, of client and of backends did in each call
+	ran    []time.Duration // what the process's threads had of cores meanwhile
+	late   []time.Duration // when a call began, after it was due: the client's and the machine's part
+	mu     sync.Mutex
+	failed []string // what calls that were not served were answered
+}
+
+// dial opens a way's connections.
+func (w *way) dial() (clients []*world.Client, err error) {
+	for i := range wayClients {
+		c, err := world.HTTP.Dial(w.addrs[i%len(w.addrs)], 10*time.Minute)
+		if err != nil {
+			return clients, err
+		}
+		clients = append(clients, c)
+	}
+	return clients, nil
+}
+
+// request is the i-th of a way: each class of effects in turn.
+func request(way, i int, key string) *world.Request {
+	classes := []struct {
+		name   string
+		effect lab.Effect
+	}{{"read", lab.Safe}, {"send", lab.Keyed}, {"order", lab.Unsafe}}
+	class := classes[i%len(classes)]
+	return &world.Request{Op: fmt.Sprintf("%s-%d", wayNames[way], lastOp.Add(1)), Method: class.name, Effect: class.effect, Key: key, Within: callTime}
+}
+
+// lastOp numbers operations.
+var lastOp atomic.Int64
+
+// cores is what the process on the way had of cores, and what it, client and backends waited for them.
+func (w *way) cores() (cpu, wait time.Duration, err error) {
+	if _, wait, err = cores(os.Getpid()); err != nil || w.pid == 0 {
+		return 0, wait, err
+	}
+	cpu, own, err := cores(w.pid)
+	return cpu, wait + own, err
+}
+
+// call makes the j-th call of a way.
+func (w *way) call(j int, c *world.Client, text []byte) (a world.Answer, err error) {
+	cpu, wait, err := w.cores()
+	if err != nil {
+		return a, err
+	}
+	from := time.Now()
+	if _, err = c.Write(text); err != nil {
+		return a, err
+	}
+	a, err = c.Read()
+	w.took[j] = time.Since(from)
+	if err != nil {
+		return a, err
+	}
+	cpuThen, waitThen, err := w.cores()
+	w.ran[j], w.waited[j] = cpuThen-cpu, waitThen-wait
+	return a, err
+}
+
+// settle sorts what a series of calls brought.
+func (w *way) settle() {
+	order := make([]int, len(w.took))
+	for j := range order {
+		order[j] = j
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(w.waited[a], w.waited[b]) })
+	w.calm = nil
+	for _, j := range order[:(len(order)+1)/2] {
+		w.calm = append(w.calm, w.took[j])
+	}
+	for _, times := range [][]time.Duration{w.took, w.calm, w.waited, w.ran, w.late} {
+		slices.Sort(times)
+	}
+}
+
+// calls sends n calls on each way at the rate, on new connections, in an open loop; the ways take turns within each
+// period.
+func (d *dataPath) calls(ctx context.Context, all *[ways]*way, n int, perS time.Duration) error {
+	period := time.Second / perS
+	turn := d.rng.Perm(ways)
+	var clients [ways][]*world.Client
+	defer func() {
+		for _, c := range slices.Concat(clients[:]...) {
+			c.Close()
+		}
+	}()
+	for i, w := range all {
+		var err error
+		if clients[i], err = w.dial(); err != nil {
+			return err
+		}
+	}
+	began := time.Now().Add(period)
+	errs := make([]error, ways*wayClients)
+	var senders sync.WaitGroup
+	for i, w := range all {
+		for _, times := range []*[]time.Duration{&w.took, &w.waited, &w.ran, &w.late} {
+			*times = make([]time.Duration, n)
+		}
+		w.failed = nil
+		key := fmt.Sprint(d.rng.IntN(211))
+		for k, c := range clients[i] {
+			senders.Go(func() {
+				for j := k; j < n && ctx.Err() == nil; j += wayClients {
+					due := began.Add(time.Duration(j)*period + time.Duration(turn[i])*period/ways)
+					r := request(i, j, key+fmt.Sprint(j%31))
+					text := world.HTTP.Encode(r)
+					time.Sleep(time.Until(due))
+					w.late[j] = time.Since(due)
+					a, err := w.call(j, c, text)
+					if err != nil {
+						errs[i*wayClients+k] = fmt.Errorf("scale: %s: %w", r.Op, err)
+						return
+					}
+					if a.Verdict != lab.Served {
+						w.mu.Lock()
+						w.failed = append(w.failed, fmt.Sprintf("%s: %d %q", r.Op, a.Code, a.Text))
+						w.mu.Unlock()
+					}
+				}
+			})
+		}
+	}
+	senders.Wait()
+	for _, w := range all {
+		w.settle()
+	}
+	return errors.Join(append(errs, ctx.Err())...)
+}
+
+// quantile is that of sorted times; 0 of none.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+func millis(t time.Duration) float64 { return t.Seconds() * 1e3 }
+
+// times is a span at this scale.
+func (d *dataPath) times(t time.Duration) time.Duration {
+	return time.Duration(d.o.Scale * float64(t))
+}
+
+// count is the calls or changes of a span at this scale.
+func (d *dataPath) count(perS float64, t time.Duration, least int) int {
+	return max(least, int(perS*d.times(t).Seconds()))
+}
+
+// listed are the backends listed at this scale; times shrink first.
+func (o *Options) listed() (out []int) {
+	for i, n := range listed {
+		out = append(out, max(listed[0]+3*i, int(min(1, 10*o.Scale)*float64(n))))
+	}
+	return out
+}
+
+func (d *dataPath) short(format string, args ...any) {
+	d.r.Short = append(d.r.Short, fmt.Sprintf(format, args...))
+}
+
+func (d *dataPath) run(ctx context.Context) (*Report, error) {
+	d.rng = rand.New(rand.NewPCG(d.o.Seed, 0))
+	bin, err := cluster.Build(ctx)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "data-path")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	d.c = cluster.New(dir, bin, 0)
+	defer d.c.Close()
+	defer func() {
+		for _, s := range d.servers {
+			s.Close()
+		}
+	}()
+	sizes := d.o.listed()
+	last := sizes[len(sizes)-1]
+	if err := d.serve(last); err != nil {
+		return nil, err
+	}
+	for i, n := range sizes {
+		if i == len(sizes)-1 {
+			d.figures.foretell(d.o, n)
+		}
+		if err := d.size(ctx, n); err != nil {
+			return nil, err
+		}
+	}
+	d.r.Lines = d.figures.lines()
+	if err := d.chain(ctx); err != nil {
+		return nil, err
+	}
+	return d.r, nil
+}
+
+// serve starts n backends more, in the zones of the settings.
+func (d *dataPath) serve(n int) error {
+	for range n {
+		i := len(d.servers)
+		s, err := lab.NewOrderServer(fmt.Sprintf("s-%04d", i), []string{"east", "west", "south"}[i%3], 0, nil)
+		if err != nil {
+			return err
+		}
+		if d.late > 0 {
+			s.Saw(func(op string, _ time.Time) {
+				if strings.HasPrefix(op, wayNames[byAgent]) {
+					time.Sleep(d.late)
+				}
+			})
+		}
+		d.servers = append(d.servers, s)
+	}
+	return nil
+}
+
+// settings are the rig's, with a list that is followed, connections that are kept, and time for each call and connect: on
+// a machine that is busy none fails, and none is refused because others were late.
+func settings() (json.RawMessage, error) {
+	var s map[string]any
+	if err := json.Unmarshal([]byte(cluster.Settings), &s); err != nil {
+		return nil, err
+	}
+	s["membershipMode"] = "pushed"
+	limits := s["limits"].(map[string]any)
+	limits["keepaliveMs"], limits["connectTimeoutMs"] = 2*keptFor.Milliseconds(), callTime.Milliseconds()
+	for _, c := range s["classes"].([]any) {
+		class := c.(map[string]any)
+		class["aimMs"], class["giveUpMs"] = callTime.Milliseconds(), callTime.Milliseconds()
+	}
+	return json.Marshal(s)
+}
+
+// agent starts an agent that follows a roster.
+func (d *dataPath) agent(name, addr string, roster *lab.Roster) (*cluster.Process, error) {
+	return startAgent(d.c, name, addr, "", d.o.Seed, roster)
+}
+
+// startAgent starts an agent that follows a roster and has its admin endpoint at door; "": none.
+func startAgent(c *cluster.Cluster, name, addr, door string, seed uint64, roster *lab.Roster) (*cluster.Process, error) {
+	p, err := c.Process(name, addr, false, nil, "ringtrack")
+	if err != nil {
+		return nil, err
+	}
+	own, err := settings()
+	if err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(map[string]any{"name": name, "listen": addr, "discovery": roster.Addr, "seed": fmt.Sprintf("%x", seed), "admin_addr": door,
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 4096}, "known": roster.List(), "settings": own})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(filepath.Join(p.Dir, "config.json"), text, 0o600); err != nil {
+		return nil, err
+	}
+	p.Door, p.Env = door, []string{"PROXY_CONFIG=config.json", "TMPDIR=" + p.Dir}
+	return p, p.Start()
+}
+
+// plain starts a plain proxy.
+func (d *dataPath) plain(name, addr string, backends []string) (*cluster.Process, error) {
+	dir := filepath.Join(d.c.Dir, name)
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		return nil, err
+	}
+	p, err := newPlain(dir, addr, backends)
+	if err != nil {
+		return nil, err
+	}
+	return p, p.Start()
+}
+
+// ready waits until all of these serve.
+func ready(ctx context.Context, all ...*cluster.Process) error {
+	for _, p := range all {
+		if err := cluster.Ready(ctx, p, readyTime); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// dials is the connections to backends that a plain proxy has opened.
+func dials(p *cluster.Process) (n int64, err error) {
+	resp, err := http.Get("http://" + p.Addr + "/-/dials")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil {
+		_, err = fmt.Sscan(string(text), &n)
+	}
+	return n, err
+}
+
+// accepted and begun are the connections and the requests that backends have taken.
+func (d *dataPath) accepted() (n int64) {
+	for _, s := range d.servers {
+		n += s.Accepted()
+	}
+	return n
+}
+
+func (d *dataPath) begun() (n int64) {
+	for _, s := range d.servers {
+		n += s.Begun()
+	}
+	return n
+}
+
+// size measures an agent with n backends listed: idle, called, and while the list changes.
+func (d *dataPath) size(ctx context.Context, n int) error {
+	d.o.logf("%d backends listed", n)
+	var entries []membership.Entry
+	var direct []string
+	for _, s := range d.servers[:n] {
+		entries = append(entries, s.Entry)
+		direct = append(direct, s.Entry.Addr)
+	}
+	roster, err := lab.NewRoster(entries...)
+	if err != nil {
+		return err
+	}
+	defer roster.Close()
+	addrs, err := d.c.Addrs(2)
+	if err != nil {
+		return err
+	}
+	agent, err := d.agent(fmt.Sprint("agent-", n), addrs[byAgent], roster)
+	if err != nil {
+		return err
+	}
+	defer agent.Kill()
+	plain, err := d.plain(fmt.Sprint("plain-", n), addrs[byPlain], direct)
+	if err != nil {
+		return err
+	}
+	defer plain.Kill()
+	if err := ready(ctx, agent, plain); err != nil {
+		return err
+	}
+	pids := []int{agent.PID(), plain.PID()}
+	all := [ways]*way{byAgent: {addrs: []string{agent.Addr}, pid: pids[byAgent]}, byPlain: {addrs: []string{plain.Addr}, pid: pids[byPlain]},
+		byItself: {addrs: direct}}
+	if err := d.calls(ctx, &all, warmCalls*n, warmPerS); err != nil {
+		return err
+	}
+	// Idle.
+	idle, err := spent(ctx, pids, func() error { return sleep(ctx, d.times(idleTime)) })
+	if err != nil {
+		return err
+	}
+	d.figures.at(n, "idle", 100*idle[byAgent].share(), "% of a core")
+	d.figures.at(n, "idle bytes", float64(idle[byAgent].Bytes)/idle[byAgent].over.Seconds(), "B/s")
+
+	// Called.
+	calls := d.count(callsPerS, callsTime, 16)
+	accepted, begun := d.accepted(), d.begun()
+	dialled, err := dials(plain)
+	if err != nil {
+		return err
+	}
+	called, err := spent(ctx, pids, func() error { return d.calls(ctx, &all, calls, callsPerS) })
+	if err != nil {
+		return err
+	}
+	now, err := dials(plain)
+	if err != nil {
+		return err
+	}
+	prefix := fmt.Sprintf("%d listed: ", n)
+	d.judge(prefix, &all, 1)
+	through, straight := all[byAgent], all[byItself]
+	for _, q := range []float64{0.5, 0.99} {
+		d.figures.at(n, fmt.Sprintf("added p%.0f", 100*q), millis(quantile(through.took, q)-quantile(straight.took, q)), "ms")
+		d.figures.at(n, fmt.Sprintf("added p%.0f, calmer half", 100*q), millis(quantile(through.calm, q)-quantile(straight.calm, q)), "ms")
+	}
+	d.r.add(prefix+"attempts a call, all ways", float64(d.begun()-begun)/float64(ways*calls), "")
+	d.r.add(prefix+"agent, connections opened a call", float64(d.accepted()-accepted-(now-dialled))/float64(calls), "")
+	d.r.add(prefix+"plain, connections opened a call", float64(now-dialled)/float64(calls), "")
+	d.cost(prefix, called, calls)
+	d.figures.at(n, "called at 120/s", 100*called[byAgent].share(), "% of a core")
+	d.figures.at(n, "bytes a call", float64(called[byAgent].Bytes)/float64(calls), "B")
+
+	// The list changes.
+	changes := d.count(changesPerS, changesTime, 1)
+	changed, err := spent(ctx, pids, func() error { return d.change(ctx, roster, entries, changes) })
+	if err != nil {
+		return err
+	}
+	d.figures.at(n, "10 changes a second", 100*changed[byAgent].share(), "% of a core")
+	d.figures.at(n, "bytes a change", float64(changed[byAgent].Bytes)/float64(changes), "B")
+	d.figures.at(n, "memory", float64(changed[byAgent].RSS)/1024, "MB")
+	return nil
+}
+
+// change changes the list, an entry at a time, and returns once the agent has asked for what comes after the last.
+func (d *dataPath) change(ctx context.Context, roster *lab.Roster, entries []membership.Entry, n int) error {
+	for len(roster.Asked) > 0 {
+		<-roster.Asked
+	}
+	var revision uint64
+	began := time.Now()
+	for i := range n {
+		if err := sleep(ctx, time.Until(began.Add(time.Duration(i)*time.Second/changesPerS))); err != nil {
+			return err
+		}
+		e := &entries[d.rng.IntN(len(entries))]
+		e.Weight = 3 - e.Weight // 1 and 2 in turn
+		revision = roster.Set(*e)
+	}
+	over := time.After(readyTime)
+	for {
+		select {
+		case index := <-roster.Asked:
+			if index >= revision {
+				return nil
+			}
+		case <-over:
+			return fmt.Errorf("scale: the list at %d is not followed", revision)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// judge reports what the ways took, and what of it falls short; hops is the agents that a call passes.
+func (d *dataPath) judge(prefix string, all *[ways]*way, hops int) {
+	var added [ways]time.Duration
+	for i, w := range all {
+		for _, q := range []float64{0.5, 0.99} {
+			name := fmt.Sprintf("%s%s p%.0f", prefix, wayNames[i], 100*q)
+			d.r.add(name, millis(quantile(w.took, q)), "ms")
+			if i != byItself {
+				added[i] = quantile(w.took, q) - quantile(all[byItself].took, q)
+				d.r.add(name+" added", millis(added[i]), "ms")
+			}
+			if w.pid != 0 {
+				d.r.add(name+" added, calmer half", millis(quantile(w.calm, q)-quantile(all[byItself].calm, q)), "ms")
+				d.r.add(name+" of processor time during a call", millis(quantile(w.ran, q)), "ms")
+			}
+			d.r.add(fmt.Sprintf("%s%s, the client late p%.0f", prefix, wayNames[i], 100*q), millis(quantile(w.late, q)), "ms")
+		}
+		if n := len(w.failed); n > 0 {
+			d.short("%s%s: %d of %d calls not served, the first: %s", prefix, wayNames[i], n, len(w.took), w.failed[0])
+		}
+	}
+	ratio := float64(quantile(all[byAgent].took, fastest)) / float64(max(1, quantile(all[byPlain].took, fastest)))
+	d.r.add(prefix+"agent by plain, fastest calls", ratio, "")
+	if ratio > mostTimesPlain {
+		d.short("%sthe agent's fastest calls take %.1f times the plain proxy's, %d allowed", prefix, ratio, mostTimesPlain)
+	}
+	d.r.add(prefix+"added p99, agent by plain", float64(added[byAgent])/float64(max(1, added[byPlain])), "")
+	aim := time.Duration(hops) * addedAim
+	d.r.add(prefix+"added p99 by the aim", float64(added[byAgent])/float64(aim), "")
+	if d.o.Scale >= judgedScale && added[byAgent] > aim {
+		d.short("%sadded p99 %.2f ms, aim %.2f ms; the plain proxy adds %.2f ms", prefix, millis(added[byAgent]), millis(aim), millis(added[byPlain]))
+	}
+}
+
+// cost reports what agent and plain proxy needed for a call, n in all.
+func (d *dataPath) cost(prefix string, used []spending, n int) {
+	for i, u := range used {
+		d.r.add(prefix+wayNames[i]+", processor time a call", u.CPU.Seconds()*1e6/float64(n), "us")
+		d.r.add(prefix+wayNames[i]+", wait for a core a call", u.Wait.Seconds()*1e6/float64(n), "us")
+	}
+}
+
+// chain measures agents one behind another: each backend calls the next agent, the next plain proxy or the next backend,
+// as it was called itself.
+func (d *dataPath) chain(ctx context.Context) error {
+	const each = chained // backends of an agent
+	first := len(d.servers)
+	if err := d.serve(chained * each); err != nil {
+		return err
+	}
+	addrs, err := d.c.Addrs(2 * chained)
+	if err != nil {
+		return err
+	}
+	next := nextHop{idle: map[string][]kept{}}
+	defer next.close()
+	var started []*cluster.Process // an agent and a plain proxy in turn
+	var pids []int
+	var all [ways]*way
+	for hop := range chained {
+		servers := d.servers[first+hop*each:][:each]
+		var entries []membership.Entry
+		var backends []string
+		for i, s := range servers {
+			entries = append(entries, s.Entry)
+			backends = append(backends, s.Entry.Addr)
+			var to [ways]string
+			if hop+1 < chained {
+				to = [ways]string{addrs[hop+1], addrs[chained+hop+1], d.servers[first+(hop+1)*each+i].Entry.Addr}
+			}
+			s.Saw(func(op string, _ time.Time) { next.call(op, &to, d.late) })
+		}
+		if hop == 0 {
+			all = [ways]*way{byAgent: {addrs: addrs[:1]}, byPlain: {addrs: addrs[chained : chained+1]}, byItself: {addrs: backends}}
+		}
+		roster, err := lab.NewRoster(entries...)
+		if err != nil {
+			return err
+		}
+		defer roster.Close()
+		a, err := d.agent(fmt.Sprint("chain-", hop), addrs[hop], roster)
+		if err != nil {
+			return err
+		}
+		defer a.Kill()
+		p, err := d.plain(fmt.Sprint("chain-plain-", hop), addrs[chained+hop], backends)
+		if err != nil {
+			return err
+		}
+		defer p.Kill()
+		pids, started = append(pids, a.PID(), p.PID()), append(started, a, p)
+	}
+	if err := ready(ctx, started...); err != nil {
+		return err
+	}
+	if err := d.calls(ctx, &all, warmCalls*each, warmPerS); err != nil {
+		return err
+	}
+	calls := d.count(callsPerS, chainTime, 16)
+	used, err := spent(ctx, pids, func() error { return d.calls(ctx, &all, calls, callsPerS) })
+	if err != nil {
+		return err
+	}
+	prefix := fmt.Sprintf("chain of %d: ", chained)
+	d.judge(prefix, &all, chained)
+	prefix += "a hop, "
+	var sum [byItself]spending
+	for i, u := range used {
+		sum[i%byItself].CPU += u.CPU
+		sum[i%byItself].Wait += u.Wait
+	}
+	d.cost(prefix, sum[:], chained*calls)
+	next.mu.Lock()
+	defer next.mu.Unlock()
+	if n := len(next.failed); n > 0 {
+		d.short("chain of %d: %d calls of backends not served, the first: %v", chained, n, next.failed[0])
+	}
+	return nil
+}
+
+// nextHop is the backends' side of a chain: kept connections to what they call.
+type nextHop struct {
+	mu     sync.Mutex
+	idle   map[string][]kept
+	failed []error
+}
+
+// kept is a connection that is kept, since when.
+type kept struct {
+	*world.Client
+	since time.Time
+}
+
+// call calls what stands behind a backend on the way of an operation; nothing stands behind the last.
+func (h *nextHop) call(op string, to *[ways]string, late time.Duration) {
+	i := slices.IndexFunc(wayNames[:], func(name string) bool { return strings.HasPrefix(op, name) })
+	if i < 0 {
+		return
+	}
+	if i == byAgent {
+		time.Sleep(late)
+	}
+	if to[i] == "" {
+		return
+	}
+	if err := h.forward(i, to[i]); err != nil {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.failed = append(h.failed, fmt.Errorf("%s: %w", op, err))
+	}
+}
+
+func (h *nextHop) forward(way int, addr string) error {
+	h.mu.Lock()
+	var c kept
+	if list := h.idle[addr]; len(list) > 0 {
+		c, h.idle[addr] = list[len(list)-1], list[:len(list)-1]
+	}
+	h.mu.Unlock()
+	if c.Client != nil && time.Since(c.since) > mostIdle {
+		c.Close()
+		c.Client = nil
+	}
+	if c.Client == nil {
+		var err error
+		if c.Client, err = world.HTTP.Dial(addr, 10*time.Minute); err != nil {
+			return err
+		}
+	}
+	n := int(lastOp.Load())
+	_, err := c.Write(world.HTTP.Encode(request(way, n, fmt.Sprint(n%211))))
+	var a world.Answer
+	if err == nil {
+		a, err = c.Read()
+	}
+	if err != nil {
+		c.Close()
+		return err
+	}
+	c.since = time.Now()
+	h.mu.Lock()
+	h.idle[addr] = append(h.idle[addr], c)
+	h.mu.Unlock()
+	if a.Verdict != lab.Served {
+		return fmt.Errorf("answered %d %q", a.Code, a.Text)
+	}
+	return nil
+}
+
+func (h *nextHop) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, list := range h.idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
+// spending is what a process used over a span.
+type spending struct {
+	usage
+	over time.Duration
+}
+
+// share is that of a core.
+func (s spending) share() float64 { return s.CPU.Seconds() / s.over.Seconds() }
+
+// spent is what processes use while f runs.
+func spent(ctx context.Context, pids []int, f func() error) ([]spending, error) {
+	before := make([]usage, len(pids))
+	var err error
+	for i, pid := range pids {
+		if before[i], err = usageOf(pid); err != nil {
+			return nil, err
+		}
+	}
+	from := time.Now()
+	if err := f(); err != nil {
+		return nil, err
+	}
+	out := make([]spending, len(pids))
+	for i, pid := range pids {
+		now, err := usageOf(pid)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = spending{now.since(before[i]), time.Since(from)}
+	}
+	return out, ctx.Err()
+}
+
+// sleep sleeps, or until ctx ends.
+func sleep(ctx context.Context, t time.Duration) error {
+	select {
+	case <-time.After(t):
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
