An agent that hands over steers new connections to its heir before it stops listening

Cause: Listener.Leave, the look and then Go's close, which waits for the accepting goroutine; more than microseconds on a busy machine. Ruled out: the queue's own content (accepted first). Change: Listener.Steer (SO_ATTACH_REUSEPORT_CBPF, one instruction) before HandOver; where it is refused the hash holds as before. Our listeners are plain TCP: Go asked for MPTCP, on which the option is refused (EOPNOTSUPP, seen).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -113,6 +113,11 @@
 	l.Post(func() { l.EndBy(by) })
 	held := answer - serve + killMargin/4 // the last answers are to be written, too
 	if pair.heir() {
+		if shared, ok := ln.(*upgrade.Listener); ok {
+			if err := shared.Steer(); err != nil {
+				slog.Warn("connections may still come to this process as it stops listening", "err", err)
+			}
+		}
 		f.HandOver(ln)
 	}
 	var others sync.WaitGroup
--- a/internal/upgrade/listen.go
+++ b/internal/upgrade/listen.go
@@ -16,6 +16,7 @@
 		// Where it is refused the address is simply not shared.
 		return c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
 	}}
+	lc.SetMultipathTCP(false) // loopback has one path, and a listener for more can't be steered
 	ln, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
@@ -47,9 +48,28 @@
 	return c, nil
 }
 
+// Steer has the kernel give what connects from now on to the listener that joined this address after this one. Without
+// it connections go to either by a hash, also between Leave's last look at the queue and the close, which resets them.
+// Listeners of an address are numbered by the kernel as they join, and the last takes the place of one that closes: of
+// two the newer is always 1, and where there is no 1 the hash holds again. Where it is refused the hash holds as well.
+func (l *Listener) Steer() error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	newer := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 1}}
+	prog := unix.SockFprog{Len: uint16(len(newer)), Filter: &newer[0]}
+	if cerr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF, &prog)
+	}); cerr != nil {
+		return cerr
+	}
+	return os.NewSyscallError("setsockopt", err)
+}
+
 // Leave stops listening; Accept hands out what stood in the queue first. It waits for nobody: net/http closes a
 // listener under a lock that whoever accepts needs. Between the last look at the queue and the close are a few
-// microseconds.
+// microseconds, and more where the machine is busy: Steer, before it, has nothing come meanwhile.
 func (l *Listener) Leave() {
 	l.once.Do(func() {
 		l.mu.Lock()
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -331,3 +331,44 @@
 		c.Close()
 	}
 }
+
+// Who connects once the older listener steers finds the newer one, whichever the kernel's hash would give it, so that
+// nothing can come between the older one's last look at its queue and its close; also behind the next listener's join.
+func TestSteeredConnectionsFindTheNewerListener(t *testing.T) {
+	old, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := old.TCPListener.Addr().String()
+	for round := range 3 {
+		next, err := Listen(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := old.Steer(); err != nil {
+			t.Fatal(err)
+		}
+		const clients = 64 // by the hash half of them would go to either
+		for range clients {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+		}
+		old.Leave()
+		if n := len(old.found); n != 0 {
+			t.Errorf("round %d: %d of %d came to the one that leaves", round, n, clients)
+		}
+		next.SetDeadline(time.Now().Add(patience))
+		for range clients - len(old.found) {
+			c, err := next.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Close()
+		}
+		old = next
+	}
+	old.Close()
+}
