The upgrade test waits for the rotation while clients ask, not one look behind them

Cause: the module holds a backend for silent after eight answer times (policy.silentSince), here 5 to 16 ms, so that a machine that stands for so long sets it Unhealthy; the one look came behind the last request, when nothing could bring it back. Ruled out by reading: a ban that comes back (bans are read and told under one lock). Change: the test waits until exactly one is out, clients still asking, and fails where that never comes; behind them at least the banned one is out. A second ban that stands still fails it, as before.

--- a/cmd/ringtrack/upgrade_test.go
+++ b/cmd/ringtrack/upgrade_test.go
@@ -208,6 +208,15 @@
 		more()
 		old, door = next, nextDoor
 	}
+	// One backend is banned, and no more are out of the rotation: as long as clients ask, one that the module held Unhealthy
+	// because this machine stood still for some ms (silent for eight answer times) comes back.
+	out := func(want string) func() bool {
+		return func() bool {
+			_, body := adminCall(door, "GET", "/admin/stats")
+			return strings.Contains(body, "app.out_of_rotation="+want+"\n")
+		}
+	}
+	until(t, "not just the banned backend is out of the rotation", out("1"))
 	close(stop)
 	clients.Wait()
 	if lost.Load() > 0 || turned.Load() > 1 {
@@ -221,7 +230,7 @@
 		figures[name], _ = strconv.ParseInt(value, 10, 64)
 	}
 	if status != 200 || figures["app.fulfilled.order"] < 100 || figures["app.relayed"] < figures["app.fulfilled.order"] ||
-		figures["app.open_requests"] != 0 || figures["app.registry_entries"] != 2 || figures["app.out_of_rotation"] != 1 {
+		figures["app.open_requests"] != 0 || figures["app.registry_entries"] != 2 || figures["app.out_of_rotation"] < 1 {
 		t.Errorf("figures: %d %s", status, body)
 	}
 }
