The eight longest tests of policy run beside one another

Change: t.Parallel in the eight that took 3 to 8 s; they compute in virtual time and share nothing. No check changed.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -212,6 +212,7 @@
 // ones join, where others come back cold from silence, where agents are started anew, which know of nothing that was
 // spent, and where each agent is two processes for a while; with keys and without. Each attempt, first or further, and each probe counts.
 func TestColdServersBearWhatAllProcessesSend(t *testing.T) {
+	t.Parallel() // virtual time alone
 	for name, play := range map[string]func(w *town){
 		"join and come back": func(w *town) {
 			dark := w.back[:2+w.rng.IntN(len(w.back)-1)]
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -350,6 +350,7 @@
 // Eighty agents that start where all servers have just started wake them, and push none over, were it of
 // one core only.
 func TestAllColdOverManyAgents(t *testing.T) {
+	t.Parallel() // virtual time alone
 	const agents, servers, perS = 80, 60, 1450.0
 	set := testSettings()
 	set.Contract.ColdFrom, set.Contract.ColdMs, set.Contract.FallMultiple = 0.31, 8600, 2.5
--- a/policy/overload_test.go
+++ b/policy/overload_test.go
@@ -265,6 +265,7 @@
 
 // Under overload servers are kept busy without turning much away, whoever has the traffic.
 func TestOverloadKeepsServersBusy(t *testing.T) {
+	t.Parallel() // virtual time alone
 	for name, change := range map[string]func(*crowd){
 		"as usual":                    func(*crowd) {},
 		"one agent with the traffic":  func(c *crowd) { c.one = true },
@@ -293,6 +294,7 @@
 
 // Others are served as without the greedy tenant, at 2, 5 and 20 times its portion.
 func TestOverloadGreedyTenant(t *testing.T) {
+	t.Parallel() // virtual time alone
 	weights := []float64{0.44, 0.32, 0.13, 0.11}
 	for _, times := range []float64{2, 5, 20} {
 		c := usual(2)
@@ -314,6 +316,7 @@
 
 // After a surge the fleet comes back by itself, though clients come back at once.
 func TestOverloadEnds(t *testing.T) {
+	t.Parallel() // virtual time alone
 	for seed := range uint64(3) {
 		c := usual(seed)
 		c.load, c.comeBack, c.seconds = 0.8, 3, 24
@@ -337,6 +340,7 @@
 
 // Reports that are absent, frozen or lies cost little: what turns away and how long answers take is seen anyhow.
 func TestOverloadWithoutTrueReports(t *testing.T) {
+	t.Parallel() // virtual time alone
 	truth := usual(4).play(t)
 	nan := float32(math.NaN())
 	for name, report := range map[string]func(int, float64, float64) []float32{
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -266,6 +266,7 @@
 }
 
 func TestRulesHoldOnRandomDays(t *testing.T) {
+	t.Parallel() // virtual time alone
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, seed) })
 	}
--- a/policy/slowed_test.go
+++ b/policy/slowed_test.go
@@ -212,6 +212,7 @@
 // In a burst that slows servers down, and after it, at most one agent in ten turns away all that it gets, 15 and more, for
 // 4 s on end with no attempt in between (Bergen calm+mass: 198 of 294).
 func TestFewAgentsShutThemselvesInACrowd(t *testing.T) {
+	t.Parallel() // virtual time alone
 	for seed := range uint64(2) {
 		y := newYard(t, seed, 30, 17)
 		y.load(4000, 0.7)
