The upgrade test wants exactly one backend out of rotation at its end again

Need, found by reading once more: let the last look pass with two out (at least one), which a second ban told late could have used. Change: the last look is as strict as before, each figure at once, exactly one out; a request is made before each look, one at a time, since only requests bring back a backend that was held for silent, and none is held so while nothing is out.

--- a/cmd/ringtrack/upgrade_test.go
+++ b/cmd/ringtrack/upgrade_test.go
@@ -208,29 +208,42 @@
 		more()
 		old, door = next, nextDoor
 	}
-	// One backend is banned, and no more are out of the rotation: as long as clients ask, one that the module held Unhealthy
-	// because this machine stood still for some ms (silent for eight answer times) comes back.
-	out := func(want string) func() bool {
-		return func() bool {
-			_, body := adminCall(door, "GET", "/admin/stats")
-			return strings.Contains(body, "app.out_of_rotation="+want+"\n")
-		}
-	}
-	until(t, "not just the banned backend is out of the rotation", out("1"))
 	close(stop)
 	clients.Wait()
 	if lost.Load() > 0 || turned.Load() > 1 {
 		t.Errorf("%d requests lost, %d turned back, of %d", lost.Load(), turned.Load(), ids.Load())
 	}
-	// The last process counts what it has answered, and nothing is open.
-	status, body := adminCall(door, "GET", "/admin/stats")
-	figures := map[string]int64{}
-	for line := range strings.Lines(body) {
-		name, value, _ := strings.Cut(strings.TrimSpace(line), "=")
-		figures[name], _ = strconv.ParseInt(value, 10, 64)
-	}
-	if status != 200 || figures["app.fulfilled.order"] < 100 || figures["app.relayed"] < figures["app.fulfilled.order"] ||
-		figures["app.open_requests"] != 0 || figures["app.registry_entries"] != 2 || figures["app.out_of_rotation"] < 1 {
-		t.Errorf("figures: %d %s", status, body)
+	// The last process counts what it has answered, nothing is open, and just the banned backend is out of the rotation. The
+	// module holds one for silent after eight answer times, some ms here, for which a busy machine may stand; it is brought
+	// back by requests, and nothing is held for silent while none is out: so they come one at a time, with a look behind each.
+	var status int
+	var body string
+	for end := time.Now().Add(patience); ; {
+		req, err := http.NewRequest("POST", "http://"+addr+"/api/last", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Close = true
+		req.Header.Set("Request-Id", strconv.FormatInt(ids.Add(1), 10))
+		req.Header.Set("Request-Class", "order")
+		req.Header.Set("Request-Timeout-Ms", "1000")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		status, body = adminCall(door, "GET", "/admin/stats")
+		figures := map[string]int64{}
+		for line := range strings.Lines(body) {
+			name, value, _ := strings.Cut(strings.TrimSpace(line), "=")
+			figures[name], _ = strconv.ParseInt(value, 10, 64)
+		}
+		if status == 200 && figures["app.fulfilled.order"] >= 100 && figures["app.relayed"] >= figures["app.fulfilled.order"] &&
+			figures["app.open_requests"] == 0 && figures["app.registry_entries"] == 2 && figures["app.out_of_rotation"] == 1 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("figures: %d %s", status, body)
+		}
 	}
 }
--- a/internal/agent/told_test.go
+++ b/internal/agent/told_test.go
@@ -124,21 +124,24 @@
 	}
 }
 
+// join makes a process one of the agent's folder, until the test ends.
+func join(t *testing.T, tmp string) *upgrade.Dir {
+	t.Helper()
+	dir, err := upgrade.Join(tmp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dir.Close() })
+	return dir
+}
+
 // A process whose call to discovery has no answer says so in the agent's folder, for the one that is started in its
 // place should it be killed; an answer takes that back.
 func TestAMissingAnswerOutlivesItsProcess(t *testing.T) {
 	tmp := t.TempDir()
-	join := func() *upgrade.Dir {
-		dir, err := upgrade.Join(tmp)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { dir.Close() })
-		return dir
-	}
 	lastCall := func() policy.LastCall {
 		loop := core.Config{}
-		if _, err := newPair(&Config{Dir: join()}, &loop); err != nil {
+		if _, err := newPair(&Config{Dir: join(t, tmp)}, &loop); err != nil {
 			t.Fatal(err)
 		}
 		return loop.Settings.LastCall
@@ -179,7 +182,7 @@
 	}))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	startAgent(t, newDiscoveryServer(t, target("s-1", b.addr)), func(c *Config) {
-		c.Dir, c.Discovery = join(), server.Listener.Addr().String()
+		c.Dir, c.Discovery = join(t, tmp), server.Listener.Addr().String()
 	})
 	next(t, came, "the first call")
 	until(policy.CallUnanswered, "while the first call is out")
@@ -196,15 +199,7 @@
 // one's list is as old as both their lives.
 func TestAnOldAnswerIsNoWordOfAProcessThatNeverAsked(t *testing.T) {
 	tmp := t.TempDir()
-	join := func() *upgrade.Dir {
-		dir, err := upgrade.Join(tmp)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { dir.Close() })
-		return dir
-	}
-	before := join()
+	before := join(t, tmp)
 	if err := before.SetStale(false); err != nil {
 		t.Fatal(err)
 	}
@@ -215,7 +210,7 @@
 		<-r.Context().Done()
 	}))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	dir := join()
+	dir := join(t, tmp)
 	startAgent(t, newDiscoveryServer(t, target("s-1", newBackend(t, serving).addr)), func(c *Config) {
 		c.Dir, c.Discovery = dir, server.Listener.Addr().String()
 		c.Settings.Index, c.Settings.Replicas, c.Settings.Contract.AskWithinMs = 9999, 10_000, 600_000 // the last of many: 480 s
