--- /dev/null
+++ b/internal/upgrade/close_test.go
@@ -0,0 +1,115 @@
+package upgrade
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Clients connect and ask in a loop while a listener that nobody shares ends. Whoever gets a connection has to get an
+// answer on it, and whoever comes too late is refused.
+//
+// What happened: six clients in a loop lost 92 and 100 connections in 420 ends, by ECONNRESET on connect, write and read.
+// Why: the listener looked at its accept queue until that was empty, and then closed the socket. The kernel resets what
+// came between the two, and handshakes that had begun. The close first wakes the goroutine that accepts and waits for it,
+// so the gap is as long as that one waits for a core.
+// What showed it: a client that connects in the gap is reset each time (the test below), and with no SYN let in from
+// before the last look on there were no resets in 1,680 ends. What is left is a SYN that the kernel has in hand at the
+// very moment: it is dropped, and its client waits 1 s. The kernel's ListenDrops and TCPSynRetrans counted three in 1,260
+// ends, as many as clients waited. A filter that drops all SYNs instead made about one client an end wait.
+func TestClientsThatConnectAsAListenerEndsAreNotReset(t *testing.T) {
+	const (
+		ends    = 60
+		clients = 6
+		slow    = 500 * time.Millisecond // a SYN that was dropped comes again after 1 s
+	)
+	var resets, waits atomic.Int64
+	for range ends {
+		ln, err := Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var served, asking sync.WaitGroup
+		served.Go(func() { answerAll(ln) })
+		var begun sync.WaitGroup
+		begun.Add(clients)
+		for range clients {
+			asking.Go(func() {
+				for first := true; ; first = false {
+					took, err := askOnce(ln.Addr().String())
+					if first {
+						begun.Done()
+					}
+					if took > slow {
+						waits.Add(1)
+					}
+					if errors.Is(err, syscall.ECONNREFUSED) {
+						return
+					}
+					if err != nil {
+						resets.Add(1)
+						t.Logf("a client that came as the listener ended: %v", err)
+						return
+					}
+				}
+			})
+		}
+		begun.Wait()
+		ln.Close()
+		asking.Wait()
+		served.Wait()
+	}
+	if n := resets.Load(); n != 0 {
+		t.Errorf("%d clients lost their connection in %d ends", n, ends)
+	}
+	if n := waits.Load(); n > ends/10 { // refused at once, as by a closed socket, is the rule
+		t.Errorf("%d clients waited for over %v in %d ends", n, slow, ends)
+	}
+}
+
+// answerAll answers each connection with one byte for the one it has sent, until the listener has ended.
+func answerAll(ln net.Listener) {
+	var open sync.WaitGroup
+	defer open.Wait()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		open.Go(func() {
+			defer c.Close()
+			var b [1]byte
+			if _, err := io.ReadFull(c, b[:]); err == nil {
+				c.Write(b[:])
+			}
+		})
+	}
+}
+
+// askOnce connects and asks; took is how long it was until it was connected or refused.
+func askOnce(addr string) (took time.Duration, err error) {
+	from := time.Now()
+	c, err := net.DialTimeout("tcp", addr, patience)
+	took = time.Since(from)
+	if err != nil {
+		return took, err
+	}
+	defer c.Close()
+	return took, ask(c)
+}
+
+// ask sends a byte and reads the one that answers it.
+func ask(c net.Conn) error {
+	c.SetDeadline(time.Now().Add(patience))
+	if _, err := c.Write([]byte("?")); err != nil {
+		return err
+	}
+	var b [1]byte
+	_, err := io.ReadFull(c, b[:])
+	return err
+}
