A listener that ends refuses newcomers before its last look, whoever shares its address

Cause or need: between the last look at the accept queue and the close a client could connect, and the kernel resets it; also one whose handshake had begun. Close wakes the goroutine that accepts and waits for it first, so the gap is no few us under load. The operators' and Thrift's listeners were not steered at all, nor was the newer of two processes when it leaves first. Dir.Listen knows the peers.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,7 +16,6 @@
 	httpfront "ringtrack.example/ringtrack/internal/front/http"
 	"ringtrack.example/ringtrack/internal/front/thrift"
 	"ringtrack.example/ringtrack/internal/thriftwire"
-	"ringtrack.example/ringtrack/internal/upgrade"
 	"ringtrack.example/ringtrack/internal/upstream/conns"
 	httpup "ringtrack.example/ringtrack/internal/upstream/http"
 	thriftup "ringtrack.example/ringtrack/internal/upstream/thrift"
@@ -113,11 +112,6 @@
 	l.Post(func() { l.EndBy(by) })
 	held := answer - serve + killMargin/4 // the last answers are to be written, too
 	if pair.heir() {
-		if shared, ok := ln.(*upgrade.Listener); ok {
-			if err := shared.Steer(); err != nil {
-				slog.Warn("connections may still come to this process as it stops listening", "err", err)
-			}
-		}
 		f.HandOver(ln)
 	}
 	var others sync.WaitGroup
@@ -147,7 +141,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	ln, err := upgrade.Listen(c.Listen) // shared, as the clients' address
+	ln, err := cfg.Dir.Listen(c.Listen) // shared, as the clients' address
 	if err != nil {
 		return nil, nil, fmt.Errorf("thrift: listen: %w", err)
 	}
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -50,7 +50,7 @@
 	}
 	var ln net.Listener
 	if cfg.Dir == nil || cfg.Dir.First() {
-		if ln, err = upgrade.Listen(cfg.Listen); err != nil {
+		if ln, err = cfg.Dir.Listen(cfg.Listen); err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
 		slog.Info("listening", "name", cfg.Name, "addr", ln.Addr().String())
--- a/internal/agent/pair.go
+++ b/internal/agent/pair.go
@@ -94,7 +94,7 @@
 	if addr == "" {
 		return func() {}, nil
 	}
-	ln, err := upgrade.Listen(addr)
+	ln, err := p.dir.Listen(addr)
 	if err != nil {
 		return nil, fmt.Errorf("admin_addr: %w", err)
 	}
@@ -191,7 +191,7 @@
 		slog.Warn("no backend is known yet, serving all the same")
 	case <-stop.Done():
 	}
-	ln, err := upgrade.Listen(addr)
+	ln, err := p.dir.Listen(addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen beside the other process: %w", err)
 	}
--- a/internal/upgrade/close_test.go
+++ b/internal/upgrade/close_test.go
@@ -4,11 +4,14 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clients connect and ask in a loop while a listener that nobody shares ends. Whoever gets a connection has to get an
@@ -72,6 +75,120 @@
 	}
 }
 
+// A client that connects when the listener has looked at its queue for the last time, and has not closed its socket yet,
+// is refused at once: it neither gets a connection that is reset, nor waits for its SYN to come again.
+func TestNobodyConnectsBetweenTheLastLookAndTheClose(t *testing.T) {
+	ln, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	closeSocket := ln.close
+	ln.close = func() error {
+		for range 20 {
+			c, err := net.DialTimeout("tcp", addr, patience)
+			if err == nil {
+				defer c.Close()
+			}
+			if !errors.Is(err, syscall.ECONNREFUSED) {
+				t.Errorf("who connects in the gap: %v, want a refusal", err)
+			}
+		}
+		return closeSocket()
+	}
+	ln.Close()
+}
+
+// A handshake that began before the listener refused newcomers, and ends after it, is answered like any other. The
+// client's socket drops the answer to its SYN, so that the handshake goes on when the kernel sends that again, after 1 s.
+func TestAHandshakeThatIsUnderWayAsAListenerRefusesIsAnswered(t *testing.T) {
+	ln, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var served sync.WaitGroup
+	served.Go(func() { answerAll(ln) })
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket := os.NewFile(uintptr(fd), "client")
+	defer socket.Close()
+	dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	if err := unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll[0]}); err != nil {
+		t.Fatal(err)
+	}
+	to := ln.Addr().(*net.TCPAddr)
+	if err := unix.Connect(fd, &unix.SockaddrInet4{Port: to.Port, Addr: [4]byte(to.IP.To4())}); err != unix.EINPROGRESS {
+		t.Fatalf("the handshake has not begun, or is over: %v", err)
+	}
+	if err := ln.refuse(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := askOnce(to.String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a newcomer: %v, want a refusal", err)
+	}
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.FileConn(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := ask(c); err != nil {
+		t.Errorf("the handshake that had begun: %v", err)
+	}
+	ln.Close()
+	served.Wait()
+}
+
+// Of two processes that listen on an address either may leave, and the operators' and Thrift's listeners as well as the
+// clients': in the gap between its last look and its close whoever connects finds the one that stays.
+func TestInTheGapNewcomersFindTheProcessThatStays(t *testing.T) {
+	for _, leaver := range []Age{Older, Newer} {
+		tmp := t.TempDir()
+		dirs := []*Dir{join(t, tmp), join(t, tmp)}
+		older, err := dirs[0].Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := older.Addr().String()
+		newer, err := dirs[1].Listen(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leaves, stays := older, newer
+		if leaver == Newer {
+			leaves, stays = newer, older
+		}
+		var served sync.WaitGroup
+		served.Go(func() { answerAll(stays) })
+		var met []net.Conn
+		closeSocket := leaves.close
+		leaves.close = func() error {
+			for range 64 { // by the hash half of them would go to either
+				c, err := net.DialTimeout("tcp", addr, patience/10)
+				if err != nil {
+					t.Errorf("leaver %v: %v", leaver, err)
+					break
+				}
+				met = append(met, c)
+			}
+			return closeSocket()
+		}
+		leaves.Close()
+		for i, c := range met {
+			if err := ask(c); err != nil {
+				t.Errorf("leaver %v, client %d: %v", leaver, i, err)
+			}
+			c.Close()
+		}
+		stays.Close()
+		served.Wait()
+	}
+}
+
 // answerAll answers each connection with one byte for the one it has sent, until the listener has ended.
 func answerAll(ln net.Listener) {
 	var open sync.WaitGroup
--- a/internal/upgrade/roles.go
+++ b/internal/upgrade/roles.go
@@ -37,3 +37,28 @@
 	}
 	return false
 }
+
+// Age tells a process of the same agent by when it joined.
+type Age int
+
+// Ages of another process; None: there is no other.
+const (
+	None Age = iota
+	Older
+	Newer
+)
+
+// Remaining tells which process stays once this one has left: the newer one of two that live.
+func Remaining(seq int, peers []Peer) Age {
+	age := None
+	for _, p := range peers {
+		switch {
+		case !p.Alive:
+		case p.Seq > seq:
+			return Newer
+		default:
+			age = Older
+		}
+	}
+	return age
+}
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -101,6 +101,15 @@
 	return err == nil && HasHeir(d.seq, peers)
 }
 
+// remaining tells which process stays once this one has left.
+func (d *Dir) remaining() Age {
+	peers, err := d.peers()
+	if err != nil {
+		return None
+	}
+	return Remaining(d.seq, peers)
+}
+
 // Processes is how many processes the agent is now; it tells whether that could be seen.
 func (d *Dir) Processes() (n int, ok bool) {
 	peers, err := d.peers()
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -39,6 +39,24 @@
 	}
 }
 
+// Of two processes either may leave, and the other one stays on the address.
+func TestWhoRemains(t *testing.T) {
+	for _, c := range []struct {
+		peers []Peer
+		want  Age
+	}{
+		{nil, None},
+		{[]Peer{{Seq: 4}, {Seq: 6, Serving: true}}, None}, // both were killed
+		{[]Peer{{Seq: 4, Alive: true}}, Older},
+		{[]Peer{{Seq: 6, Alive: true}}, Newer}, // it may listen before it serves
+		{[]Peer{{Seq: 6, Alive: true}, {Seq: 4, Alive: true}}, Newer},
+	} {
+		if got := Remaining(5, c.peers); got != c.want {
+			t.Errorf("%+v: %v remains, want %v", c.peers, got, c.want)
+		}
+	}
+}
+
 func join(t *testing.T, tmp string) *Dir {
 	t.Helper()
 	d, err := Join(tmp)
