Thrift's end waits for its last accept and for calls on new connections; no reset is allowed

Thrift's Shutdown closed its listener and returned while what stood in the accept queue was still handed out, and closed a connection that had just come over the call on its way. whole-fleet allowed a reset in 200 ends, a figure that was measured and not the aim. Change: Shutdown waits until Serve has returned; a connection that has brought nothing yet has hurry's time, as over HTTP; whole-fleet allows none. The bound of the proof is stricter, no check is eased. Measured: both new tests 50 times under -race; without their mends they fail (all six Thrift protocols). whole-fleet's tests passed.

--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -91,6 +91,32 @@
 	}
 }
 
+// A client that has connected just before the front ends, and whose first call comes once nobody new is accepted, is
+// answered. Thrift's front closed such a connection at once, so that the call on its way to it was reset.
+func TestACallOnANewConnectionIsAnsweredAtTheEnd(t *testing.T) {
+	for _, p := range world.Protocols() {
+		t.Run(p.Name, func(t *testing.T) {
+			w, err := world.New(p, world.Options{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer w.Close()
+			c := dial(t, w)
+			ended := make(chan error, 1)
+			go func() { ended <- w.Stop() }()
+			untilDeaf(t, w)
+			r := w.Request("order", long)
+			c.Write(p.Encode(r))
+			if a, err := w.Answered(c, r); err != nil || a.Verdict != lab.Served {
+				t.Errorf("%+v, %v", a, err)
+			}
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // untilDeaf waits until nobody takes a client's connection any more.
 func untilDeaf(t *testing.T, w *world.World) {
 	t.Helper()
--- a/internal/front/thrift/accept_test.go
+++ b/internal/front/thrift/accept_test.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // queue is a listener that gives these errors, one after the other.
@@ -36,3 +38,39 @@
 		t.Error("a listener that can't be used ended with no error")
 	}
 }
+
+// lastAccept is a listener whose last accept is still under way when Close returns, and ends a moment later.
+type lastAccept struct {
+	net.Listener
+	accepting, closed chan struct{}
+	over              atomic.Bool
+}
+
+func (l *lastAccept) Accept() (net.Conn, error) {
+	close(l.accepting)
+	<-l.closed
+	l.over.Store(true)
+	return nil, net.ErrClosed
+}
+
+func (l *lastAccept) Close() error {
+	time.AfterFunc(50*time.Millisecond, func() { close(l.closed) })
+	return nil
+}
+
+// The front ends only once nothing more is accepted: what stood in the accept queue as its listener closed was left to
+// the process's end, which resets it.
+func TestTheEndWaitsForTheLastAccept(t *testing.T) {
+	ln := &lastAccept{accepting: make(chan struct{}), closed: make(chan struct{})}
+	f := &Front{Linger: time.Nanosecond}
+	served := make(chan error, 1)
+	go func() { served <- f.Serve(ln) }()
+	<-ln.accepting
+	f.Shutdown(ln, time.Second)
+	if !ln.over.Load() {
+		t.Error("the front has ended while a connection could still be accepted")
+	}
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -70,6 +70,7 @@
 	busy   int // connections with an open call
 	ending bool
 	wg     sync.WaitGroup
+	served chan struct{} // closed once nothing more is accepted; nil before Serve
 }
 
 // client is one connection.
@@ -79,6 +80,7 @@
 	busy bool // a call is open; under the front's lock
 	// coming tells that a call has begun to come, whose turn is not yet; under the front's lock.
 	coming bool
+	silent bool // no call has begun to come yet; under the front's lock
 	// ahead are calls that were sent before an earlier one was answered, mostAhead at the most: they are read,
 	// so that a client that leaves behind them is noticed.
 	ahead []incoming
@@ -87,8 +89,10 @@
 
 // Serve accepts clients until the listener is closed; then it returns nil.
 func (f *Front) Serve(ln net.Listener) error {
+	served := make(chan struct{})
+	defer close(served)
 	f.mu.Lock()
-	f.conns = map[*client]struct{}{}
+	f.conns, f.served = map[*client]struct{}{}, served
 	f.mu.Unlock()
 	for {
 		nc, err := ln.Accept()
@@ -106,7 +110,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		c := &client{Conn: nc, br: bufio.NewReaderSize(nc, 4<<10)}
+		c := &client{Conn: nc, br: bufio.NewReaderSize(nc, 4<<10), silent: true}
 		f.mu.Lock()
 		if len(f.conns) >= f.Most && !f.evict() {
 			f.mu.Unlock()
@@ -154,16 +158,21 @@
 	}
 	f.mu.Lock()
 	f.ending = true
+	served := f.served
 	f.mu.Unlock()
 	ln.Close()
+	if served != nil {
+		<-served // who stood in the accept queue is known from here on
+	}
 	now := time.Now()
 	over, hurry := now.Add(held), now.Add(min(held/2, hurried))
 	for time.Now().Before(over) {
 		f.mu.Lock()
 		busy := 0
 		for c := range f.conns {
-			// A call that has come, or has begun to, is answered: who closes over it loses it.
-			if c.busy || (c.coming || socket.Look(c.Conn) == socket.Unread) && time.Now().Before(hurry) {
+			// A call that has come, or has begun to, is answered: who closes over it loses it. So does who closes a
+			// connection that has just come, and whose call is on its way.
+			if c.busy || (c.coming || c.silent || socket.Look(c.Conn) == socket.Unread) && time.Now().Before(hurry) {
 				busy++
 			} else {
 				c.Close()
@@ -291,7 +300,7 @@
 		return m
 	}
 	f.mu.Lock()
-	c.coming = true
+	c.coming, c.silent = true, false
 	f.mu.Unlock()
 	c.SetReadDeadline(time.Now().Add(readTime))
 	m.msg, m.head, m.err = upstream.Read(c.br, c.t, f.Limits, f.Table.paths, func(n int64) error {
--- a/internal/lab/prove/wholefleet.go
+++ b/internal/lab/prove/wholefleet.go
@@ -29,9 +29,6 @@
 	// endWithin is when SIGKILL may follow SIGTERM with these deadlines (protocol page, "Figures"); readyWithin is
 	// for a process of which many start at once.
 	endWithin, readyWithin = 1300 * time.Millisecond, 5 * time.Second
-	// endsPerReset bounds the connections that are reset in the few us between a listener's last look at its
-	// queue and its end, a known gap (docs/ROADMAP.md): one beside one in so many ends.
-	endsPerReset = 200
 	// crowdedScale is the scale under which the proof is an ordinary test, beside others on a machine's few cores:
 	// there times are looser, so that its verdict is the program's and not the machine's.
 	crowdedScale, crowdedSlack = 0.15, 500 * time.Millisecond
@@ -272,7 +269,7 @@
 	for rule, n := range broken {
 		r.short("rule %d broken %d times: %s", rule, n, words[0])
 	}
-	if f.resets > 1+f.ends/endsPerReset {
+	if f.resets > 0 {
 		r.short("%d connections reset as a listener ended, over %d ends", f.resets, f.ends)
 	}
 	if least := 20 * len(f.agents); t.Served < least {
