--- /dev/null
+++ b/cmd/ringtrack/signals_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// Signals that ask a process to end may come again until it has ended: it still ends in order, with exit code 0.
+//
+// What happened: a process that got SIGINT on and on ended with "signal: interrupt" behind its last log line, "stopped".
+// Why: on its way out Main gave the signals back, and from then until the exit the next one killed the process.
+// What showed it: the proof soak, seed 102 of 60 (3 s, signals every 5 ms): ended with signal: interrupt; ... msg=stopped.
+func TestSignalsThatComeUntilTheEndDoNotKillTheProcess(t *testing.T) {
+	discovery := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer discovery.Close()
+	defer discovery.CloseClientConnections()
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP} {
+		for n := range 4 {
+			t.Run(fmt.Sprint(signal, " ", n), func(t *testing.T) {
+				t.Parallel()
+				cmd := program(t, `{"name":"n1","listen":"127.0.0.1:0","discovery":"`+discovery.Listener.Addr().String()+`","seed":"1",
+"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"version":0,"full":true,"servers":[]},"settings":`+settings+`}`)
+				stderr, err := cmd.StderrPipe()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := cmd.Start(); err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+				log := bufio.NewScanner(stderr)
+				for log.Scan() && !strings.Contains(log.Text(), "listening") {
+				}
+				if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+					t.Fatal(err)
+				}
+				for log.Scan() && !strings.Contains(log.Text(), "msg=stopped") {
+				}
+				over := make(chan struct{})
+				go func() {
+					defer close(over)
+					for !errors.Is(cmd.Process.Signal(signal), os.ErrProcessDone) {
+					}
+				}()
+				if err := cmd.Wait(); err != nil {
+					t.Errorf("the process ended with %v, want exit code 0", err)
+				}
+				<-over
+			})
+		}
+	}
+}
