--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -22,8 +22,8 @@
 	// From the first moment on: their default is to end the program.
 	reread := make(chan os.Signal, 1)
 	signal.Notify(reread, syscall.SIGHUP)
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
+	// Never given back: until the exit another one would end the program, and not in order.
+	stop, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	cfg, err := StartConfig(stop, os.Getenv)
 	if stop.Err() != nil {
