A request's id is known to both processes of an agent; the proof soak

Each process knew its own ids alone. Change: upgrade.IDs, a table in the shared folder that all processes map; the loop claims an id as it takes a request that must not run twice, gives it back where nothing ran, and keeps it for a minute else; it lets go before it answers.

--- a/internal/agent/pair.go
+++ b/internal/agent/pair.go
@@ -52,6 +52,11 @@
 	if loop.Banned, err = p.dir.Bans(); err != nil {
 		return nil, err // to go on would be to send to backends that were banned
 	}
+	if ids, err := p.dir.IDs(); err != nil {
+		slog.Warn("an id that comes to two processes of this agent is not noticed", "err", err)
+	} else {
+		loop.SharedIDs = ids
+	}
 	switch stale, found, err := p.dir.Stale(); {
 	case err != nil:
 		slog.Warn("not known whether the last process had an answer of discovery's", "err", err)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -89,6 +89,7 @@
 	ranOn    policy.Entry // and where to, as that was listed then
 	spent    bool
 	cut      bool // its time was cut short by the end of the process
+	claimed  bool // its id is taken from the agent's other processes
 	backstop *time.Timer
 }
 
@@ -395,7 +396,7 @@
 	r := &Request{id: l.nextID, call: c}
 	l.open++
 	l.tally.Open.Add(1)
-	if l.ids[c.ID] != nil || l.once.has(time.Now(), c.ID) {
+	if l.ids[c.ID] != nil || l.once.has(time.Now(), c.ID) || !l.claim(r) {
 		// Somebody else's, or its own that may still run, or has: neither is to be touched.
 		l.finish(r, Answer{Verdict: Failed, Fault: Duplicate})
 		return r
@@ -409,6 +410,7 @@
 	}
 	most := l.cfg.Settings.Limits.OpenCap
 	if left <= 0 || c.NoRoom || most > 0 && l.open > most || l.agreed.shut(time.Now()) {
+		l.release(r)
 		l.refuse(r, l.cfg.Settings.Limits.MaxRetryAfterMs)
 		return r
 	}
@@ -513,8 +515,8 @@
 	case Failed:
 		l.figures.Failed++
 	}
+	l.close(r) // first: who has the answer may bring the id of what never ran to another process at once
 	r.call.Answer <- a
-	l.close(r)
 }
 
 // close marks a request as over and forgets it as soon as no attempt is out.
@@ -537,8 +539,11 @@
 	if r.answered && r.out == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
 		delete(l.ids, r.call.ID)
-		if r.mayRun > 0 && l.class(r).Effect != policy.Free && !r.call.Unique {
+		if r.mayRun > 0 && l.once.concerns(l.class(r), r.call) {
 			l.once.add(time.Now(), r.call.ID)
+			l.keep(r)
+		} else {
+			l.release(r)
 		}
 	}
 }
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -55,7 +55,11 @@
 // running starts a loop, which ends with the test.
 func running(t *testing.T, u Upstream) *Loop {
 	t.Helper()
-	l := newTestLoop(t, u)
+	return start(t, newTestLoop(t, u))
+}
+
+// start runs a loop, which ends with the test.
+func start(t *testing.T, l *Loop) *Loop {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/core/once.go
+++ b/internal/core/once.go
@@ -3,6 +3,8 @@
 import (
 	"hash/maphash"
 	"time"
+
+	"ringtrack.example/ringtrack/policy"
 )
 
 const (
@@ -28,6 +30,11 @@
 	return &once{seed: maphash.MakeSeed(), now: map[uint64]struct{}{}}
 }
 
+// concerns tells whether the id of a call may come again, and its work must not run twice.
+func (o *once) concerns(class *policy.Class, c *Call) bool {
+	return class.Effect != policy.Free && !c.Unique
+}
+
 // add notes an id.
 func (o *once) add(now time.Time, id string) {
 	o.turn(now)
@@ -56,3 +63,36 @@
 	}
 	o.now, o.since = map[uint64]struct{}{}, now
 }
+
+// SharedIDs are the ids of requests that any process of the agent has taken. Its methods never wait.
+type SharedIDs interface {
+	// Claim takes an id; false: a request of another process has it, or had it and may have run.
+	Claim(id string) bool
+	// Release gives an id back whose request has not run.
+	Release(id string)
+	// Keep has an id known for a minute more.
+	Keep(id string)
+}
+
+// claim takes a request's id from the agent's other processes, where there may be any.
+func (l *Loop) claim(r *Request) bool {
+	if l.cfg.SharedIDs == nil || !l.once.concerns(l.class(r), r.call) {
+		return true
+	}
+	r.claimed = l.cfg.SharedIDs.Claim(r.call.ID)
+	return r.claimed
+}
+
+// release gives the id of a request back that has not run.
+func (l *Loop) release(r *Request) {
+	if r.claimed {
+		l.cfg.SharedIDs.Release(r.call.ID)
+	}
+}
+
+// keep has the id of a request known that is over and may have run.
+func (l *Loop) keep(r *Request) {
+	if r.claimed {
+		l.cfg.SharedIDs.Keep(r.call.ID)
+	}
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -158,6 +158,8 @@
 	// called only where the settings allow probes. What says nothing of the backend is Moot.
 	Probe func(ctx context.Context, b *Backend, addr string, sent, deadline time.Time) Result
 
+	SharedIDs SharedIDs // nil: no other process can be this agent
+
 	Banned []string // ids of backends that an operator wants left alone, from the start on
 	Seen   []string // ids that were listed once, as another process of this agent had it
 	// Changed, where it is set, is called in the loop after each change of the list. It is not to wait.
--- a/internal/lab/prove/fleetclient.go
+++ b/internal/lab/prove/fleetclient.go
@@ -37,6 +37,7 @@
 	cn   net.Conn
 	br   *bufio.Reader
 	used bool // the connection has carried a request
+	anew bool // each request is to have a connection of its own
 }
 
 func (c *fleetClient) run(ctx context.Context) {
@@ -52,7 +53,7 @@
 		v := lab.Refused
 		for try := 0; try < 3 && v == lab.Refused; try++ { // refused, it comes back at once, under a new id
 			id = fmt.Sprintf("%s-%d", op, try)
-			v = c.ask(ctx, op, class.name, class.effect, id, 600*time.Millisecond, nil)
+			v = c.ask(ctx, op, class.name, class.effect, id, c.f.deadline, nil)
 		}
 		if v != lab.Refused && class.effect == lab.Unsafe && c.rng.IntN(4) == 0 {
 			c.again(op, class.name, id)
@@ -73,6 +74,9 @@
 	if c.cn == nil {
 		cn, err := net.DialTimeout("tcp", c.a.addr, time.Second)
 		if err != nil {
+			c.f.mu.Lock()
+			c.f.turned++
+			c.f.mu.Unlock()
 			return err
 		}
 		c.cn, c.br, c.used = cn, bufio.NewReader(cn), false
@@ -104,7 +108,7 @@
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return lab.Failed, true, err
 	}
-	if c.used = true; resp.Close {
+	if c.used = true; resp.Close || c.anew {
 		c.drop()
 	}
 	switch resp.StatusCode {
--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -117,6 +117,7 @@
 	{"ephemeral-size", "10,000 nodes and 1,000 watchers: time, bytes, memory and what one change costs, beside the go-zookeeper library", 0.3, EphemeralSize},
 	{"flat", "2 million requests with ids, keys and backends that change: the heap stays flat", 0.2, Flat},
 	{"latency", "what the agent adds to a call at 500 calls a second, Thrift beside HTTP", 0.5, Latency},
+	{"soak", "one agent's process ended again and again by series of signals, SIGKILL at the earliest, while clients use what stays open: rules, resets, exits", 0.3, Soak},
 	{"stall", "1,000 proxies of which one reads nothing: the others notice nothing", 0.3, Stall},
 	{"whole-fleet", "40 agents, a process each, restarted by tenths among failing and replaced servers and rude clients: the four rules, exits, starts", 0.15, WholeFleet},
 	{"thrift-kill", "10,000 unsafe Thrift calls while servers' connections are reset: none runs twice, none is lost", 0.5, ThriftKill},
--- a/internal/lab/prove/prove_test.go
+++ b/internal/lab/prove/prove_test.go
@@ -28,7 +28,7 @@
 				if strings.HasPrefix(p.Name, "agreed") || strings.HasPrefix(p.Name, "keeper") {
 					t.Parallel() // processes of their own that mostly wait
 				}
-				scale := map[string]float64{"agreed": 0.05, "agreed-model": 0.001, "agreed-histories": 0.01, "agreed-size": 0.01, "keeper-kills": 0.004, "keeper-slow-disk": 0.01, "cold": 0.35, "crowd": 0.03, "drains": 0.03, "flat": 0.05, "latency": 0.1, "ephemeral": 0.03, "ephemeral-control": 0.03, "ephemeral-flap": 0.02, "ephemeral-faults": 0.04, "ephemeral-size": 0.03, "stall": 0.05, "storm": 0.05, "thrift-kill": 0.05, "whole-fleet": 0.1}[p.Name]
+				scale := map[string]float64{"agreed": 0.05, "agreed-model": 0.001, "agreed-histories": 0.01, "agreed-size": 0.01, "keeper-kills": 0.004, "keeper-slow-disk": 0.01, "cold": 0.35, "crowd": 0.03, "drains": 0.03, "flat": 0.05, "latency": 0.1, "ephemeral": 0.03, "ephemeral-control": 0.03, "ephemeral-flap": 0.02, "ephemeral-faults": 0.04, "ephemeral-size": 0.03, "soak": 0.1, "stall": 0.05, "storm": 0.05, "thrift-kill": 0.05, "whole-fleet": 0.1}[p.Name]
 				if scale == 0 {
 					t.Fatal("this proof has no smallest form here")
 				}
--- /dev/null
+++ b/internal/lab/prove/soak.go
@@ -0,0 +1,269 @@
+package prove
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/lab"
+	"ringtrack.example/ringtrack/internal/membership"
+)
+
+const (
+	// soakRounds is how often the process of a whole soak is ended.
+	soakRounds = 20
+	// killSlack is how much later than the longest deadline SIGKILL comes, soakLate how late an answer may be: later it
+	// counts as lost (the operators' pages).
+	killSlack, soakLate = 700 * time.Millisecond, 500 * time.Millisecond
+	// soakClients go on using their connections until the kill; half of them also connect anew all the time.
+	soakClients = 8
+	// crowdSize is how many clients more a crowd has: within what an agent with 512 sockets takes.
+	crowdSize = 80
+)
+
+// crowdKind is what else is connected while an agent ends.
+type crowdKind int
+
+const (
+	noCrowd   crowdKind = iota
+	idleCrowd           // connections that bring nothing, or half a head
+	busyCrowd           // clients like all others
+	crowds
+)
+
+// soakPlan is what the seed draws for a soak.
+type soakPlan struct {
+	deadline time.Duration
+	crowd    crowdKind
+	hanging  int  // servers that take requests and say nothing, of soakServers
+	heirs    bool // each next process starts before the last one is told to end
+}
+
+const soakServers = 6
+
+func drawSoak(rng *rand.Rand) soakPlan {
+	deadlines := []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second}
+	return soakPlan{
+		deadline: deadlines[rng.IntN(len(deadlines))],
+		crowd:    crowdKind(rng.IntN(int(crowds))),
+		hanging:  rng.IntN(soakServers / 2),
+		heirs:    rng.IntN(3) == 0,
+	}
+}
+
+// drawSignals draws the series of signals that ends a process, for which it has this long.
+func drawSignals(rng *rand.Rand, within time.Duration) []signalAfter {
+	some := []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}
+	var series []signalAfter
+	for range rng.IntN(3) {
+		series = append(series, signalAfter{time.Duration(rng.IntN(10)) * time.Millisecond, syscall.SIGHUP})
+	}
+	series = append(series, signalAfter{time.Duration(rng.IntN(10)) * time.Millisecond, some[rng.IntN(2)]})
+	switch rng.IntN(3) {
+	case 0: // a few close behind it
+		for range rng.IntN(4) {
+			series = append(series, signalAfter{time.Duration(rng.IntN(20)) * time.Millisecond, some[rng.IntN(3)]})
+		}
+	case 1: // on and on, until it has ended
+		const every = 5 * time.Millisecond
+		for range within / every {
+			series = append(series, signalAfter{every, some[rng.IntN(3)]})
+		}
+	}
+	return series
+}
+
+// Soak ends one agent's process again and again, as a planned restart does, while clients go on using each connection
+// that stays open, until SIGKILL comes at the earliest that the operators' page allows. Signals come in series; some
+// seeds have a crowd, servers that hang, and a next process beside the one that ends. Counted at clients and stand-ins:
+// rules 1 to 3, connections that are reset as a listener ends, and how and when each process ends. The seeded defect is
+// a process that is stopped at its end.
+func Soak(ctx context.Context, o *Options) (*Report, error) {
+	r := &Report{Proof: "soak", Seed: o.Seed, Scale: o.Scale}
+	rng := o.rng()
+	plan := drawSoak(rng)
+	rules := lab.DefaultRules()
+	rules.ByZone, rules.AnswerSlack = true, soakLate
+	f := &fleet{o: o, ledger: lab.NewLedger(rules), deadline: plan.deadline, endWithin: plan.deadline + killSlack}
+	if o.Defect {
+		f.defect = stuck
+	}
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	closeServers, err := f.serve(soakServers, plan.hanging)
+	if err != nil {
+		return nil, err
+	}
+	defer closeServers()
+	addrs, err := freeAddrs(1)
+	if err != nil {
+		return nil, err
+	}
+	a := &fleetAgent{f: f, dir: filepath.Join(dir, "agent"), addr: addrs[0]}
+	if err := os.Mkdir(a.dir, 0o700); err != nil {
+		return nil, err
+	}
+	if plan.heirs {
+		a.tmp = a.dir
+	}
+	if err := a.start(ctx); err != nil || len(f.short) > 0 {
+		r.Short = f.short
+		return r, err
+	}
+	defer a.kill()
+	traffic, quiet := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer quiet()
+	f.clients(traffic, &running, a, plan.crowd)
+	for range o.scaled(soakRounds, 2) {
+		select {
+		case <-time.After(time.Duration(100+rng.IntN(200)) * time.Millisecond):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		if err := f.restart(ctx, a, plan, drawSignals(rng, f.endWithin)); err != nil {
+			return nil, err
+		}
+		if len(f.short) > 0 {
+			break // what comes behind a process that had to be killed says nothing
+		}
+	}
+	f.mu.Lock()
+	turned := f.turned // as long as there was to be a process
+	f.mu.Unlock()
+	quiet()
+	running.Wait()
+	a.end(false)
+	f.held.Wait()
+	broken, words := f.ledger.Breaches(time.Now().Add(heldFor))
+	t := f.ledger.Totals
+	r.Short = f.short
+	r.add("deadline", millis(plan.deadline), "ms")
+	r.add("crowd", float64(plan.crowd), "")
+	r.add("hanging", float64(plan.hanging), "")
+	r.add("ends", float64(f.ends), "")
+	r.add("requests", float64(t.Tries), "")
+	r.add("served", float64(t.Served), "")
+	r.add("refused", float64(t.Refused), "")
+	r.add("failed", float64(t.Failed), "")
+	r.add("connections_refused", float64(turned), "")
+	r.add("reset_at_an_end", float64(f.resets), "")
+	r.add("slowest_end", millis(f.slowestEnd), "ms")
+	for rule, n := range broken {
+		r.short("rule %d broken %d times: %s", rule, n, words[0])
+	}
+	if f.resets > 0 {
+		r.short("%d connections reset as a listener ended, over %d ends", f.resets, f.ends)
+	}
+	if plan.heirs && turned > 0 {
+		r.short("%d connections refused while a next process served", turned)
+	}
+	if least := 20 * f.ends; t.Served < least {
+		r.short("only %d served: the proof says nothing", t.Served)
+	}
+	return r, nil
+}
+
+// serve starts stand-in servers, of which some hang, and the rosters that list them.
+func (f *fleet) serve(servers, hanging int) (closeAll func(), err error) {
+	var entries []membership.Entry
+	closeAll = func() {
+		for _, s := range f.servers {
+			s.Close()
+		}
+		for _, r := range f.rosters {
+			if r != nil {
+				r.Close()
+			}
+		}
+	}
+	for i := range servers {
+		s, err := lab.NewOrderServer(fmt.Sprintf("s-%02d", i), zones[i%len(zones)], time.Millisecond, f.ledger)
+		if err != nil {
+			closeAll()
+			return nil, err
+		}
+		f.ledger.Placed(s.ID, s.Entry.Zone)
+		if f.defect == misplaced {
+			s.Entry.Zone = zones[i/len(zones)%len(zones)]
+		}
+		if i < hanging {
+			s.Set(lab.Silent)
+		}
+		f.servers, entries = append(f.servers, s), append(entries, s.Entry)
+	}
+	for i := range f.rosters {
+		if f.rosters[i], err = lab.NewRoster(entries...); err != nil {
+			closeAll()
+			return nil, err
+		}
+	}
+	return closeAll, nil
+}
+
+// clients starts the clients of a soak, and its crowd.
+func (f *fleet) clients(ctx context.Context, running *sync.WaitGroup, a *fleetAgent, more crowdKind) {
+	asking := soakClients
+	if more == busyCrowd {
+		asking += crowdSize
+	}
+	for w := range asking {
+		running.Go(func() {
+			c := fleetClient{f: f, a: a, name: fmt.Sprintf("0-%d", w), rng: rand.New(rand.NewPCG(f.o.Seed, uint64(w))), anew: w%2 == 1}
+			c.run(ctx)
+		})
+	}
+	if more != idleCrowd {
+		return
+	}
+	for w := range crowdSize {
+		running.Go(func() { stayIdle(ctx, a.addr, w%2 == 1) })
+	}
+}
+
+// stayIdle stays connected and brings nothing, or half a head; it comes back until ctx ends.
+func stayIdle(ctx context.Context, addr string, half bool) {
+	const pause = 20 * time.Millisecond
+	for ctx.Err() == nil {
+		c, err := net.DialTimeout("tcp", addr, time.Second)
+		if err != nil {
+			time.Sleep(pause)
+			continue
+		}
+		if half {
+			io.WriteString(c, "GET /api/a HTTP/1.1\r\nHost: x\r\n")
+		}
+		over := context.AfterFunc(ctx, func() { c.Close() })
+		io.Copy(io.Discard, c) // until the agent ends it
+		over()
+		c.Close()
+		time.Sleep(pause)
+	}
+}
+
+// restart ends the agent's process with these signals, and starts the next one behind it or, with heirs, before.
+func (f *fleet) restart(ctx context.Context, a *fleetAgent, plan soakPlan, series []signalAfter) error {
+	f.hold(ctx, a)
+	old := a.cmd
+	if plan.heirs {
+		if err := a.startBeside(ctx); err != nil {
+			return err
+		}
+	}
+	a.endBy(old, series)
+	if plan.heirs {
+		return nil
+	}
+	return a.start(ctx)
+}
--- a/internal/lab/prove/wholefleet.go
+++ b/internal/lab/prove/wholefleet.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,7 +18,8 @@
 )
 
 const (
-	// fleetSettings have deadlines of 0.6 s, so that a planned end is over 1.3 s after its signal.
+	// fleetDeadline is that of all classes in fleetSettings, so that a planned end is over 1.3 s after its signal.
+	fleetDeadline = 600 * time.Millisecond
 	fleetSettings = `{"classes":[
 {"name":"read","aimMs":200,"giveUpMs":600,"effect":"free","credit":1,"lateShare":0.2},
 {"name":"send","aimMs":300,"giveUpMs":600,"effect":"guarded","group":"zone","keyTtlMs":1200,"credit":2,"lateShare":0.2},
@@ -60,12 +62,14 @@
 	agents  []*fleetAgent
 	// endWithin is how long an end may take.
 	endWithin time.Duration
+	deadline  time.Duration  // of each class and client
 	held      sync.WaitGroup // requests that are to be open at a signal
 
 	mu                                   sync.Mutex
 	short                                []string
 	slowestEnd, slowestReady             time.Duration
 	starts, ends, kills, repeats, resets int
+	turned                               int // connections that were refused
 }
 
 func (f *fleet) fails(format string, args ...any) {
@@ -76,6 +80,12 @@
 	}
 }
 
+// settings are fleetSettings with the fleet's deadline.
+func (f *fleet) settings() string {
+	giveUp := func(d time.Duration) string { return fmt.Sprintf(`"giveUpMs":%d`, d.Milliseconds()) }
+	return strings.ReplaceAll(fleetSettings, giveUp(fleetDeadline), giveUp(f.deadline))
+}
+
 // told changes an entry at both rosters.
 func (f *fleet) told(change func(*lab.Roster)) {
 	for _, r := range f.rosters {
@@ -128,7 +138,7 @@
 // each process's exit code, time to its end and time until it is ready. The seeded defects are the lab's own.
 func WholeFleet(ctx context.Context, o *Options) (*Report, error) {
 	r := &Report{Proof: "whole-fleet", Seed: o.Seed, Scale: o.Scale}
-	f := &fleet{o: o, endWithin: endWithin}
+	f := &fleet{o: o, endWithin: endWithin, deadline: fleetDeadline}
 	if o.Defect {
 		f.defect = 1 + fleetDefect(o.Seed%uint64(defects-1))
 	}
@@ -147,29 +157,11 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	var entries []membership.Entry
-	defer func() {
-		for _, s := range f.servers {
-			s.Close()
-		}
-	}()
-	for i := range o.scaled(20, 6) {
-		s, err := lab.NewOrderServer(fmt.Sprintf("s-%02d", i), zones[i%3], time.Millisecond, f.ledger)
-		if err != nil {
-			return nil, err
-		}
-		f.ledger.Placed(s.ID, s.Entry.Zone)
-		if f.defect == misplaced {
-			s.Entry.Zone = zones[i/3%3]
-		}
-		f.servers, entries = append(f.servers, s), append(entries, s.Entry)
-	}
-	for i := range f.rosters {
-		if f.rosters[i], err = lab.NewRoster(entries...); err != nil {
-			return nil, err
-		}
-		defer f.rosters[i].Close()
+	closeServers, err := f.serve(o.scaled(20, 6), 0)
+	if err != nil {
+		return nil, err
 	}
+	defer closeServers()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	addrs, err := freeAddrs(o.scaled(40, 4))
@@ -192,13 +184,7 @@
 		each.Wait()
 		return errors.Join(errs...)
 	}
-	defer all(f.agents, func(a *fleetAgent) error {
-		if a.cmd != nil && a.cmd.ProcessState == nil && a.cmd.Process != nil {
-			a.cmd.Process.Kill()
-			a.cmd.Wait()
-		}
-		return nil
-	})
+	defer all(f.agents, func(a *fleetAgent) error { a.kill(); return nil })
 	if err := all(f.agents, func(a *fleetAgent) error { return a.start(ctx) }); err != nil || len(f.short) > 0 {
 		r.Short = f.short
 		return r, err
