--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -75,7 +75,7 @@
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	options := []grpc.ServerOption{grpc.ForceServerCodecV2(codec{encoding.GetCodecV2("proto")}),
-		grpc.MaxRecvMsgSize(mostRequest), grpc.SharedWriteBuffer(true), grpc.ReadBufferSize(4 << 10),
+		grpc.MaxRecvMsgSize(mostRequest), grpc.ReadBufferSize(4 << 10),
 		grpc.MaxConcurrentStreams(64),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: pingWithin}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true})}
--- a/internal/emu/agent.go
+++ b/internal/emu/agent.go
@@ -65,9 +65,8 @@
 	done      bool
 	status    policy.Status
 	report    [3]float32
-	silent    bool          // the answer holds no report
-	work      Time          // of the server's
-	err       policy.Status // of a connect that failed
+	silent    bool // the answer holds no report
+	work      Time // of the server's
 }
 
 // What happens to attempts.
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -275,15 +275,14 @@
 	c.SetReadDeadline(time.Time{}) // who idles is closed by serve
 	if c.t == 0 {
 		for n := 1; ; n++ {
-			b, err := c.br.Peek(n)
-			if err != nil {
+			if _, err := c.br.Peek(n); err != nil {
 				m.err = err
 				return m
 			}
 			if n == 1 {
 				c.SetReadDeadline(time.Now().Add(readTime))
 			}
-			b, _ = c.br.Peek(c.br.Buffered())
+			b, _ := c.br.Peek(c.br.Buffered())
 			t, _, ok, err := thriftwire.Detect(b)
 			if err != nil {
 				m.err = err
--- a/internal/lab/xdsproxy/table.go
+++ b/internal/lab/xdsproxy/table.go
@@ -101,7 +101,6 @@
 		all    []Endpoint
 		raw    []float64
 		prio   uint32
-		keys   []string
 	}
 	var places []*place
 	for _, set := range p.sets {
--- a/internal/membership/ephemeral/session.go
+++ b/internal/membership/ephemeral/session.go
@@ -173,9 +173,8 @@
 	timeout time.Duration
 	xid     int32
 	out     []request // in the order in which replies come
-	authed  bool
-	fresh   bool // nothing has come on it
-	events  bool // an event came in this batch
+	fresh   bool      // nothing has come on it
+	events  bool      // an event came in this batch
 }
 
 func (c *connection) serve(ctx context.Context, br *bufio.Reader, renewed bool) (served bool, err error) {
--- a/internal/membership/ephemeral/source.go
+++ b/internal/membership/ephemeral/source.go
@@ -91,10 +91,9 @@
 	f    *follow.Follower
 	told func(Update)
 
-	up       bool // the last connection showed that the registry lives
-	was      bool // synced was told on this connection
-	saidMs   time.Time
-	problems []string
+	up     bool // the last connection showed that the registry lives
+	was    bool // synced was told on this connection
+	saidMs time.Time
 }
 
 func (w *watcher) connected(renewed bool, zxid int64) {
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -324,9 +324,8 @@
 			away[v.r] = true
 		}
 	}
-	there := len(away)
 	if len(away) > m.cfg.VanishLeast { // counting all is seldom
-		there = 0
+		there := 0
 		for _, x := range m.rows {
 			if len(x.nodes) > 0 || away[x] {
 				there++
--- a/policy/tick_test.go
+++ b/policy/tick_test.go
@@ -21,8 +21,7 @@
 	silentFrom := 2000 + float64(seed%97)
 	end := r.now + silentFrom + 1000
 	start := r.now
-	var act func([]Action)
-	act = func(actions []Action) {
+	act := func(actions []Action) {
 		for _, a := range actions {
 			switch a.Kind {
 			case ActTimer:
