An end keeps its time however late its looks are; TestSoak

Change: the end of Shutdown counts from its start. The agent logs 'ending' with its plan. A soak tells how late a goroutine that only sleeps was, and a process that is still there dumps its goroutines. TestSoak plays ten seeds, three at a time.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -109,6 +109,7 @@
 	case <-stop.Done():
 	}
 	by := time.Now().Add(answer)
+	slog.Info("ending", "serves_for", serve, "answers_within", answer)
 	l.Post(func() { l.EndBy(by) })
 	held := answer - serve + killMargin/4 // the last answers are to be written, too
 	if pair.heir() {
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -117,7 +117,8 @@
 	}
 	every := time.NewTicker(lookEvery)
 	defer every.Stop()
-	for start := time.Now(); time.Since(start) < f.Linger; <-every.C {
+	start := time.Now()
+	for ; time.Since(start) < f.Linger; <-every.C {
 		if time.Since(start) >= linger && f.conns.none() {
 			break
 		}
@@ -125,6 +126,7 @@
 	f.leaving.Store(true)
 	f.conns.closeIdle()
 	closing := time.Now()
+	over := earlier(closing, start.Add(f.Linger)).Add(held) // what a look comes too late is not added to it
 	by := closing.Add(min(held/2, hurried))
 	for {
 		<-every.C // whoever found his connection closed may still come back
@@ -141,7 +143,7 @@
 			}
 		default:
 		}
-		if time.Since(closing) >= held {
+		if !time.Now().Before(over) {
 			f.conns.cutAll() // the server's closes then wait for nobody
 			defer f.server.Close()
 			return fmt.Errorf("front: clients are still connected %v after their last answers were due", time.Since(closing))
@@ -149,6 +151,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // HandOver leaves what comes from now on to another process that listens on the same address: the listener
 // closes at once, and each connection with its next answer. Those that bring no request stay until Shutdown
 // ends them: to close one at once could cross a request on it.
--- a/internal/lab/prove/child.go
+++ b/internal/lab/prove/child.go
@@ -138,7 +138,7 @@
 		return nil, err
 	}
 	p.addr = ln.Addr().String()
-	p.server = grpc.NewServer(grpc.SharedWriteBuffer(true), grpc.ReadBufferSize(4<<10))
+	p.server = grpc.NewServer(grpc.ReadBufferSize(4 << 10))
 	discoveryv3.RegisterAggregatedDiscoveryServiceServer(p.server, gcpserver.NewServer(context.Background(), p.cache, nil))
 	go p.server.Serve(ln)
 	return p, nil
--- a/internal/lab/prove/fleetagent.go
+++ b/internal/lab/prove/fleetagent.go
@@ -171,7 +171,8 @@
 				killed = time.AfterFunc(a.f.endWithin, func() {
 					a.lastKill.Store(math.MaxInt64)
 					a.f.fails("%s: still there %v after SIGTERM", filepath.Base(a.dir), a.f.endWithin)
-					cmd.Process.Kill()
+					cmd.Process.Signal(syscall.SIGQUIT) // it tells what it waits for
+					time.AfterFunc(time.Second, func() { cmd.Process.Kill() })
 				})
 				sent <- time.Now()
 			}
@@ -181,7 +182,9 @@
 	from := <-sent
 	err := cmd.Wait()
 	close(over)
-	if killed.Stop() && err != nil {
+	if !killed.Stop() {
+		a.f.o.logf("%s: %s", filepath.Base(a.dir), cmd.Stderr)
+	} else if err != nil {
 		a.f.fails("%s: ended with %v; %s", filepath.Base(a.dir), err, lastLine(cmd.Stderr.(*strings.Builder).String()))
 	}
 	a.f.mu.Lock()
--- a/internal/lab/prove/prove_test.go
+++ b/internal/lab/prove/prove_test.go
@@ -45,6 +45,27 @@
 	}
 }
 
+// Soaks of a few seeds: each draws other deadlines, signals and crowds, and some have a next process beside the one that
+// ends. `ringtrack-lab prove soak --seed N` plays one at full length.
+func TestSoak(t *testing.T) {
+	const lanes = 3 // more at once would play the machine's load, and not the agent's end
+	busy := make(chan struct{}, lanes)
+	for seed := uint64(1); seed <= 10; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			busy <- struct{}{}
+			defer func() { <-busy }()
+			r, err := Soak(t.Context(), &Options{Seed: seed, Scale: 0.15, Log: t.Output()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if t.Log(r.Line()); len(r.Short) > 0 {
+				t.Error("it falls short")
+			}
+		})
+	}
+}
+
 // Each of the defects that the lab can seed in the whole fleet is found.
 func TestWholeFleetDefects(t *testing.T) {
 	for seed := range uint64(defects - 1) {
--- a/internal/lab/prove/soak.go
+++ b/internal/lab/prove/soak.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,8 +25,9 @@
 	killSlack, soakLate = 700 * time.Millisecond, 500 * time.Millisecond
 	// soakClients go on using their connections until the kill; half of them also connect anew all the time.
 	soakClients = 8
-	// crowdSize is how many clients more a crowd has: within what an agent with 512 sockets takes.
-	crowdSize = 80
+	// crowdSize is how many clients more the crowd of a whole soak has: within what an agent with 512 sockets takes.
+	// leastCrowd is the least of a smaller one.
+	crowdSize, leastCrowd = 80, 20
 )
 
 // crowdKind is what else is connected while an agent ends.
@@ -126,6 +128,8 @@
 	defer running.Wait()
 	defer quiet()
 	f.clients(traffic, &running, a, plan.crowd)
+	var late atomic.Int64
+	running.Go(func() { watchLateness(traffic, &late) })
 	for range o.scaled(soakRounds, 2) {
 		select {
 		case <-time.After(time.Duration(100+rng.IntN(200)) * time.Millisecond):
@@ -159,6 +163,7 @@
 	r.add("failed", float64(t.Failed), "")
 	r.add("connections_refused", float64(turned), "")
 	r.add("reset_at_an_end", float64(f.resets), "")
+	r.add("machine_late", millis(time.Duration(late.Load())), "ms")
 	r.add("slowest_end", millis(f.slowestEnd), "ms")
 	for rule, n := range broken {
 		r.short("rule %d broken %d times: %s", rule, n, words[0])
@@ -175,6 +180,18 @@
 	return r, nil
 }
 
+// watchLateness notes by how much a goroutine that only sleeps was late at the most: what a busy machine takes.
+func watchLateness(ctx context.Context, most *atomic.Int64) {
+	const nap = time.Millisecond
+	for ctx.Err() == nil {
+		from := time.Now()
+		time.Sleep(nap)
+		if late := int64(time.Since(from) - nap); late > most.Load() {
+			most.Store(late)
+		}
+	}
+}
+
 // serve starts stand-in servers, of which some hang, and the rosters that list them.
 func (f *fleet) serve(servers, hanging int) (closeAll func(), err error) {
 	var entries []membership.Entry
@@ -214,9 +231,9 @@
 
 // clients starts the clients of a soak, and its crowd.
 func (f *fleet) clients(ctx context.Context, running *sync.WaitGroup, a *fleetAgent, more crowdKind) {
-	asking := soakClients
+	asking, crowd := soakClients, f.o.scaled(crowdSize, leastCrowd)
 	if more == busyCrowd {
-		asking += crowdSize
+		asking += crowd
 	}
 	for w := range asking {
 		running.Go(func() {
@@ -227,7 +244,7 @@
 	if more != idleCrowd {
 		return
 	}
-	for w := range crowdSize {
+	for w := range crowd {
 		running.Go(func() { stayIdle(ctx, a.addr, w%2 == 1) })
 	}
 }
