--- a/cmd/ringtrack/signals_test.go
+++ b/cmd/ringtrack/signals_test.go
@@ -27,15 +27,7 @@
 				t.Parallel()
 				cmd := program(t, `{"name":"n1","listen":"127.0.0.1:0","discovery":"`+discovery.Listener.Addr().String()+`","seed":"1",
 "limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"version":0,"full":true,"servers":[]},"settings":`+settings+`}`)
-				stderr, err := cmd.StderrPipe()
-				if err != nil {
-					t.Fatal(err)
-				}
-				if err := cmd.Start(); err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
-				log := bufio.NewScanner(stderr)
+				log := bufio.NewScanner(startLogged(t, cmd))
 				for log.Scan() && !strings.Contains(log.Text(), "listening") {
 				}
 				if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
--- a/cmd/ringtrack/upgrade_test.go
+++ b/cmd/ringtrack/upgrade_test.go
@@ -27,15 +27,7 @@
 	}
 	cmd := program(t, string(text))
 	cmd.Env = append(cmd.Env, "TMPDIR="+tmp, "PROXY_ADMIN_ADDR=127.0.0.1:0")
-	stderr, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
-	log := bufio.NewReader(stderr)
+	log := bufio.NewReader(startLogged(t, cmd))
 	for {
 		line, err := log.ReadString('\n')
 		if err != nil {
@@ -48,6 +40,20 @@
 	}
 }
 
+// startLogged starts a process that ends with the test, and returns its log.
+func startLogged(t *testing.T, cmd *exec.Cmd) io.Reader {
+	t.Helper()
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	return stderr
+}
+
 func adminCall(addr, method, path string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+addr+path, nil)
 	if err != nil {
