Control service: a half-closed ADS stream ends that stream, not the process

Callers: a proxy that half-closed its stream (CloseSend) behind a request ended the control service for all proxies. Cause: receive gave a nil request with a nil error at EOF; receiveAll passed it to stream.handle, a nil dereference. Change: io.EOF stays an error until it ends the stream. A half-close before the first request is no rejected proxy any more. Why it works: no path hands a nil request on; EOF takes the way of every other error of the receiving side.

--- a/internal/control/ads.go
+++ b/internal/control/ads.go
@@ -16,8 +16,8 @@
 // maxQueuedRequests bounds the requests that a stream has read and not handled.
 const maxQueuedRequests = 16
 
-// receiveFunc reads the next request of a stream, with the node that it names, if any. A nil error with a nil
-// request means that the proxy closed its side.
+// receiveFunc reads the next request of a stream, with the node that it names, if any. io.EOF means that the proxy
+// half-closed its stream.
 type receiveFunc func() (*request, *corev3.Node, error)
 
 // StreamAggregatedResources serves ADS, state of the world.
@@ -26,7 +26,7 @@
 	return s.serveADS(g.Context(), st, func() (*request, *corev3.Node, error) {
 		m, err := g.Recv()
 		if err != nil {
-			return nil, nil, streamError(err)
+			return nil, nil, err
 		}
 		return &request{
 			typeURL:  m.TypeUrl,
@@ -45,7 +45,7 @@
 	return s.serveADS(g.Context(), st, func() (*request, *corev3.Node, error) {
 		m, err := g.Recv()
 		if err != nil {
-			return nil, nil, streamError(err)
+			return nil, nil, err
 		}
 		return &request{
 			typeURL:         m.TypeUrl,
@@ -84,7 +84,7 @@
 	defer s.streamCount.Add(-1)
 	first, node, err := receive()
 	if err != nil {
-		return err
+		return streamError(err)
 	}
 	cert := peerCertificate(ctx)
 	if err := cfg.authorize(cert, node.GetId()); err != nil {
@@ -103,10 +103,11 @@
 	requests := make(chan *request, maxQueuedRequests)
 	failed := make(chan error, 1)
 	go func() { failed <- st.receiveAll(ctx, first, requests, receive) }() // ends with ctx, at the latest
-	return st.serve(ctx, requests, failed)
+	return streamError(st.serve(ctx, requests, failed))
 }
 
-// receiveAll passes on the first request and all that follow, until the stream ends.
+// receiveAll passes on the first request and all that follow, until the stream ends. It never returns nil; io.EOF: the
+// proxy half-closed its stream.
 func (s *stream) receiveAll(ctx context.Context, first *request, requests chan<- *request, receive receiveFunc) error {
 	r := first
 	for {
--- a/internal/control/lrs.go
+++ b/internal/control/lrs.go
@@ -115,7 +115,7 @@
 	return net.JoinHostPort(addr.GetAddress(), strconv.Itoa(int(addr.GetPortValue())))
 }
 
-// streamError returns the error of a stream's receiving side; nil where the peer closed its side.
+// streamError returns the error that ends a stream; nil where the peer half-closed it.
 func streamError(err error) error {
 	if errors.Is(err, io.EOF) {
 		return nil
--- a/internal/control/stream.go
+++ b/internal/control/stream.go
@@ -134,7 +134,7 @@
 }
 
 // serve handles requests and sends what is new until the stream ends. failed delivers the error that ended
-// the receiving side; nil: the proxy closed it.
+// the receiving side; io.EOF: the proxy half-closed the stream.
 func (s *stream) serve(ctx context.Context, requests <-chan *request, failed <-chan error) error {
 	var heartbeats <-chan time.Time
 	if ttl := s.publisher.cfg().Proxies.HeartbeatS; s.supportsTTL && s.delta && ttl > 0 {
