Configuration store: a message of another replica can not end this one

Callers: a replica that came back with an older data directory panicked at its leader's first heartbeat, at each start, and told its operator a stack; one message of any member could end any other. Cause: receiveMessage handed raft whatever had the sender's id, and raft panics on what its own code never sends. Change: checkRaftMessage lets through the types that replicas send each other, in the forms that raft can act on; all else is rejected with its reason, which the sender logs and shows. What raft still finds impossible ends the process, as before. Why it works: the check looks at each field that raft indexes or compares before raft sees it, against the durable log and against what this replica has sent.

--- a/internal/configstore/raft.go
+++ b/internal/configstore/raft.go
@@ -215,7 +215,8 @@
 	return target
 }
 
-// raftLogger is raft's log. What raft finds impossible ends the process by a panic.
+// raftLogger is raft's log. What raft finds impossible ends the process by a panic, as it must not go on with a state
+// that nobody knows. Messages of other replicas that would cause that are rejected before (checkRaftMessage).
 type raftLogger struct{}
 
 func (raftLogger) Debug(...any)                {}
--- a/internal/configstore/raft_messages.go
+++ b/internal/configstore/raft_messages.go
@@ -96,9 +96,12 @@
 	if err := proto.Unmarshal(text, m); err != nil {
 		return err
 	}
-	if m.GetFrom() != from {
+	if m.GetFrom() != from || from == r.identity.ID {
 		return errForeignSender
 	}
+	if err := r.checkRaftMessage(m); err != nil {
+		return err
+	}
 	if from == r.softState.Lead && (m.GetType() == pb.MsgHeartbeat || m.GetType() == pb.MsgApp) {
 		r.delays.heartbeat(r.now())
 	}
--- a/internal/configstore/raft_test.go
+++ b/internal/configstore/raft_test.go
@@ -38,12 +38,13 @@
 	}
 	for i := range n {
 		name := fmt.Sprintf("k%d", i+1)
-		dir, err := disk.Open(filepath.Join(t.TempDir(), name))
+		data := filepath.Join(t.TempDir(), name)
+		dir, err := disk.Open(data)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { dir.Close() })
-		replica := newReplica(t.Context(), &Config{Name: name, Members: members, LeaseMs: 2000, ServerRulesMs: 3000, TickMs: 25}, dir,
+		replica := newReplica(t.Context(), &Config{Name: name, Data: data, Members: members, LeaseMs: 2000, ServerRulesMs: 3000, TickMs: 25}, dir,
 			&Identity{Name: name, ID: uint64(i + 1), Cluster: 1, Formed: formed})
 		replica.runPeer = func(*peer, context.Context) {}
 		if err := replica.watermarks.load(dir); err != nil {
@@ -106,15 +107,19 @@
 	}
 	m := <-queue
 	s.onMessage(from, m)
+	if to := s.replicas[p.id-1]; !s.dead[to] {
+		s.must(s.receiveFrom(from, to, m))
+	}
+}
+
+// receiveFrom has a replica take one message of another; an error is why it is rejected.
+func (s *testCluster) receiveFrom(from, to *Replica, m *pb.Message) error {
+	s.t.Helper()
 	text, err := proto.Marshal(m)
 	s.must(err)
-	to := s.replicas[p.id-1]
-	if s.dead[to] {
-		return
-	}
-	messages := &raftMessages{To: p.id, Msgs: [][]byte{text}}
+	messages := &raftMessages{To: to.identity.ID, Msgs: [][]byte{text}}
 	from.setSender(messages)
-	s.must(to.receive(messages))
+	return to.receive(messages)
 }
 
 // tick makes a tick of all replicas that live; what they send is delivered.
--- a/internal/configstore/storage.go
+++ b/internal/configstore/storage.go
@@ -29,6 +29,7 @@
 	logBytes         int64         // size of the log, with what was submitted to the writer
 	snapshotIndex    uint64        // of the last snapshot
 	submittedState   *pb.HardState // the last that was submitted to the writer
+	submittedIndex   uint64        // of the last entry that was submitted to the writer, by which time raft may send it
 	unsynced         [][]byte      // records that were submitted and are not durable yet
 	pendingSnapshots int           // snapshots of the leader that were submitted and are not durable yet
 	truncatedBytes   int64         // of an incomplete record that loadStorage removed
@@ -62,6 +63,7 @@
 	snapshot, _ := s.Snapshot()
 	s.snapshotIndex = snapshot.GetMetadata().GetIndex()
 	s.submittedState, _, _ = s.InitialState()
+	s.submittedIndex, _ = s.LastIndex()
 	return s, nil
 }
 
--- a/internal/configstore/storage_write.go
+++ b/internal/configstore/storage_write.go
@@ -22,6 +22,11 @@
 			ready.HardState.GetVote() != s.submittedState.GetVote()
 		s.submittedState = ready.HardState
 	}
+	if n := len(ready.Entries); n > 0 {
+		s.submittedIndex = ready.Entries[n-1].GetIndex()
+	} else if !raft.IsEmptySnap(ready.Snapshot) {
+		s.submittedIndex = ready.Snapshot.GetMetadata().GetIndex()
+	}
 	entries, state, snapshot, records := ready.Entries, ready.HardState, ready.Snapshot, j.records
 	j.onDurable = func() error {
 		s.recordsDurable(records)
@@ -122,6 +127,7 @@
 	s.submittedState = &pb.HardState{Term: proto.Uint64(1), Vote: proto.Uint64(0), Commit: proto.Uint64(1)}
 	s.SetHardState(s.submittedState)
 	s.snapshotIndex = snapshot.GetMetadata().GetIndex()
+	s.submittedIndex = s.snapshotIndex
 	log, err := s.encodeLog()
 	if err != nil {
 		return err
