policy: a keyed request before the first endpoint list is queued and does not panic

Callers: a program that runs the module ended if a request with a key came before any endpoint list (the agent always has one first). Cause: both generations are 0 before the first list, so that the nearest servers, never found, counted as found. Change: they count as found only where there is one. Evidence: TestRequestsBeforeTheFirstEndpointListAreQueued dereferenced nil at the code before. Why it works: the only other way to the same generation is a selection that has set all of them. Result: tests of policy pass.

--- a/policy/request.go
+++ b/policy/request.go
@@ -29,7 +29,7 @@
 	// Selection.
 	hashKey           uint64 // the key, or one of the parts that it is split into
 	nearest           [nearestServers]*server
-	nearestGeneration uint64  // tierEpoch of nearest
+	nearestGeneration uint64  // tierGeneration of nearest
 	tierWeight        float64 // of the tier in which a server was last selected
 	priority          float64
 	recentKey         bool // its key was sent lately
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -140,9 +140,10 @@
 }
 
 // nearestAreFull reports whether the request waits for the servers nearest its key, as they were found when
-// it was last tried to send it, and none of them accepts it.
+// it was last tried to send it, and none of them accepts it. Until they are found, it does not.
 func (b *Balancer) nearestAreFull(r *request) bool {
-	if !b.waitsForNearest(r) || r.nearestGeneration != b.tierGeneration {
+	found := r.nearest[0] != nil && r.nearestGeneration == b.tierGeneration
+	if !found || !b.waitsForNearest(r) {
 		return false
 	}
 	for _, s := range r.nearest {
--- a/policy/selection_test.go
+++ b/policy/selection_test.go
@@ -152,3 +152,26 @@
 		r.endAttempt(id, 0, s, OK, 20)
 	}
 }
+
+// Requests that come before the first endpoint list are queued: one with a key used to panic in the balancer.
+func TestRequestsBeforeTheFirstEndpointListAreQueued(t *testing.T) {
+	for _, key := range []uint64{0, 42} {
+		balancer, err := New(testSettings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		balancer.Start(0, nil)
+		event := Event{Kind: EventRequest, Request: 1, Key: key, RemainingMs: 1000}
+		if a := findAction(balancer.Handle(1, &event, nil), ActionForward); a != nil {
+			t.Errorf("key %d: forwarded to %v though no server is known", key, a.Server)
+		}
+		if len(balancer.queued) != 1 {
+			t.Errorf("key %d: %d requests queued, want 1", key, len(balancer.queued))
+		}
+		update := Event{Kind: EventEndpointUpdate, Update: UpdateCached,
+			Endpoints: []Endpoint{{Server: addr(0), Health: Ready, Weight: 1}}}
+		if findAction(balancer.Handle(2, &update, nil), ActionForward) == nil {
+			t.Errorf("key %d: not forwarded once a server is known", key)
+		}
+	}
+}
