A panic of the code that serves one peer ends what that peer has, not the process

Callers: any defect that one peer's bytes could reach ended the process for all: requests in flight at an agent, the streams of all proxies, a replica's vote. The half-closed stream was one such. Cause: gRPC handlers and the goroutines of Thrift connections, attempts, health checks and calls to discovery had no recover; net/http recovers its handlers, but two servers logged that at debug level. Change: internal/panics. Streams end with Internal, connections close, an attempt or health check ends as a reset (it may have run), a call fails; each leaves a log line with its stack and a count on the metrics. Goroutines that own the state of all (event loop, publisher, the replica's loop, the registry's view) still end the process: nobody knows their state then.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -13,6 +13,8 @@
 	"net/url"
 	"sync"
 	"time"
+
+	"ringtrack.example/ringtrack/internal/panics"
 )
 
 const (
@@ -61,7 +63,7 @@
 		connections:    map[net.Conn]*list.Element{},
 	}
 	s.server = &http.Server{
-		Handler:                      s,
+		Handler:                      panics.Handler("admin", s),
 		ReadTimeout:                  requestTimeout,
 		WriteTimeout:                 requestTimeout + responseTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
--- a/internal/admin/stats.go
+++ b/internal/admin/stats.go
@@ -12,6 +12,7 @@
 	Open         int64         // requests without an answer
 	Listed       int           // backends in the endpoint list
 	Unavailable  int           // those of them that get no requests
+	Panics       int64         // that the process has recovered from
 	SharedConfig *SharedConfig // nil: there is no shared configuration
 }
 
@@ -47,6 +48,7 @@
 	writeMetric(&out, "open_requests", s.Open)
 	writeMetric(&out, "registry_entries", int64(s.Listed))
 	writeMetric(&out, "out_of_rotation", int64(s.Unavailable))
+	writeMetric(&out, "recovered_panics", s.Panics)
 	if s.SharedConfig != nil {
 		s.SharedConfig.write(&out)
 	}
--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ringtrack.example/ringtrack/internal/admin"
+	"ringtrack.example/ringtrack/internal/panics"
 )
 
 // loopTimeout bounds how long a call of the admin endpoint, which has to be answered within a second, waits for the
@@ -51,6 +52,7 @@
 		Open:        counters.Open.Load(),
 		Listed:      rotation.Listed,
 		Unavailable: rotation.Unavailable,
+		Panics:      panics.Recovered(),
 	}
 	for i := range counters.Classes {
 		c := &counters.Classes[i]
--- a/internal/configstore/api_read.go
+++ b/internal/configstore/api_read.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"ringtrack.example/ringtrack/internal/configstore/client"
+	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/sharedconfig"
 )
 
@@ -111,6 +112,7 @@
 		Members:     r.describeMembers(),
 		Unreachable: r.unreachable(),
 		Loop:        r.delays.status(),
+		Panics:      panics.Recovered(),
 	}
 	if r.lessor != nil {
 		now := r.now()
--- a/internal/configstore/client/messages.go
+++ b/internal/configstore/client/messages.go
@@ -90,6 +90,7 @@
 	BlockedBy   []string          `json:"held_up,omitempty"` // who blocks the next epoch; the leader's only
 	Unreachable map[string]string `json:"refused,omitempty"` // replicas whose messages are rejected, and why
 	Loop        EventLoopStatus   `json:"loop"`
+	Panics      int64             `json:"panics,omitempty"` // that the process has recovered from
 }
 
 // EventLoopStatus is what delayed a replica's event loop since its start, and the elections that it had part in.
--- a/internal/configstore/client/relay.go
+++ b/internal/configstore/client/relay.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"ringtrack.example/ringtrack/internal/panics"
 )
 
 const (
@@ -30,7 +32,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathRenew, r.handleRelay)
 	server := &http.Server{
-		Handler:        mux,
+		Handler:        panics.Handler("relay", mux),
 		ReadTimeout:    relayReadTimeout,
 		WriteTimeout:   relayWriteTimeout,
 		IdleTimeout:    relayIdleTimeout,
--- a/internal/configstore/replica.go
+++ b/internal/configstore/replica.go
@@ -24,6 +24,7 @@
 	"ringtrack.example/ringtrack/internal/configstore/client"
 	"ringtrack.example/ringtrack/internal/disk"
 	"ringtrack.example/ringtrack/internal/lease"
+	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/sharedconfig/history"
 )
 
@@ -147,7 +148,7 @@
 
 func (r *Replica) newServer(id *sharedIdentity) *http.Server {
 	return &http.Server{
-		Handler:        r.handler(id),
+		Handler:        panics.Handler("configuration store", r.handler(id)),
 		ReadTimeout:    serverTimeout,
 		WriteTimeout:   serverTimeout,
 		IdleTimeout:    serverIdleTimeout,
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -13,6 +13,7 @@
 
 	"ringtrack.example/ringtrack/internal/control/assign"
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/panics"
 )
 
 const (
@@ -117,6 +118,7 @@
 		"ended":      c.closed.Load(),
 		"rejections": c.nacks.Load(),
 		"refused":    c.rejected.Load(),
+		"panics":     panics.Recovered(),
 	}
 }
 
@@ -182,7 +184,7 @@
 	mux.HandleFunc("GET /{$}", s.handleReport)
 	mux.HandleFunc("GET /ready", s.handleReady)
 	server := &http.Server{
-		Handler:           mux,
+		Handler:           panics.Handler("admin", mux),
 		ReadHeaderTimeout: adminReadHeaderTimeout,
 		WriteTimeout:      adminWriteTimeout,
 		MaxHeaderBytes:    adminMaxHeaderBytes,
--- a/internal/control/ads.go
+++ b/internal/control/ads.go
@@ -11,6 +11,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
+
+	"ringtrack.example/ringtrack/internal/panics"
 )
 
 // maxQueuedRequests bounds the requests that a stream has read and not handled.
@@ -102,10 +104,18 @@
 
 	requests := make(chan *request, maxQueuedRequests)
 	failed := make(chan error, 1)
-	go func() { failed <- st.receiveAll(ctx, first, requests, receive) }() // ends with ctx, at the latest
+	go func() { failed <- st.receiveRecovered(ctx, first, requests, receive) }() // ends with ctx, at the latest
 	return streamError(st.serve(ctx, requests, failed))
 }
 
+// receiveRecovered is receiveAll, with an error in place of a panic.
+func (s *stream) receiveRecovered(
+	ctx context.Context, first *request, requests chan<- *request, receive receiveFunc,
+) (err error) {
+	defer panics.Recover("receiving an ADS stream", s.peer, func() { err = errPanicked })
+	return s.receiveAll(ctx, first, requests, receive)
+}
+
 // receiveAll passes on the first request and all that follow, until the stream ends. It never returns nil; io.EOF: the
 // proxy half-closed its stream.
 func (s *stream) receiveAll(ctx context.Context, first *request, requests chan<- *request, receive receiveFunc) error {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -119,6 +119,7 @@
 		grpc.ReadBufferSize(readBufferBytes),
 		grpc.MaxConcurrentStreams(maxStreamsPerConnection),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.StreamInterceptor(recoverStream),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minClientKeepalive, PermitWithoutStream: true}),
 	}
 	switch {
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -4,10 +4,29 @@
 	"net"
 	"sync"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/encoding"
 	"google.golang.org/grpc/mem"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"ringtrack.example/ringtrack/internal/panics"
 )
 
+// errPanicked ends a stream whose code has panicked.
+var errPanicked = status.Error(codes.Internal, panics.ErrRecovered.Error())
+
+// recoverStream ends a stream whose handler panics, and no other.
+func recoverStream(server any, stream grpc.ServerStream, info *grpc.StreamServerInfo, handler grpc.StreamHandler) (err error) {
+	addr := ""
+	if p, ok := peer.FromContext(stream.Context()); ok {
+		addr = p.Addr.String()
+	}
+	defer panics.Recover(info.FullMethod, addr, func() { err = errPanicked })
+	return handler(server, stream)
+}
+
 // rawFrame is a marshalled message. Many streams may send the same bytes at once.
 type rawFrame []byte
 
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -74,12 +75,20 @@
 	a.cancel = cancel
 	addr := a.backend.addr
 	go func() {
-		result := r.call.Upstream.Do(ctx, a.backend, addr, r.call, now, until)
+		result := doAttempt(ctx, a.backend, addr, r.call, now, until)
 		cancel()
 		l.Post(func() { l.attemptEnded(r, index, &result) })
 	}()
 }
 
+// doAttempt makes an attempt. One whose code panics may have run, and its body can't be sent again.
+func doAttempt(ctx context.Context, b *Backend, addr string, c *Call, now, until time.Time) (result Result) {
+	defer panics.Recover("attempt", addr, func() {
+		result = Result{Status: policy.Reset, LatencyMs: msFromDuration(time.Since(now)), BodyConsumed: c.TimeAfterBody > 0}
+	})
+	return c.Upstream.Do(ctx, b, addr, c, now, until)
+}
+
 // attemptNotAllowed ends an attempt that the guard does not allow. Beyond MaxForwardActions the request fails.
 func (l *EventLoop) attemptNotAllowed(r *Request, index int, server policy.Addr, v Violation) {
 	l.reportViolation(v)
--- a/internal/core/healthcheck.go
+++ b/internal/core/healthcheck.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -27,11 +28,19 @@
 	addr := b.addr
 	now := time.Now()
 	go func() {
-		result := l.cfg.HealthCheck(l.ctx, b, addr, now, now.Add(healthCheckTimeout))
+		result := l.checkHealth(b, addr, now)
 		l.Post(func() { l.healthCheckEnded(b, server, &result) })
 	}()
 }
 
+// checkHealth makes a health check. One whose code panics has failed.
+func (l *EventLoop) checkHealth(b *Backend, addr string, now time.Time) (result Result) {
+	defer panics.Recover("health check", addr, func() {
+		result = Result{Status: policy.Reset, LatencyMs: msFromDuration(time.Since(now))}
+	})
+	return l.cfg.HealthCheck(l.ctx, b, addr, now, now.Add(healthCheckTimeout))
+}
+
 func (l *EventLoop) mayCheckHealth(b *Backend) bool {
 	return b != nil && b.addr != "" && !b.unavailable.Load() &&
 		l.cfg.HealthCheck != nil && l.cfg.Settings.Limits.HealthChecks
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -65,7 +66,7 @@
 		s.tenants[tenant.Name] = i
 	}
 	s.httpServer = &http.Server{
-		Handler:           s,
+		Handler:           panics.Handler("HTTP", s),
 		ReadHeaderTimeout: headTimeout,
 		WriteTimeout:      firstWriteTimeout,
 		IdleTimeout:       idleTimeout,
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/socket"
 	"ringtrack.example/ringtrack/internal/thriftwire"
 	upstream "ringtrack.example/ringtrack/internal/upstream/thrift"
@@ -74,15 +75,23 @@
 			s.rejectUnreadable(c, m)
 			return
 		}
-		overloaded := s.beginCall(c)
-		ok := s.handle(c, m, messages, overloaded)
-		s.Budget.Release(m.reserved)
-		if draining := s.endCall(c); !ok || draining {
+		if !s.serveCall(c, m, messages) {
 			return
 		}
 	}
 }
 
+// serveCall answers one call, and returns whether the connection is to be served further.
+func (s *Server) serveCall(c *clientConn, m *message, messages <-chan message) (ok bool) {
+	overloaded := s.beginCall(c)
+	defer func() {
+		draining := s.endCall(c)
+		ok = ok && !draining
+	}()
+	defer s.Budget.Release(m.reserved)
+	return s.handle(c, m, messages, overloaded)
+}
+
 // nextMessage returns the first queued message, or waits for the next; nil: the connection was idle for too long.
 func (c *clientConn) nextMessage(messages <-chan message, idle *time.Timer) *message {
 	if len(c.queued) > 0 {
@@ -135,7 +144,8 @@
 }
 
 // readMessage reads the next message.
-func (s *Server) readMessage(c *clientConn) message {
+func (s *Server) readMessage(c *clientConn) (m message) {
+	defer panics.Recover("reading Thrift", c.RemoteAddr().String(), func() { m.err = panics.ErrRecovered })
 	c.SetReadDeadline(time.Time{}) // serve closes idle connections
 	if c.transport == 0 {
 		if err := c.detectTransport(); err != nil {
@@ -150,7 +160,6 @@
 	c.noCallYet = false
 	s.mu.Unlock()
 	c.SetReadDeadline(time.Now().Add(readTimeout))
-	var m message
 	m.bytes, m.head, m.err = upstream.Read(c.reader, c.transport, s.Limits, s.Table.paths, func(n int64) error {
 		if !s.Budget.TryAcquire(n) {
 			return errOverBudget
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/socket"
 	"ringtrack.example/ringtrack/internal/thriftwire"
 )
@@ -92,7 +93,10 @@
 	}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
-	s.handlers.Go(func() { s.serve(c) })
+	s.handlers.Go(func() {
+		defer panics.Recover("Thrift", nc.RemoteAddr().String(), nil)
+		s.serve(c)
+	})
 }
 
 // temporaryErrors are those of an accept for lack of descriptors or kernel memory, where the connection stays in the
--- a/internal/membership/discovery/client.go
+++ b/internal/membership/discovery/client.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/panics"
 )
 
 const (
@@ -117,7 +118,11 @@
 }
 
 // get sends one request and returns the endpoint list of its response.
-func (c *Client) get(query string, timeout time.Duration) (*membership.List, error) {
+func (c *Client) get(query string, timeout time.Duration) (list *membership.List, err error) {
+	defer panics.Recover("discovery", c.Addr, func() {
+		list = nil
+		err = fmt.Errorf("discovery: %w", panics.ErrRecovered)
+	})
 	if err := c.limiter.Wait(c.ctx); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
--- a/internal/membership/discovery/client_test.go
+++ b/internal/membership/discovery/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"time"
 
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/panics"
 )
 
 // A discovery that answers every watch at once is not called in a tight loop.
@@ -55,3 +57,19 @@
 		t.Error("no update")
 	}
 }
+
+type panickingTransport struct{}
+
+func (panickingTransport) RoundTrip(*http.Request) (*http.Response, error) { panic("defect") }
+
+// A panic in the code that reads an answer of discovery is a failed call.
+func TestPanicOfACallIsAFailedCall(t *testing.T) {
+	d := NewClient(t.Context(), "127.0.0.1:1")
+	defer d.Close()
+	d.httpClient.Transport = panickingTransport{}
+	var got error
+	d.OnUpdate = func(_ *membership.List, _ bool, err error) { got = err }
+	if d.Fetch(); !errors.Is(got, panics.ErrRecovered) {
+		t.Errorf("%v, want %v", got, panics.ErrRecovered)
+	}
+}
