Agent: late answers at a planned end have until 50 ms before SIGKILL

Cause: connections were closed 50 ms after their answers were due, though SIGKILL was 150 ms away: an event loop without a core for that long cost the answer. Change: late answers have 150 of the 200 ms that the plan leaves. Thrift's drain is bounded from the plan's start, as HTTP's. Why it works: closing early helped nobody, as an end without the answer is what SIGKILL brings, too.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -184,7 +184,7 @@
 	deadline := time.Now().Add(p.answerWithin)
 	slog.Info("ending", "serves_for", p.serveFor, "answers_within", p.answerWithin)
 	p.loop.Post(func() { p.loop.ShutDownBy(deadline) })
-	timeout := p.answerWithin - p.serveFor + killMargin/4 // with time to write the last answers
+	timeout := p.answerWithin - p.serveFor + lateAnswerTime
 	if p.state.hasSuccessor() {
 		p.http.HandOver(ln)
 	}
--- a/internal/agent/shutdown.go
+++ b/internal/agent/shutdown.go
@@ -7,8 +7,10 @@
 	// which at most maxKillDelay counts (protocol page, "Figures").
 	killGrace    = 700 * time.Millisecond
 	maxKillDelay = 3 * time.Second
-	// killMargin is left of that time at the process's own end.
-	killMargin = 200 * time.Millisecond
+	// killMargin is left of that time at the process's own end. lateAnswerTime is the part of it in which answers that are
+	// late may still be written; the rest is for the exit.
+	killMargin     = 200 * time.Millisecond
+	lateAnswerTime = 150 * time.Millisecond
 	// finalFraction is the part of that time, as a divisor, and maxFinal the bound of it, that the last accepted requests
 	// have.
 	finalFraction = 4
--- a/internal/agent/shutdown_test.go
+++ b/internal/agent/shutdown_test.go
@@ -66,6 +66,31 @@
 	}
 }
 
+// On a late machine the last answers are late: a request that is open at the end keeps its connection for as long as
+// SIGKILL leaves time. It used to lose it 50 ms after its answer was due, with 150 ms left.
+func TestLateAnswerAtShutdownIsWritten(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	b := newBackend(t, func(net.Conn, *http.Request, int) bool { arrived <- struct{}{}; return true })
+	a := startAgent(t, newDiscoveryServer(t, listedBackend("s-1", b.addr)), func(c *Config) {
+		for i := range c.Settings.Classes {
+			c.Settings.Classes[i].ClientTimeoutMs = 50
+		}
+		c.serveAfterSignal = 0
+	})
+	req := newRequest(a.addr, "order", "x")
+	req.Header.Set("Request-Timeout-Ms", "30000")
+	status := statusOf(t, req)
+	<-arrived
+	_, answerWithin := a.cfg.shutdownPlan()
+	const before, late = 30 * time.Millisecond, 100 * time.Millisecond
+	a.stop()
+	time.Sleep(answerWithin - before)
+	a.loop.Post(func() { time.Sleep(before + late) })
+	if got := <-status; got != http.StatusGatewayTimeout {
+		t.Errorf("answered %d, want %d", got, http.StatusGatewayTimeout)
+	}
+}
+
 // statusOf sends a request and returns a channel for the status of its response; 0: there was none.
 func statusOf(t *testing.T, req *http.Request) <-chan int {
 	status := make(chan int, 1)
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -137,7 +137,8 @@
 	if s.Linger == 0 {
 		s.Linger = defaultLinger
 	}
-	for start := time.Now(); time.Since(start) < s.Linger; time.Sleep(shutdownPollInterval) {
+	start := time.Now()
+	for ; time.Since(start) < s.Linger; time.Sleep(shutdownPollInterval) {
 		if s.isEmpty() && time.Since(start) >= defaultLinger {
 			break
 		}
@@ -151,7 +152,10 @@
 		<-served // all connections that were accepted are known from here on
 	}
 	now := time.Now()
-	deadline := now.Add(drainTimeout)
+	deadline := start.Add(s.Linger).Add(drainTimeout) // a late poll does not extend it
+	if now.Before(start.Add(s.Linger)) {
+		deadline = now.Add(drainTimeout)
+	}
 	readDeadline := now.Add(min(drainTimeout/2, shutdownReadTime))
 	for time.Now().Before(deadline) && s.closeUnused(readDeadline) {
 		time.Sleep(shutdownPollInterval)
