prove soak says what a process waits for that misses its end, and times idle ends beside it

Need: an end that missed the kill left no evidence: by then Go no longer ran, so SIGQUIT brought no trace. Change: at the kill the soak logs each thread's state, kernel stack and run-queue wait; beside the ends it ends processes that do nothing, with as many threads, and reports the slowest (idle_exit). Where the check itself is late by 5 ms the end counts as missed, as before.

--- a/internal/lab/acceptance/child.go
+++ b/internal/lab/acceptance/child.go
@@ -31,7 +31,7 @@
 )
 
 // childEnv makes a process of the lab one that serves, so that its CPU time is its own: "ours ROSTER"
-// or "peer SERVERS"; or the agent's program, "agent".
+// or "peer SERVERS"; the agent's program, "agent"; or idleChild.
 const childEnv = "RINGTRACK_LAB_CHILD"
 
 // Child runs the process as what the environment says, if it says anything, and does not return then.
@@ -75,6 +75,8 @@
 	switch word {
 	case "agent":
 		return agent.Main()
+	case idleChild:
+		return beIdle()
 	case "ours":
 		s, err := service.Start("", arg, nil, func(c *control.Config) { c.Proxies.MaxStreams = 20_000 })
 		if err != nil {
--- a/internal/lab/acceptance/soak.go
+++ b/internal/lab/acceptance/soak.go
@@ -77,6 +77,7 @@
 	f.clients(traffic, &running, a, plan.crowd)
 	var late atomic.Int64
 	running.Go(func() { watchLateness(traffic, &late) })
+	running.Go(func() { f.idleExits.watch(traffic) })
 	for range o.scaled(soakRounds, 2) {
 		select {
 		case <-time.After(time.Duration(100+rng.IntN(200)) * time.Millisecond):
@@ -111,6 +112,7 @@
 	r.add("connections_refused", float64(turned), "")
 	r.add("reset_at_an_end", float64(f.resets), "")
 	r.add("machine_late", millis(time.Duration(late.Load())), "ms")
+	r.add("idle_exit", millis(f.idleExits.longestEver()), "ms")
 	r.add("slowest_end", millis(f.slowestEnd), "ms")
 	for rule, n := range broken {
 		r.short("rule %d broken %d times: %s", rule, n, words[0])
--- a/internal/lab/acceptance/wholefleet.go
+++ b/internal/lab/acceptance/wholefleet.go
@@ -64,6 +64,7 @@
 	endWithin time.Duration
 	deadline  time.Duration  // of each class and client
 	held      sync.WaitGroup // requests that are to be open at a signal
+	idleExits idleExits      // beside the ends
 
 	mu                                   sync.Mutex
 	short                                []string
