Each answer that is not served names the rule that ended it, on the metrics and in the log

Change: policy.RejectReason in Action and core.Answer; app.unserved.RULE at the admin endpoint; a log line with the counts of the last 10 s where there are any. prove latency names a call's rules, its time, and what of that its process waited for a core.

--- a/internal/admin/stats.go
+++ b/internal/admin/stats.go
@@ -13,9 +13,16 @@
 	Listed       int           // backends in the endpoint list
 	Unavailable  int           // those of them that get no requests
 	Panics       int64         // that the process has recovered from
+	Unserved     []RuleCount   // requests not served, by the rule that ended them
 	SharedConfig *SharedConfig // nil: there is no shared configuration
 }
 
+// RuleCount counts the requests that one rule of admission, queue or retry has ended.
+type RuleCount struct {
+	Rule  string
+	Count int64
+}
+
 // Class counts the answers to the requests of one class since the start of the process.
 type Class struct {
 	Name                     string
@@ -49,6 +56,9 @@
 	writeMetric(&out, "registry_entries", int64(s.Listed))
 	writeMetric(&out, "out_of_rotation", int64(s.Unavailable))
 	writeMetric(&out, "recovered_panics", s.Panics)
+	for _, r := range s.Unserved {
+		writeMetric(&out, "unserved."+r.Rule, r.Count)
+	}
 	if s.SharedConfig != nil {
 		s.SharedConfig.write(&out)
 	}
--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -8,6 +8,7 @@
 
 	"ringtrack.example/ringtrack/internal/admin"
 	"ringtrack.example/ringtrack/internal/panics"
+	"ringtrack.example/ringtrack/policy"
 )
 
 // loopTimeout bounds how long a call of the admin endpoint, which has to be answered within a second, waits for the
@@ -63,6 +64,9 @@
 			Failed:   c.Failed.Load(),
 		})
 	}
+	for reason := policy.ReasonNone + 1; reason < policy.RejectReasons; reason++ {
+		stats.Unserved = append(stats.Unserved, admin.RuleCount{Rule: reason.String(), Count: counters.Unserved[reason].Load()})
+	}
 	stats.SharedConfig = s.sharedConfigStats()
 	return stats
 }
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -19,11 +19,11 @@
 			l.cancelAttempt(a.Request, a.Attempt)
 		case policy.ActionReject:
 			if r := l.requests[a.Request]; r != nil {
-				l.reject(r, a.DurationMs)
+				l.reject(r, a.DurationMs, a.Reason)
 			}
 		case policy.ActionFail:
 			if r := l.requests[a.Request]; r != nil {
-				l.complete(r, Answer{Outcome: Failed})
+				l.complete(r, Answer{Outcome: Failed, Rule: a.Reason})
 			}
 		case policy.ActionTimer:
 			l.startTimer(a.DurationMs, a.Token)
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -26,6 +26,8 @@
 	Classes []ClassCounters // in the order of the settings
 	Written atomic.Int64    // attempts completely written to backends
 	Open    atomic.Int64    // requests without an answer
+	// Unserved counts the answers by the rule that ended their requests; ReasonNone is not to be read.
+	Unserved [policy.RejectReasons]atomic.Int64
 }
 
 // ClassCounters count the answers to requests of one class.
@@ -61,5 +63,18 @@
 	c.Open.Add(-1)
 }
 
+// unservedSince returns attributes for the log, the rules that have ended requests since the counts of before, with their
+// number, and brings these up to date.
+func (c *Counters) unservedSince(before *[policy.RejectReasons]int64) (rules []any) {
+	for reason := policy.ReasonNone + 1; reason < policy.RejectReasons; reason++ {
+		count := c.Unserved[reason].Load()
+		if count > before[reason] {
+			rules = append(rules, reason.String(), count-before[reason])
+		}
+		before[reason] = count
+	}
+	return rules
+}
+
 // Counters returns the loop's counters. It may be called from any goroutine.
 func (l *EventLoop) Counters() *Counters { return l.counters }
--- a/internal/core/counters_test.go
+++ b/internal/core/counters_test.go
@@ -22,4 +22,13 @@
 	if c.Name != "order" || c.Served.Load() != 1 || c.Failed.Load() != 1 || c.Rejected.Load() != 1 || l.Counters().Open.Load() != 0 {
 		t.Errorf("%s: served %d, rejected %d, failed %d, open %d", c.Name, c.Served.Load(), c.Rejected.Load(), c.Failed.Load(), l.Counters().Open.Load())
 	}
+	// b must not run again; c had no other server within its time.
+	var before [policy.RejectReasons]int64
+	rules := l.Counters().unservedSince(&before)
+	if n := l.Counters().Unserved[policy.ReasonNotRetryable].Load(); n != 1 || len(rules) != 4 {
+		t.Errorf("ended by rules: %v, want two, not_retryable once", rules)
+	}
+	if again := l.Counters().unservedSince(&before); len(again) != 0 {
+		t.Errorf("counted twice: %v", again)
+	}
 }
--- a/internal/core/eventloop.go
+++ b/internal/core/eventloop.go
@@ -63,11 +63,12 @@
 	merge                *membership.Merge
 	mergeTimer           *time.Timer // next time at which the merge changes without input
 
-	stats      Stats
-	counters   *Counters
-	rotation   atomic.Pointer[Rotation]
-	logLimiter *rate.Limiter
-	logLines   chan func() // lines on their way to writeLog
+	stats          Stats
+	unservedLogged [policy.RejectReasons]int64 // of counters.Unserved
+	counters       *Counters
+	rotation       atomic.Pointer[Rotation]
+	logLimiter     *rate.Limiter
+	logLines       chan func() // lines on their way to writeLog
 }
 
 // New returns an event loop that has not started. bodyBudget is the memory for bodies, in bytes, which downstreams
@@ -155,6 +156,8 @@
 	}
 	closeExpired := time.NewTicker(closeExpiredInterval)
 	defer closeExpired.Stop()
+	logUnserved := time.NewTicker(unservedLogInterval)
+	defer logUnserved.Stop()
 	var publish <-chan time.Time // nil: nobody reads the rotation
 	if l.cfg.PublishRotation {
 		ticker := time.NewTicker(rotationInterval)
@@ -169,6 +172,8 @@
 			l.handlePending()
 		case <-publish:
 			l.publishRotation()
+		case <-logUnserved.C:
+			l.logUnserved()
 		case <-closeExpired.C:
 			for _, u := range l.upstreams {
 				u.CloseExpired()
--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -90,7 +90,7 @@
 	}
 	// A rejection after an attempt that may have run becomes a failure.
 	c := newCall(stub{}, "1", 2)
-	l.reject(&Request{id: 1 << 30, call: c, mayHaveRun: 1}, 1)
+	l.reject(&Request{id: 1 << 30, call: c, mayHaveRun: 1}, 1, policy.ReasonNone)
 	if a := <-c.Answer; a.Outcome != Failed {
 		t.Errorf("answered %+v, want a failure", a)
 	}
--- a/internal/core/log.go
+++ b/internal/core/log.go
@@ -1,6 +1,9 @@
 package core
 
-import "log/slog"
+import (
+	"log/slog"
+	"time"
+)
 
 const (
 	// logLinesPerSecond and logBurst limit the loop's log lines; lines beyond them are dropped.
@@ -17,6 +20,16 @@
 	l.log(slog.LevelError, "guard: "+string(v))
 }
 
+// unservedLogInterval is how often requests that were not served are logged, by the rules that ended them.
+const unservedLogInterval = 10 * time.Second
+
+// logUnserved logs which rules have ended requests since it last did.
+func (l *EventLoop) logUnserved() {
+	if rules := l.counters.unservedSince(&l.unservedLogged); len(rules) > 0 {
+		l.log(slog.LevelInfo, "requests not served, by rule", rules...)
+	}
+}
+
 // log queues a log line. It never blocks: a line over the limits is dropped.
 func (l *EventLoop) log(level slog.Level, message string, args ...any) {
 	if !l.logLimiter.Allow() {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -44,7 +44,7 @@
 	l.openRequests++
 	l.counters.Open.Add(1)
 	if l.requestsByClientID[c.ID] != nil || l.dedup.contains(time.Now(), c.ID) || !l.claimID(r) {
-		l.complete(r, Answer{Outcome: Failed, Reason: Duplicate})
+		l.complete(r, Answer{Outcome: Failed, Reason: Duplicate, Rule: policy.ReasonDuplicate})
 		return r
 	}
 	c.Deadline = l.limitToShutdown(c.Deadline)
@@ -52,9 +52,9 @@
 	if c.TimeAfterBody > 0 {
 		left = c.TimeAfterBody
 	}
-	if left <= 0 || c.NoConnections || l.tooManyOpenRequests() || l.shared.rejecting(time.Now()) {
+	if reason := l.rejectAtArrival(c, left); reason != policy.ReasonNone {
 		l.releaseID(r)
-		l.reject(r, l.cfg.Settings.Limits.MaxRetryAfterMs)
+		l.reject(r, l.cfg.Settings.Limits.MaxRetryAfterMs, reason)
 		return r
 	}
 	l.requests[r.id] = r
@@ -82,6 +82,21 @@
 	return r
 }
 
+// rejectAtArrival returns why a call is not given to the balancer; ReasonNone: it is.
+func (l *EventLoop) rejectAtArrival(c *Call, left time.Duration) policy.RejectReason {
+	switch {
+	case left <= 0:
+		return policy.ReasonNoTime
+	case c.NoConnections:
+		return policy.ReasonConnections
+	case l.tooManyOpenRequests():
+		return policy.ReasonOpenRequests
+	case l.shared.rejecting(time.Now()):
+		return policy.ReasonConfigExpired
+	}
+	return policy.ReasonNone
+}
+
 func (l *EventLoop) tooManyOpenRequests() bool {
 	limit := l.cfg.Settings.Limits.MaxOpenRequests
 	return limit > 0 && l.openRequests > limit
@@ -150,13 +165,13 @@
 }
 
 // reject answers that a retry is harmless. Where an attempt may have run that makes it harmful, the request fails.
-func (l *EventLoop) reject(r *Request, retryAfterMs float64) {
+func (l *EventLoop) reject(r *Request, retryAfterMs float64, reason policy.RejectReason) {
 	if !MayReject(l.class(r), r.mayHaveRun) {
 		l.reportViolation(ViolationRejectAfterRun)
 		l.complete(r, Answer{Outcome: Failed})
 		return
 	}
-	l.complete(r, Answer{Outcome: Rejected, RetryAfterMs: retryAfterMs})
+	l.complete(r, Answer{Outcome: Rejected, RetryAfterMs: retryAfterMs, Rule: reason})
 }
 
 // complete gives the final answer. Only the first call for a request has an effect.
@@ -168,6 +183,7 @@
 	if !r.streaming { // a streamed reply is counted when it ends
 		l.counters.Count(r.call.Class, a.Outcome)
 	}
+	l.counters.Unserved[a.Rule].Add(1)
 	switch a.Outcome {
 	case Served:
 		l.stats.Served++
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -76,10 +76,11 @@
 // Answer is the final answer to a call.
 type Answer struct {
 	Outcome       Outcome
-	RetryAfterMs  float64       // with Rejected: when the client may retry
-	Reason        FailureReason // with Failed
-	Reply         any           // passed from the upstream to its downstream: with Served, or Failed for BadRequest
-	ReservedBytes int64         // of the memory for bodies; the downstream releases them once the answer is written
+	RetryAfterMs  float64             // with Rejected: when the client may retry
+	Reason        FailureReason       // with Failed
+	Rule          policy.RejectReason // with Rejected or Failed: the rule that ended it, if one did
+	Reply         any                 // passed from the upstream to its downstream: with Served, or Failed for BadRequest
+	ReservedBytes int64               // of the memory for bodies; the downstream releases them once the answer is written
 }
 
 // StreamedReply is a reply of which parts still arrive. Its call is open until the downstream calls Close with whether
--- a/internal/lab/acceptance/latency.go
+++ b/internal/lab/acceptance/latency.go
@@ -20,6 +20,8 @@
 	latencyAgain = 6
 )
 
+var errNotServed = errors.New("a call was not served")
+
 // stream is one way on which calls are sent: to a server, or to the agent before it.
 type stream struct {
 	w       *world.World
@@ -144,8 +146,12 @@
 				a, err := c.Read()
 				calls[i].took = time.Since(from)
 				calls[i].waited = s.queue.waited() - waited
-				if err != nil || a.Verdict != lab.Served {
-					errs[k] = fmt.Errorf("%s: %+v, %w", r.Op, a, err)
+				if err == nil && a.Verdict != lab.Served {
+					err = errNotServed
+				}
+				if err != nil {
+					errs[k] = fmt.Errorf("%s: %w: %+v, took %v, of which the process waited %v for a core; the agent's rules: %s",
+						r.Op, err, a, calls[i].took, calls[i].waited, s.w.Unserved())
 					return
 				}
 				s.w.Ledger.Answered(r.Op, a.Verdict, time.Now())
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -260,6 +261,17 @@
 	return <-got
 }
 
+// Unserved says which rules have ended how many requests.
+func (w *World) Unserved() string {
+	var rules []string
+	for reason := policy.ReasonNone + 1; reason < policy.RejectReasons; reason++ {
+		if n := w.Loop.Counters().Unserved[reason].Load(); n > 0 {
+			rules = append(rules, fmt.Sprintf("%v %d", reason, n))
+		}
+	}
+	return strings.Join(rules, ", ")
+}
+
 // Followed waits until the roster has been asked for changes.
 func (w *World) Followed(ctx context.Context) error {
 	select {
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -135,12 +135,12 @@
 	shed := b.shedder.Sheds(b.priority(r), b.goodput.shedFraction(), b.rng.Float64())
 	if shed && !b.fairShare.UnderQuota(r.flow) {
 		b.goodput.record(0)
-		b.rejectOrFail(r)
+		b.rejectOrFail(r, ReasonShed)
 		return
 	}
 	hinted := minLatencyFraction * b.hints.predict(r.workHintMs)
 	if r.workHintMs > 0 && class.LateCredit == 0 && hinted > r.objectiveAt-b.now {
-		b.rejectOrFail(r)
+		b.rejectOrFail(r, ReasonHintedWork)
 	}
 }
 
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -40,7 +40,7 @@
 	}
 	b.queueTimeout.QueueLength(b.now, len(b.queued))
 	for len(b.queued) > maxQueued {
-		b.rejectOrFail(b.queued[len(b.queued)-1])
+		b.rejectOrFail(b.queued[len(b.queued)-1], ReasonQueueFull)
 	}
 }
 
@@ -65,13 +65,17 @@
 		r := b.queued[i]
 		r.recentKey = b.isRecentKey(r) // another request may have sent the key since
 		late := b.expectedLate(r)
-		timedOut := b.queueTimedOut(r, timeout)
+		unsent, timedOut := b.queueTimedOut(r, timeout)
 		switch {
-		case timedOut && !late && b.waitsForNearest(r):
+		case (unsent || timedOut) && !late && b.waitsForNearest(r):
 			r.anyServer = true // any idle server may have it before it is rejected
 			i++
-		case timedOut || late:
-			b.rejectOrFail(r)
+		case late:
+			b.rejectOrFail(r, ReasonExpectedLate)
+		case unsent:
+			b.rejectOrFail(r, ReasonUnsent)
+		case timedOut:
+			b.rejectOrFail(r, ReasonQueueTimeout)
 		default:
 			i++
 		}
@@ -87,10 +91,11 @@
 	return b.now+b.expectedLatency(r) > latest || b.now >= r.deadline
 }
 
-// queueTimedOut reports whether the request has waited longer than the timeout, a fraction of its latency
-// objective, or is unsent for too long.
-func (b *Balancer) queueTimedOut(r *request, timeout float64) bool {
+// queueTimedOut reports whether the request is unsent for too long, and whether it has waited longer than the
+// timeout, a fraction of its latency objective.
+func (b *Balancer) queueTimedOut(r *request, timeout float64) (unsent, timedOut bool) {
 	waitedMs := b.now - r.arrived
-	return !r.reachedServer && waitedMs > maxUnsentWaitFraction*(r.deadline-r.arrived) ||
-		waitedMs > timeout*b.settings.Classes[r.class].LatencyObjectiveMs
+	unsent = !r.reachedServer && waitedMs > maxUnsentWaitFraction*(r.deadline-r.arrived)
+	timedOut = waitedMs > timeout*b.settings.Classes[r.class].LatencyObjectiveMs
+	return unsent, timedOut
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -151,7 +151,7 @@
 
 // rejectOrFail answers a request that is not served: it is rejected where its class permits to say that a
 // retry is harmless, and failed otherwise. After the idempotency window a repeat would run again.
-func (b *Balancer) rejectOrFail(r *request) {
+func (b *Balancer) rejectOrFail(r *request, reason RejectReason) {
 	if r.closed || r.responseStarted {
 		return
 	}
@@ -163,9 +163,9 @@
 		dropsRepeats && b.now-r.firstRunAt < class.IdempotencyWindowMs
 	b.finish(r)
 	if harmless {
-		b.emit(Action{Kind: ActionReject, Request: r.id, DurationMs: b.settings.Limits.MaxRetryAfterMs})
+		b.emit(Action{Kind: ActionReject, Request: r.id, DurationMs: b.settings.Limits.MaxRetryAfterMs, Reason: reason})
 	} else {
-		b.emit(Action{Kind: ActionFail, Request: r.id})
+		b.emit(Action{Kind: ActionFail, Request: r.id, Reason: reason})
 	}
 }
 
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -62,11 +62,20 @@
 	class := &b.settings.Classes[r.class]
 	repeatable := r.mayHaveRun == 0 || class.Effect == Idempotent || class.Effect == IdempotentByKey
 	affordable := b.retryBudget.available() || status == NotStarted
-	if !repeatable || !affordable || len(r.attempts) >= b.settings.Limits.MaxAttempts || b.now >= r.deadline {
+	reason := ReasonNone
+	switch {
+	case !repeatable:
+		reason = ReasonNotRetryable
+	case len(r.attempts) >= b.settings.Limits.MaxAttempts || b.now >= r.deadline:
+		reason = ReasonAttempts
+	case !affordable:
+		reason = ReasonRetryBudget
+	}
+	if reason != ReasonNone {
 		if status == Rejected || status == Timeout {
 			b.goodput.record(0) // errors and lost connections are no sign of overload
 		}
-		b.rejectOrFail(r)
+		b.rejectOrFail(r, reason)
 		return
 	}
 	if status != NotStarted {
--- a/policy/types.go
+++ b/policy/types.go
@@ -276,6 +276,7 @@
 	DurationMs float64
 	Token      uint32
 	Text       string
+	Reason     RejectReason // with ActionReject and ActionFail
 }
 
 // Evidence is what other agents saw of a server since the last observation, in numbers of attempts.
