--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -129,7 +129,7 @@
 		l.log(slog.LevelWarn, "request deadline exceeded", "attempts", len(r.attempts), "in_flight", r.inFlight,
 			"late_ms", msFromDuration(time.Since(r.call.Deadline.Add(-deadlineTimerMargin))))
 	}
-	l.complete(r, Answer{Outcome: Failed, Reason: DeadlineExceeded})
+	l.complete(r, Answer{Outcome: Failed, Reason: DeadlineExceeded, Rule: policy.ReasonDeadline})
 	l.abandon(r)
 }
 
--- a/internal/lab/acceptance/drains.go
+++ b/internal/lab/acceptance/drains.go
@@ -112,9 +112,12 @@
 		}
 	}
 
+	queue := newRunQueue()
+	defer queue.close()
 	drains := o.scaled(1000, 20)
 	var mu sync.Mutex
 	var lag []time.Duration
+	var slowestLag, slowestWaited time.Duration // and what this process's threads waited for a core in that drain
 	var gone sync.WaitGroup
 	busy := map[int]bool{}
 	free := make(chan int, len(servers))
@@ -139,7 +142,7 @@
 				roster.Set(e)
 			}
 		}
-		told := time.Now()
+		told, waited := time.Now(), queue.waited()
 		ledger.Told(s.ID, told)
 		away(s)
 		gone.Go(func() {
@@ -153,7 +156,11 @@
 						lag = append(lag, time.Hour)
 						return
 					}
-					lag = append(lag, time.Since(told))
+					took := time.Since(told)
+					lag = append(lag, took)
+					if took > slowestLag {
+						slowestLag, slowestWaited = took, queue.waited()-waited
+					}
 				})
 			}
 			each.Wait()
@@ -185,6 +192,7 @@
 	r.add("told_to_applied_p50", millis(percentile(lag, 0.5)), "ms")
 	r.add("p99", millis(percentile(lag, 0.99)), "ms")
 	r.add("max", millis(lag[len(lag)-1]), "ms")
+	r.add("waited_at_max", millis(slowestWaited), "ms")
 	if broken[3] > 0 {
 		r.short("%d requests began later than 250 ms after the drain was told: %v", broken[3], words[0])
 	}
--- a/internal/lab/acceptance/stall.go
+++ b/internal/lab/acceptance/stall.go
@@ -73,7 +73,10 @@
 	time.Sleep(300 * time.Millisecond)
 	entries := paper(servers)
 	var lags [2][]time.Duration
+	queue := newRunQueue()
+	defer queue.close()
 	n, ended, late := 0, 0, 0
+	var lateWaited time.Duration // what this process's threads waited for a core in the drains with late ones, at the most
 	for turn := range turns {
 		stalled, other := sides[turn%2], sides[1-turn%2]
 		crowd := stalled.crowd
@@ -84,7 +87,7 @@
 			e.State = membership.Draining
 			crowd.mark()
 			other.crowd.mark()
-			told := time.Now()
+			told, waited, lateBefore := time.Now(), queue.waited(), late
 			stalled.roster.Set(e)
 			other.roster.Set(e)
 			var slowest time.Duration // of those beside whom nobody stalls, in this drain
@@ -102,6 +105,9 @@
 					}
 				}
 			}
+			if late > lateBefore {
+				lateWaited = max(lateWaited, queue.waited()-waited)
+			}
 			e.State = membership.Up
 			stalled.roster.Set(e)
 			other.roster.Set(e)
@@ -135,6 +141,7 @@
 	r.add("stalls", float64(turns), "")
 	r.add("ended", float64(ended), "")
 	r.add("late", float64(late), "")
+	r.add("waited_when_late", millis(lateWaited), "ms")
 	if 100*late > len(lags[1]) {
 		r.short("%d of %d later than half as much again, and 20 ms, as the slowest without had it; p99 %v with one stalled, %v without", late, len(lags[1]), with, without)
 	}
--- a/policy/rejectreason.go
+++ b/policy/rejectreason.go
@@ -21,13 +21,14 @@
 	ReasonOpenRequests                      // too many requests are open
 	ReasonConfigExpired                     // the server rules of the shared configuration have expired
 	ReasonDuplicate                         // the id of a request that is open, or that may have run
+	ReasonDeadline                          // the deadline timer ended it, which is a bug or a stall
 	RejectReasons                           // their number
 )
 
 // rejectReasonNames are the names in metrics and logs; they do not change.
 var rejectReasonNames = [RejectReasons]string{"none", "shed", "hinted_work", "queue_full", "queue_timeout", "unsent",
 	"expected_late", "not_retryable", "retry_budget", "attempts", "no_time", "connections", "open_requests", "config_expired",
-	"duplicate"}
+	"duplicate", "deadline"}
 
 // String returns the reason's name in metrics and logs.
 func (r RejectReason) String() string { return rejectReasonNames[r] }
