latency: a call whose whole time the machine took makes its turn a disturbed one

Seen: TestLatencyFindsATail ended with a call refused with 'come back after 600 ms'. Which rule refused it was not told. Cause: the machine. Change: such a call no longer ends the proof; its turn is disturbed and taken again, as other disturbed turns are. Every other call has to be served, as before; bounds and turns are as before. TestStarvedCalls says which is which.

--- a/internal/lab/acceptance/latency.go
+++ b/internal/lab/acceptance/latency.go
@@ -146,7 +146,7 @@
 				a, err := c.Read()
 				calls[i].took = time.Since(from)
 				calls[i].waited = s.queue.waited() - waited
-				if err == nil && a.Verdict != lab.Served {
+				if err == nil && a.Verdict != lab.Served && !calls[i].starved(r.Within) {
 					err = errNotServed
 				}
 				if err != nil {
--- a/internal/lab/acceptance/latency_test.go
+++ b/internal/lab/acceptance/latency_test.go
@@ -130,6 +130,27 @@
 	}
 }
 
+// A call need not be served where the machine took all of its time, and only there.
+func TestStarvedCalls(t *testing.T) {
+	const within = 1200 * time.Millisecond
+	for name, c := range map[string]struct {
+		call timedCall
+		want bool
+	}{
+		"refused at once":                            {timedCall{took: time.Millisecond}, false},
+		"refused at once on a late machine":          {timedCall{took: 20 * time.Millisecond, waited: time.Second}, false},
+		"its time went to the agent":                 {timedCall{took: within}, false},
+		"half of its time went to the agent":         {timedCall{took: within, waited: within / 2}, false},
+		"its time went to the machine":               {timedCall{took: 1484 * time.Millisecond, waited: 2767 * time.Millisecond}, true},
+		"answered at its end, the machine took it":   {timedCall{took: 1196 * time.Millisecond, waited: 1889 * time.Millisecond}, true},
+		"a tenth of its time was left, and it ended": {timedCall{took: within * 8 / 10, waited: within}, false},
+	} {
+		if got := c.call.starved(within); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // What threads wait for a core is counted.
 func TestRunQueue(t *testing.T) {
 	var all sync.WaitGroup
--- a/internal/lab/acceptance/latencyjudge.go
+++ b/internal/lab/acceptance/latencyjudge.go
@@ -22,6 +22,10 @@
 // lock, another goroutine, is the call's own; so is what nobody can account for.
 func (c timedCall) own() time.Duration { return max(c.took-c.waited, 0) }
 
+// starved reports whether the machine took all the time that the call had: it was over, and all of it is accounted for by
+// threads of this process that had no core. Such a call need not be served; its turn is a disturbed one.
+func (c timedCall) starved(within time.Duration) bool { return c.took >= within*9/10 && c.own() == 0 }
+
 // timedTurn are the calls of a turn, by protocol, how long it took, what threads of this process waited for a core
 // in all of it, and what other guests took of this machine's cores.
 type timedTurn struct {
