Renewer: without peers the replicas are asked in turn, not one that has just failed again

Callers: an agent without peers could ask a replica that had just failed again before any other, 0.4 s of a lease of 2 s. Cause: each round of failures began with the first replica, whichever failed last; that is right behind peers only. Change: without peers it goes on round the replicas. Evidence: TestReplicasAreCalledInTurnWithoutPeers fails at the code before (replica 0 is followed by 0). Why it works: the next target is always another replica where there is more than one.

--- a/internal/configstore/client/renewer.go
+++ b/internal/configstore/client/renewer.go
@@ -138,12 +138,13 @@
 	return r.cfg.Peers[i-n], true
 }
 
-// nextTarget is whom to call after a number of failures in a row: each replica once, then each peer, and so on.
+// nextTarget is whom to call after a number of failures in a row: each replica once, then each peer, and so on. Without
+// peers it goes on round the replicas.
 func (r *Renewer) nextTarget(failures int) int {
 	replicas := len(r.cfg.Replicas)
 	all := replicas + len(r.cfg.Peers)
 	switch position := failures % all; {
-	case position == 0:
+	case position == 0 && all > replicas:
 		return 0
 	case position < replicas:
 		return (r.target + 1) % replicas
--- a/internal/configstore/client/renewer_test.go
+++ b/internal/configstore/client/renewer_test.go
@@ -70,3 +70,19 @@
 		}
 	}
 }
+
+// Without peers each replica is called in turn: the one that has just failed used to be called again at once, from some
+// starts, which cost an agent a call's time of its lease.
+func TestReplicasAreCalledInTurnWithoutPeers(t *testing.T) {
+	for start := range 3 {
+		r := New(&Config{Replicas: []string{"a", "b", "c"}}, "agent", acceptAll{})
+		r.target = start
+		for failures := 1; failures <= 9; failures++ {
+			before := r.target
+			r.target = r.nextTarget(failures)
+			if want := (before + 1) % 3; r.target != want {
+				t.Errorf("from replica %d, after %d failures: replica %d is followed by %d, want %d", start, failures, before, r.target, want)
+			}
+		}
+	}
+}
