Configuration store: the status names what blocks the next epoch

Callers: operators saw held_up empty while a version was not in force, for up to list_ms. Cause: the status asked who had not adopted the epoch in force; a holder with an expired lease may still use its server rules, and blocks only the epoch that changes them. Change: while there is a next epoch, what blocks that; else, who has not adopted the last. Evidence: TestStatusNamesWhoseServerRulesBlockTheNextEpoch names nobody with the question of before. Why it works: it is the question that the leader asks before it advances.

--- a/internal/configstore/api_read.go
+++ b/internal/configstore/api_read.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"ringtrack.example/ringtrack/internal/configstore/client"
+	"ringtrack.example/ringtrack/internal/lease"
 	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/sharedconfig"
 )
@@ -117,10 +118,19 @@
 	if r.lessor != nil {
 		now := r.now()
 		s.Holders = maps.Clone(r.lessor.Holders(now))
-		s.BlockedBy = r.lessor.Adopted(now, r.state.History.Epoch, r.state.History.ServerRulesDiffer).Holders
+		s.BlockedBy = r.blockers(now).Holders
 	}
 }
 
+// blockers returns what blocks the next epoch, where there is to be one, or who has not adopted this one.
+func (r *Replica) blockers(now float64) lease.Blockers {
+	versions := &r.state.History
+	if versions.CanAdvance() {
+		return r.lessor.Next(now, versions.Epoch, versions.ServerRulesDiffer)
+	}
+	return r.lessor.Adopted(now, versions.Epoch, versions.ServerRulesDiffer)
+}
+
 func (r *Replica) describeMembers() []string {
 	var members []string
 	for id, m := range r.state.Members {
