--- a/policy/request.go
+++ b/policy/request.go
@@ -163,7 +163,8 @@
 		dropsRepeats && b.now-r.firstRunAt < class.IdempotencyWindowMs
 	b.finish(r)
 	if harmless {
-		b.emit(Action{Kind: ActionReject, Request: r.id, DurationMs: b.settings.Limits.MaxRetryAfterMs, Reason: reason})
+		retryAfterMs := b.settings.Limits.MaxRetryAfterMs
+		b.emit(Action{Kind: ActionReject, Request: r.id, DurationMs: retryAfterMs, Reason: reason})
 	} else {
 		b.emit(Action{Kind: ActionFail, Request: r.id, Reason: reason})
 	}
