--- a/internal/lab/acceptance/fleetagent.go
+++ b/internal/lab/acceptance/fleetagent.go
@@ -27,7 +27,7 @@
 	cmd      *exec.Cmd
 	tmp      string       // where it is set, the folder that its processes share
 	lastKill atomic.Int64 // ns; when a process of it was last killed
-	told     atomic.Int64 // ns; when one was last told to end
+	signaled atomic.Int64 // ns; when one was last signaled to end
 }
 
 // config is the agent's file as the platform writes it now.
@@ -146,66 +146,6 @@
 	}
 }
 
-// signalAfter is a signal, and how long after the one before it it comes.
-type signalAfter struct {
-	after  time.Duration
-	signal syscall.Signal
-}
-
-// maxJudgeLateness is how late the check for an end may be that is told by what it finds; later, the process may have ended
-// too late, and counts as if it had.
-const maxJudgeLateness = 5 * time.Millisecond
-
-// endBy ends a process with a series of signals, of which one at least asks it to end. It has to have ended, with exit
-// code 0, endWithin after the first that does. The kernel says whether it has: this process may get no core just then.
-func (a *fleetAgent) endBy(cmd *exec.Cmd, series []signalAfter) {
-	over, sent := make(chan struct{}), make(chan time.Time, 1)
-	var killed *time.Timer
-	var overdue atomic.Bool
-	go func() {
-		told := false
-		for _, s := range series {
-			select {
-			case <-time.After(s.after):
-			case <-over:
-			}
-			asks := s.signal == syscall.SIGTERM || s.signal == syscall.SIGINT
-			if asks && !told {
-				told = true
-				a.told.Store(time.Now().UnixNano())
-				killed = time.AfterFunc(a.f.endWithin, func() {
-					inTime := time.Since(time.Unix(0, a.told.Load())) < a.f.endWithin+maxJudgeLateness
-					if hasEnded(cmd.Process.Pid) && inTime {
-						return
-					}
-					overdue.Store(true)
-					a.lastKill.Store(math.MaxInt64)
-					a.f.fails("%s: still there %v after SIGTERM", filepath.Base(a.dir), a.f.endWithin)
-					a.f.o.logf("%s", describeProcess(cmd.Process.Pid))
-					a.f.o.logf("idle processes since SIGTERM: slowest end %v", a.f.idleExits.longestSince(time.Unix(0, a.told.Load())))
-					cmd.Process.Signal(syscall.SIGQUIT) // it tells what it waits for
-					time.AfterFunc(time.Second, func() { cmd.Process.Kill() })
-				})
-				sent <- time.Now()
-			}
-			cmd.Process.Signal(s.signal) // one that comes after its end finds nobody
-		}
-	}()
-	from := <-sent
-	err := cmd.Wait()
-	close(over)
-	killed.Stop()
-	if overdue.Load() {
-		a.f.o.logf("%s: %s", filepath.Base(a.dir), cmd.Stderr)
-	} else if err != nil {
-		a.f.fails("%s: ended with %v; %s", filepath.Base(a.dir), err, lastLine(cmd.Stderr.(*strings.Builder).String()))
-	}
-	a.f.mu.Lock()
-	defer a.f.mu.Unlock()
-	a.f.ends++
-	a.f.slowestEnd = max(a.f.slowestEnd, time.Since(from))
-}
-
 func lastLine(text string) string {
 	text = strings.TrimSpace(text)
 	return text[strings.LastIndexByte(text, '\n')+1:]
--- a/internal/lab/acceptance/fleetclient.go
+++ b/internal/lab/acceptance/fleetclient.go
@@ -156,14 +156,14 @@
 		case reused && !begun && !again && !isTimeout(err):
 			continue // its connection was closed between requests: the same once more on a new one
 		case c.a.lastKill.Load() > from.UnixNano(): // it died with its process
-		case !reused && !begun && errors.Is(err, syscall.ECONNRESET) && time.Since(time.Unix(0, c.a.told.Load())) < c.f.endWithin:
+		case !reused && !begun && errors.Is(err, syscall.ECONNRESET) && time.Since(time.Unix(0, c.a.signaled.Load())) < c.f.endWithin:
 			c.f.mu.Lock() // it came between the last look at the accept queue and the listener's end
 			c.f.resets++
 			c.f.mu.Unlock()
 		default:
 			c.f.ledger.Unanswered(op)
 			c.f.o.logf("%s %s: no answer: %v; on a kept connection %v, second time %v, a byte came %v, %v after it was sent, %v after SIGTERM",
-				op, class, err, reused, again, begun, time.Since(from), time.Since(time.Unix(0, c.a.told.Load())))
+				op, class, err, reused, again, begun, time.Since(from), time.Since(time.Unix(0, c.a.signaled.Load())))
 			return lab.Failed
 		}
 		break
--- a/internal/lab/acceptance/soak.go
+++ b/internal/lab/acceptance/soak.go
@@ -31,7 +31,7 @@
 
 // Soak ends one agent's process again and again, as a planned restart does, while clients go on using each connection
 // that stays open, until SIGKILL comes at the earliest that the operators' page allows. Signals come in series; some
-// seeds have a crowd, servers that hang, and a next process beside the one that ends. Counted at clients and stand-ins:
+// seeds have a crowd, servers that hang, and a successor beside the process that ends. Counted at clients and stand-ins:
 // rules 1 to 3, connections that are reset as a listener ends, and how and when each process ends. The seeded defect is
 // a process that is stopped at its end.
 func Soak(ctx context.Context, o *Options) (*Report, error) {
@@ -54,79 +54,107 @@
 		return nil, err
 	}
 	defer closeServers()
-	addrs, err := freeAddrs(1)
+	a, err := f.newSoakAgent(filepath.Join(dir, "agent"), plan)
 	if err != nil {
 		return nil, err
 	}
-	a := &fleetAgent{f: f, dir: filepath.Join(dir, "agent"), addr: addrs[0]}
-	if err := os.Mkdir(a.dir, 0o700); err != nil {
-		return nil, err
-	}
-	if plan.heirs {
-		a.tmp = a.dir
-	}
 	if err := a.start(ctx); err != nil || len(f.short) > 0 {
 		r.Short = f.short
 		return r, err
 	}
 	defer a.kill()
-	traffic, quiet := context.WithCancel(ctx)
+	s := &soak{fleet: f, agent: a, plan: plan}
+	if err := s.run(ctx, rng); err != nil {
+		return nil, err
+	}
+	s.report(r)
+	return r, nil
+}
+
+// newSoakAgent returns the agent of a soak, whose processes are not started yet.
+func (f *fleet) newSoakAgent(dir string, plan soakPlan) (*fleetAgent, error) {
+	addrs, err := freeAddrs(1)
+	if err != nil {
+		return nil, err
+	}
+	a := &fleetAgent{f: f, dir: dir, addr: addrs[0]}
+	if plan.successors {
+		a.tmp = a.dir
+	}
+	return a, os.Mkdir(a.dir, 0o700)
+}
+
+// soak is one run: an agent that is ended again and again, and what is seen meanwhile.
+type soak struct {
+	*fleet
+	agent              *fleetAgent
+	plan               soakPlan
+	connectionsRefused int // as long as there was to be a process
+	lateness           atomic.Int64
+}
+
+// run ends the agent's processes beside its clients, and ends the clients and the last process.
+func (s *soak) run(ctx context.Context, rng *rand.Rand) error {
+	traffic, stopTraffic := context.WithCancel(ctx)
 	var running sync.WaitGroup
 	defer running.Wait()
-	defer quiet()
-	f.clients(traffic, &running, a, plan.crowd)
-	var late atomic.Int64
-	running.Go(func() { watchLateness(traffic, &late) })
-	running.Go(func() { f.idleExits.watch(traffic) })
-	for range o.scaled(soakRounds, 2) {
+	defer stopTraffic()
+	s.clients(traffic, &running, s.agent, s.plan.crowd)
+	running.Go(func() { watchLateness(traffic, &s.lateness) })
+	running.Go(func() { s.idleExits.watch(traffic) })
+	for range s.o.scaled(soakRounds, 2) {
 		select {
 		case <-time.After(time.Duration(100+rng.IntN(200)) * time.Millisecond):
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return ctx.Err()
 		}
-		if err := f.restart(ctx, a, plan, drawSignals(rng, f.endWithin)); err != nil {
-			return nil, err
+		if err := s.restart(ctx, s.agent, s.plan, drawSignals(rng, s.endWithin)); err != nil {
+			return err
 		}
-		if len(f.short) > 0 {
+		if len(s.short) > 0 {
 			break // what comes behind a process that had to be killed says nothing
 		}
 	}
-	f.mu.Lock()
-	turned := f.turned // as long as there was to be a process
-	f.mu.Unlock()
-	quiet()
+	s.mu.Lock()
+	s.connectionsRefused = s.turned
+	s.mu.Unlock()
+	stopTraffic()
 	running.Wait()
-	a.end(false)
-	f.held.Wait()
-	broken, words := f.ledger.Breaches(time.Now().Add(heldFor))
-	t := f.ledger.Totals
-	r.Short = f.short
-	r.add("deadline", millis(plan.deadline), "ms")
-	r.add("crowd", float64(plan.crowd), "")
-	r.add("hanging", float64(plan.hanging), "")
-	r.add("ends", float64(f.ends), "")
+	s.agent.end(false)
+	s.held.Wait()
+	return nil
+}
+
+// report puts what was seen into the report, and judges it.
+func (s *soak) report(r *Report) {
+	broken, words := s.ledger.Breaches(time.Now().Add(heldFor))
+	t := s.ledger.Totals
+	r.Short = s.short
+	r.add("deadline", millis(s.plan.deadline), "ms")
+	r.add("crowd", float64(s.plan.crowd), "")
+	r.add("hanging", float64(s.plan.hanging), "")
+	r.add("ends", float64(s.ends), "")
 	r.add("requests", float64(t.Attempts), "")
 	r.add("served", float64(t.Served), "")
 	r.add("refused", float64(t.Rejected), "")
 	r.add("failed", float64(t.Failed), "")
-	r.add("connections_refused", float64(turned), "")
-	r.add("reset_at_an_end", float64(f.resets), "")
-	r.add("machine_late", millis(time.Duration(late.Load())), "ms")
-	r.add("idle_exit", millis(f.idleExits.longestEver()), "ms")
-	r.add("slowest_end", millis(f.slowestEnd), "ms")
+	r.add("connections_refused", float64(s.connectionsRefused), "")
+	r.add("reset_at_an_end", float64(s.resets), "")
+	r.add("machine_late", millis(time.Duration(s.lateness.Load())), "ms")
+	r.add("idle_exit", millis(s.idleExits.longestEver()), "ms")
+	r.add("slowest_end", millis(s.slowestEnd), "ms")
 	for rule, n := range broken {
 		r.short("rule %d broken %d times: %s", rule, n, words[0])
 	}
-	if f.resets > 0 {
-		r.short("%d connections reset as a listener ended, over %d ends", f.resets, f.ends)
+	if s.resets > 0 {
+		r.short("%d connections reset as a listener ended, over %d ends", s.resets, s.ends)
 	}
-	if plan.heirs && turned > 0 {
-		r.short("%d connections refused while a next process served", turned)
+	if s.plan.successors && s.connectionsRefused > 0 {
+		r.short("%d connections refused while a next process served", s.connectionsRefused)
 	}
-	if least := 20 * f.ends; t.Served < least {
+	if least := 20 * s.ends; t.Served < least {
 		r.short("only %d served: the proof says nothing", t.Served)
 	}
-	return r, nil
 }
 
 // watchLateness notes by how much a goroutine that only sleeps was late at the most: what a busy machine takes.
@@ -218,17 +246,17 @@
 	}
 }
 
-// restart ends the agent's process with these signals, and starts the next one behind it or, with heirs, before.
+// restart ends the agent's process with these signals, and starts the next one behind it or, with successors, before.
 func (f *fleet) restart(ctx context.Context, a *fleetAgent, plan soakPlan, series []signalAfter) error {
 	f.hold(ctx, a)
 	old := a.cmd
-	if plan.heirs {
+	if plan.successors {
 		if err := a.startBeside(ctx); err != nil {
 			return err
 		}
 	}
 	a.endBy(old, series)
-	if plan.heirs {
+	if plan.successors {
 		return nil
 	}
 	return a.start(ctx)
--- a/internal/lab/acceptance/soakplan.go
+++ b/internal/lab/acceptance/soakplan.go
@@ -18,10 +18,10 @@
 
 // soakPlan is what the seed draws for a soak.
 type soakPlan struct {
-	deadline time.Duration
-	crowd    crowdKind
-	hanging  int  // servers that take requests and say nothing, of soakServers
-	heirs    bool // each next process starts before the last one is told to end
+	deadline   time.Duration
+	crowd      crowdKind
+	hanging    int  // servers that take requests and say nothing, of soakServers
+	successors bool // each next process starts before the last one is signaled to end
 }
 
 const soakServers = 6
@@ -30,10 +30,10 @@
 func drawSoak(rng *rand.Rand) soakPlan {
 	deadlines := []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second}
 	return soakPlan{
-		deadline: deadlines[rng.IntN(len(deadlines))],
-		crowd:    crowdKind(rng.IntN(int(crowds))),
-		hanging:  rng.IntN(soakServers / 2),
-		heirs:    rng.IntN(3) == 0,
+		deadline:   deadlines[rng.IntN(len(deadlines))],
+		crowd:      crowdKind(rng.IntN(int(crowds))),
+		hanging:    rng.IntN(soakServers / 2),
+		successors: rng.IntN(3) == 0,
 	}
 }
 
