--- a/internal/configstore/api.go
+++ b/internal/configstore/api.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -25,13 +24,6 @@
 // invalidCallError is an error of the caller.
 type invalidCallError struct{ error }
 
-// notAllowedError is the name of an agent that the shared configuration does not list.
-type notAllowedError string
-
-func (e notAllowedError) Error() string {
-	return fmt.Sprintf("agent %q is not in the list of agents", string(e))
-}
-
 // encodedJSON is a response that is JSON text already.
 type encodedJSON []byte
 
@@ -96,7 +88,6 @@
 func httpStatus(err error) int {
 	var invalid invalidCallError
 	var forwarded *client.StatusError
-	var notAllowed notAllowedError
 	switch {
 	case errors.As(err, &forwarded):
 		return forwarded.Status
@@ -104,8 +95,6 @@
 		return http.StatusConflict
 	case errors.Is(err, history.ErrTooManyPending):
 		return http.StatusTooManyRequests
-	case errors.As(err, &notAllowed):
-		return http.StatusForbidden
 	case errors.As(err, &invalid):
 		return http.StatusUnprocessableEntity
 	}
--- a/internal/configstore/requests.go
+++ b/internal/configstore/requests.go
@@ -157,7 +157,7 @@
 	}
 	versions := &r.state.History
 	if t := r.transitions.get(versions); t != nil && !t.Config.AllowsAgent(req.Name) {
-		req.answer <- requestResult{err: notAllowedError(req.Name)}
+		req.answer <- requestResult{err: fmt.Errorf("agent %q is not in the list of agents", req.Name)}
 		return
 	}
 	grant, ok := r.lessor.Grant(now, req.Request, versions.Epoch)
