--- a/internal/lab/acceptance/prove.go
+++ b/internal/lab/acceptance/prove.go
@@ -121,6 +121,7 @@
 	{"soak", "one agent's process ended repeatedly by series of signals, SIGKILL at the earliest, while clients use the connections that stay open: rules, resets, exits", 0.3, Soak},
 	{"stall", "1,000 proxies of which one stops reading: the others are not delayed", 0.3, Stall},
 	{"whole-fleet", "40 agents, a process each, restarted in tenths while servers fail and are replaced and clients misbehave: the four rules, exits, starts", 0.15, WholeFleet},
+	{"unsolicited", "servers that send responses nobody asked for: none reaches a client, nothing that may have run is repeated or rejected", 0.3, Unsolicited},
 	{"thrift-kill", "10,000 non-idempotent Thrift calls while servers' connections are reset: none runs twice, none is lost", 0.5, ThriftKill},
 }
 
--- a/internal/lab/acceptance/prove_test.go
+++ b/internal/lab/acceptance/prove_test.go
@@ -25,10 +25,10 @@
 				name += " with its defect"
 			}
 			t.Run(name, func(t *testing.T) {
-				if strings.HasPrefix(p.Name, "agreed") || strings.HasPrefix(p.Name, "keeper") || p.Name == "soak" {
+				if strings.HasPrefix(p.Name, "agreed") || strings.HasPrefix(p.Name, "keeper") || p.Name == "soak" || p.Name == "unsolicited" {
 					t.Parallel() // mostly waits for processes of its own
 				}
-				scale := map[string]float64{"agreed": 0.05, "agreed-model": 0.001, "agreed-histories": 0.01, "agreed-size": 0.01, "keeper-kills": 0.004, "keeper-slow-disk": 0.01, "cold": 0.35, "crowd": 0.03, "drains": 0.03, "flat": 0.05, "latency": 0.1, "ephemeral": 0.03, "ephemeral-control": 0.03, "ephemeral-flap": 0.02, "ephemeral-faults": 0.04, "ephemeral-size": 0.03, "soak": 0.1, "stall": 0.05, "storm": 0.05, "thrift-kill": 0.05, "whole-fleet": 0.1}[p.Name]
+				scale := map[string]float64{"agreed": 0.05, "agreed-model": 0.001, "agreed-histories": 0.01, "agreed-size": 0.01, "keeper-kills": 0.004, "keeper-slow-disk": 0.01, "cold": 0.35, "crowd": 0.03, "drains": 0.03, "flat": 0.05, "latency": 0.1, "ephemeral": 0.03, "ephemeral-control": 0.03, "ephemeral-flap": 0.02, "ephemeral-faults": 0.04, "ephemeral-size": 0.03, "soak": 0.1, "stall": 0.05, "storm": 0.05, "thrift-kill": 0.05, "unsolicited": 0.05, "whole-fleet": 0.1}[p.Name]
 				if scale == 0 {
 					t.Fatal("the test has no scale for this proof")
 				}
