--- a/internal/admin/stats.go
+++ b/internal/admin/stats.go
@@ -14,6 +14,7 @@
 	Unavailable  int           // listed backends that get no requests
 	Panics       int64         // panics that the process has recovered from
 	Unserved     []RuleCount   // requests not served, by the rule that ended them
+	Unsolicited  []PlaceCount  // bytes of backends that answer no request
 	SharedConfig *SharedConfig // nil: no shared configuration is used
 }
 
@@ -23,6 +24,12 @@
 	Count int64
 }
 
+// PlaceCount counts how often unsolicited bytes of a backend were found at one place of a connection.
+type PlaceCount struct {
+	Place string
+	Count int64
+}
+
 // Class counts the answers to requests of one class since the process started.
 type Class struct {
 	Name                     string
@@ -60,6 +67,9 @@
 	for _, r := range s.Unserved {
 		writeMetric(&out, "unserved."+r.Rule, r.Count)
 	}
+	for _, u := range s.Unsolicited {
+		writeMetric(&out, "unsolicited."+u.Place, u.Count)
+	}
 	if s.SharedConfig != nil {
 		s.SharedConfig.write(&out)
 	}
--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -8,6 +8,7 @@
 
 	"ringtrack.example/ringtrack/internal/admin"
 	"ringtrack.example/ringtrack/internal/panics"
+	"ringtrack.example/ringtrack/internal/upstream/conns"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -67,6 +68,9 @@
 	for reason := policy.ReasonNone + 1; reason < policy.NumRejectReasons; reason++ {
 		stats.Unserved = append(stats.Unserved, admin.RuleCount{Rule: reason.String(), Count: counters.Unserved[reason].Load()})
 	}
+	for place := range conns.NumPlaces {
+		stats.Unsolicited = append(stats.Unsolicited, admin.PlaceCount{Place: place.String(), Count: s.pool.Unsolicited[place].Load()})
+	}
 	stats.SharedConfig = s.sharedConfigStats()
 	return stats
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -124,6 +124,7 @@
 	p.http.Linger = p.serveFor
 	p.pool.AttemptsWritten = &p.loop.Counters().Written
 	p.state.loop = p.loop
+	p.state.pool = p.pool
 	p.state.useLimits = p.divideLimits
 	return p, nil
 }
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -28,7 +28,9 @@
 	// The stop function is never called: a second signal would then end the program without a graceful
 	// shutdown.
 	stop, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err := setLogLevel(os.Getenv(logLevelEnv)); err != nil {
+		return err
+	}
 	cfg, err := StartConfig(stop, os.Getenv)
 	if stop.Err() != nil {
 		return nil
@@ -53,6 +55,21 @@
 	return Run(stop, reloadSignals, reread, cfg, ln)
 }
 
+// logLevelEnv names the least level of the log lines: "debug", "info" (the default), "warn" or "error".
+const logLevelEnv = "PROXY_LOG_LEVEL"
+
+// setLogLevel makes the process log to standard error from a level on. The empty name is the default.
+func setLogLevel(name string) error {
+	level := slog.LevelInfo
+	if name != "" {
+		if err := level.UnmarshalText([]byte(name)); err != nil {
+			return fmt.Errorf("%s: %w", logLevelEnv, err)
+		}
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	return nil
+}
+
 // limitProcess applies the configured limits to the process, and lowers the configured number of descriptors
 // to the limit of the process.
 func limitProcess(cfg *Config) {
--- a/internal/agent/sharedstate.go
+++ b/internal/agent/sharedstate.go
@@ -12,6 +12,7 @@
 	"ringtrack.example/ringtrack/internal/configstore/client"
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/upgrade"
+	"ringtrack.example/ringtrack/internal/upstream/conns"
 	"ringtrack.example/ringtrack/policy"
 )
 
@@ -28,6 +29,7 @@
 type sharedState struct {
 	dir     *upgrade.Dir // nil: there is only this process
 	loop    *core.EventLoop
+	pool    *conns.Pool
 	renewer *client.Renewer // renews the lease on the shared configuration; nil: there is none
 	serving atomic.Bool
 
--- a/internal/lab/acceptance/unsolicited.go
+++ b/internal/lab/acceptance/unsolicited.go
@@ -119,5 +119,9 @@
 		Timeout: unsolicitedDeadline, UnsafeClass: "order", Keyed: "send"}
 	load.Run(ctx, record)
 	violations, details, totals = record.Results()
+	if violations.Total() > 0 {
+		a.kill() // after which its log is complete
+		o.logf("%s: log of the agent:\n%s", fault.Name, a.cmd.Stderr)
+	}
 	return violations, details, totals, ctx.Err()
 }
--- a/internal/upstream/conns/conn.go
+++ b/internal/upstream/conns/conn.go
@@ -16,8 +16,12 @@
 	net.Conn
 	Reader *bufio.Reader
 
+	id        uint64 // unique in the pool, for the log
 	key       Key
 	addr      string
+	opened    time.Time
+	carried   int       // requests that were written to it completely
+	written   time.Time // when the last of them was written
 	idleSince time.Time
 	ageBucket int     // of the idle time before its current use; 0: a new connection
 	stream    *Stream // of the current response, if one was created: it takes ownership of the connection
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -40,6 +40,7 @@
 
 // Exchange is one attempt in any protocol: a request, which is written at most once, and its response.
 type Exchange struct {
+	ID       string // of the request, for the log
 	Key      Key
 	Addr     string
 	Sent     time.Time // start of the attempt
@@ -97,7 +98,9 @@
 	stop := context.AfterFunc(ctx, cn.cancel)
 	defer func() { p.release(cn, stop(), reusable) }()
 	cn.SetDeadline(x.Deadline)
+	log := newAttemptLog(ctx, cn)
 	result, reusable = p.exchange(ctx, cn, x)
+	log.ended(ctx, x, cn, &result, reusable)
 	return result
 }
 
@@ -154,6 +157,8 @@
 			return result, false
 		}
 	}
+	cn.carried++
+	cn.written = time.Now()
 	if p.AttemptsWritten != nil && !x.HealthCheck {
 		p.AttemptsWritten.Add(1)
 	}
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/socket"
 )
@@ -44,9 +46,14 @@
 	// the first attempt.
 	AttemptsWritten *atomic.Int64
 
+	// Unsolicited counts the bytes that backends sent unasked.
+	Unsolicited UnsolicitedCounts
+
 	connectTimeout time.Duration
 	keepalive      time.Duration // connections that were idle longer are not used
 	idleAges       idleAges
+	lastConnID     atomic.Uint64
+	unsolicitedLog *rate.Limiter
 
 	mu       sync.Mutex
 	maxConns int
@@ -76,6 +83,7 @@
 		connectTimeout: connectTimeout,
 		keepalive:      keepalive,
 		maxConns:       maxConns,
+		unsolicitedLog: rate.NewLimiter(unsolicitedLogRate, unsolicitedLogBurst),
 		idle:           map[Key][]*Conn{},
 	}
 }
@@ -116,7 +124,7 @@
 	p.mu.Lock()
 	p.open++
 	p.mu.Unlock()
-	p.Put(&Conn{Conn: nc, Reader: bufio.NewReader(nc), key: key, addr: addr})
+	p.Put(p.newConn(nc, key, addr))
 }
 
 // Get returns the most recently used idle connection that is still usable, or opens a new one before the
@@ -131,7 +139,7 @@
 			return p.dial(ctx, key, addr, deadline)
 		}
 		age := time.Since(cn.idleSince)
-		if cn.addr == addr && age < p.keepalive && p.idleAges.usable(age) && p.isSilent(cn) {
+		if cn.addr == addr && age < p.keepalive && p.idleAges.usable(age) && p.isSilent(cn, WhileIdle) {
 			cn.ageBucket = ageBucket(age)
 			return cn, nil
 		}
@@ -182,7 +190,19 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &Conn{Conn: nc, Reader: bufio.NewReaderSize(nc, readBufferBytes), key: key, addr: addr}, nil
+	return p.newConn(nc, key, addr), nil
+}
+
+// newConn wraps a connection that has carried no request yet.
+func (p *Pool) newConn(nc net.Conn, key Key, addr string) *Conn {
+	return &Conn{
+		Conn:   nc,
+		Reader: bufio.NewReaderSize(nc, readBufferBytes),
+		id:     p.lastConnID.Add(1),
+		key:    key,
+		addr:   addr,
+		opened: time.Now(),
+	}
 }
 
 // setIdle sets the idle connections of a key. The caller holds the lock.
@@ -217,7 +237,7 @@
 func (p *Pool) Put(cn *Conn) {
 	cn.SetDeadline(time.Time{})
 	cn.idleSince = time.Now()
-	if cn.key.Backend.Unavailable() || !p.isSilent(cn) {
+	if cn.key.Backend.Unavailable() || !p.isSilent(cn, BehindResponse) {
 		p.Close(cn)
 		return
 	}
@@ -267,26 +287,17 @@
 }
 
 // isSilent says whether a connection without a request is open and has no unread bytes. Otherwise it must not
-// carry a request, which would end with a reset if the peer closed the connection, or take the unexpected
+// carry a request, which would end with a reset if the peer closed the connection, or take the unsolicited
 // bytes for its response.
-func (p *Pool) isSilent(cn *Conn) bool {
-	if cn.Reader.Buffered() > 0 {
-		p.noteUnexpectedBytes()
-		return false
-	}
+func (p *Pool) isSilent(cn *Conn, where Place) bool {
 	state := socket.ReadState(cn.Conn)
-	if state == socket.Unread {
-		p.noteUnexpectedBytes()
+	if cn.Reader.Buffered() > 0 || state == socket.Unread {
+		p.noteUnsolicited(cn, where)
+		return false
 	}
 	return state == socket.Silent
 }
 
-func (p *Pool) noteUnexpectedBytes() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.unexpectedAt = time.Now()
-}
-
 // localErrors are the errors of Get for which the backend is not responsible.
 var localErrors = []error{
 	ErrTooManyConns,
--- a/internal/upstream/conns/pool_test.go
+++ b/internal/upstream/conns/pool_test.go
@@ -88,7 +88,7 @@
 		x := getConn(t, p, key, addr)
 		if addr != silent {
 			<-peerActed
-			for end := time.Now().Add(waitTimeout); p.isSilent(x) && time.Now().Before(end); {
+			for end := time.Now().Add(waitTimeout); p.isSilent(x, WhileIdle) && time.Now().Before(end); {
 				time.Sleep(time.Millisecond) // until the peer's action arrives
 			}
 			// As if it had been returned to the pool before the peer acted.
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -68,6 +68,7 @@
 ) core.Result {
 	c := cc.Payload.(*Call)
 	x := &conns.Exchange{
+		ID:            cc.ID,
 		Key:           conns.Key{Backend: b},
 		Addr:          addr,
 		Sent:          sent,
--- a/internal/upstream/thrift/upstream.go
+++ b/internal/upstream/thrift/upstream.go
@@ -67,6 +67,7 @@
 	c := cc.Payload.(*Call)
 	seq := u.lastSeq.Add(1)
 	x := conns.Exchange{
+		ID:            cc.ID,
 		Key:           conns.Key{Backend: b, Kind: c.connKind()},
 		Addr:          addr,
 		Sent:          sent,
