--- a/internal/upstream/http/chunked_test.go
+++ b/internal/upstream/http/chunked_test.go
@@ -60,7 +60,7 @@
 				var n int
 				n, err = ch.Read(buf)
 				got.Write(buf[:n])
-				if err != nil && !isTimeout(err) {
+				if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 					break
 				}
 			}
--- a/internal/upstream/http/responsebody.go
+++ b/internal/upstream/http/responsebody.go
@@ -4,8 +4,8 @@
 	"bufio"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"ringtrack.example/ringtrack/internal/upstream/conns"
@@ -109,7 +109,7 @@
 		case err == nil:
 		case err == io.EOF:
 			return b, nil
-		case timed && isTimeout(err):
+		case timed && errors.Is(err, os.ErrDeadlineExceeded): // not ETIMEDOUT: that connection is broken
 			setDeadline(time.Time{})
 			b.readMore = from.Read
 			return b, nil
@@ -118,8 +118,3 @@
 		}
 	}
 }
-
-func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
