--- a/internal/configstore/client/caller.go
+++ b/internal/configstore/client/caller.go
@@ -7,8 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,7 +26,11 @@
 	idleConnTimeout = 30 * time.Second
 )
 
-var errResponseTooLong = errors.New("the response is too long")
+var (
+	errResponseTooLong = errors.New("the response is too long")
+	// ErrOtherCall says that a response was made for another call.
+	ErrOtherCall = errors.New("the response belongs to another call")
+)
 
 // StatusError is a response with a status other than 200.
 type StatusError struct {
@@ -39,8 +47,29 @@
 	return errors.As(err, &status) && status.Status < http.StatusInternalServerError
 }
 
+// CallHeader carries a number that the caller chooses for each call. The response repeats it: its position on
+// a connection would not tell which call it belongs to, if more than one response to a call was sent.
+const CallHeader = "Ringtrack-Call"
+
+// EchoCalls makes a handler's responses repeat the number of the call.
+func EchoCalls(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if call := req.Header.Get(CallHeader); call != "" {
+			w.Header().Set(CallHeader, call)
+		}
+		handler.ServeHTTP(w, req)
+	})
+}
+
 // Caller makes calls to replicas and agents. Its methods may be called from any goroutine.
-type Caller struct{ Client *http.Client }
+type Caller struct {
+	Client *http.Client
+
+	lastCall atomic.Uint64
+	// echoing has the addresses whose responses have repeated the number of a call. One of an earlier version
+	// does not, so this is required only of those.
+	echoing sync.Map
+}
 
 // NewCaller returns a Caller with the small number of connections that an agent needs.
 func NewCaller() *Caller { return NewCallerWithConns(MaxConns) }
@@ -48,13 +77,15 @@
 // NewCallerWithConns returns a Caller with up to maxConns connections to one address. A replica needs more of
 // them than an agent because it forwards calls to the leader.
 func NewCallerWithConns(maxConns int) *Caller {
-	return &Caller{&http.Client{Transport: &http.Transport{
+	c := &Caller{Client: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: max(maxConns/4, 2),
 		MaxConnsPerHost:     maxConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}}}
+	c.lastCall.Store(rand.Uint64())
+	return c
 }
 
 // Call sends in as JSON in a POST, or makes a GET if in is nil, and decodes the response into out unless that
@@ -79,14 +110,34 @@
 		req.Header[key] = values
 	}
 	req.Header.Set("Content-Type", "application/json")
+	call := strconv.FormatUint(c.lastCall.Add(1), 10)
+	req.Header.Set(CallHeader, call)
 	resp, err := c.Client.Do(req)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
+	if err := c.checkCall(addr, call, resp.Header.Get(CallHeader)); err != nil {
+		return err
+	}
 	return decodeResponse(resp, out)
 }
 
+// checkCall returns ErrOtherCall unless the response from an address belongs to a call.
+func (c *Caller) checkCall(addr, call, echoed string) error {
+	if echoed == "" {
+		if _, echoes := c.echoing.Load(addr); echoes {
+			return ErrOtherCall
+		}
+		return nil
+	}
+	c.echoing.LoadOrStore(addr, true)
+	if echoed != call {
+		return ErrOtherCall
+	}
+	return nil
+}
+
 func decodeResponse(resp *http.Response, out any) error {
 	text, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
 	switch {
--- a/internal/configstore/client/relay.go
+++ b/internal/configstore/client/relay.go
@@ -33,7 +33,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathRenew, r.handleRelay)
 	server := &http.Server{
-		Handler:        panics.Handler("relay", mux),
+		Handler:        EchoCalls(panics.Handler("relay", mux)),
 		ReadTimeout:    relayReadTimeout,
 		WriteTimeout:   relayWriteTimeout,
 		IdleTimeout:    relayIdleTimeout,
--- a/internal/configstore/replica.go
+++ b/internal/configstore/replica.go
@@ -151,7 +151,7 @@
 
 func (r *Replica) newServer(id *sharedIdentity) *http.Server {
 	return &http.Server{
-		Handler:        panics.Handler("configuration store", r.handler(id)),
+		Handler:        client.EchoCalls(panics.Handler("configuration store", r.handler(id))),
 		ReadTimeout:    serverTimeout,
 		WriteTimeout:   serverTimeout,
 		IdleTimeout:    serverIdleTimeout,
