--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -141,6 +141,9 @@
 func (l *EventLoop) attemptEnded(r *Request, index int, result *Result) {
 	a := r.attempts[index]
 	a.done = true
+	if result.Unconfirmed && l.class(r).Effect != policy.Idempotent {
+		result.Status = policy.Error // it may have run
+	}
 	r.bodyConsumed = r.bodyConsumed || result.BodyConsumed
 	a.backend.inFlight--
 	r.inFlight--
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -102,10 +102,12 @@
 
 // Result is how an attempt ended.
 type Result struct {
-	Status     policy.Status
-	LatencyMs  float64
-	Report     []float32 // the backend's load report
-	BadRequest bool      // with Cancelled: the backend found the request invalid
+	Status policy.Status
+	// Unconfirmed, with Rejected: the rejection may be the response to another request.
+	Unconfirmed bool
+	LatencyMs   float64
+	Report      []float32 // the backend's load report
+	BadRequest  bool      // with Cancelled: the backend found the request invalid
 	// NoReplyExpected, with Cancelled: the request was written and its protocol has no reply to it. The
 	// call counts as served.
 	NoReplyExpected bool
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -93,6 +93,18 @@
 	return read
 }
 
+// SinceLastData returns how long ago the last bytes arrived. known is false if the kernel does not tell.
+func SinceLastData(nc net.Conn) (since time.Duration, known bool) {
+	control(nc, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+			known = true
+		}
+	})
+	return since, known
+}
+
 // lingerTimeout and lingerMaxBytes bound what LingeringClose reads from a peer that keeps sending.
 const lingerTimeout, lingerMaxBytes = 100 * time.Millisecond, 256 << 10
 
--- /dev/null
+++ b/internal/upstream/conns/caution_test.go
@@ -0,0 +1,164 @@
+package conns
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/policy"
+
+	"golang.org/x/sync/semaphore"
+)
+
+// After unsolicited bytes connections to all backends rest longer, and to one that sent them late twice as long
+// as they took, within bounds.
+func TestRestsFollowUnsolicitedBytes(t *testing.T) {
+	const late = 80 * time.Millisecond
+	one, other := &core.Backend{}, &core.Backend{}
+	now := time.Now()
+	usual := rests{newConn: newConnRest, maxWait: maxRestWait}
+	suspicious := rests{newConn: suspectNewConnRest, idle: suspectIdleRest, maxWait: maxSuspectRestWait}
+	var c caution
+	expect := func(when string, b *core.Backend, newConn, idle time.Duration) {
+		t.Helper()
+		if got := c.rests(b, now); got.newConn != newConn || got.idle != idle {
+			t.Errorf("%s: rests %+v, want %v and %v", when, got, newConn, idle)
+		}
+	}
+	expect("at the start", one, firstNewConnRest, usual.idle)
+	for range firstNewConns {
+		c.silentNewConn()
+	}
+	expect("after silent connections", one, usual.newConn, usual.idle)
+	c.unsolicited(one, BehindResponse, 0, now)
+	expect("bytes just behind a response", one, suspicious.newConn, suspicious.idle)
+	c.unsolicited(one, WhileIdle, late, now)
+	expect("late bytes", one, suspicious.newConn, 2*late)
+	c.unsolicited(one, BeforeFirstRequest, late, now)
+	expect("late bytes on a new connection", one, 2*late, 2*late)
+	expect("another backend", other, suspicious.newConn, suspicious.idle)
+	c.unsolicited(one, WhileIdle, time.Hour, now)
+	expect("bytes at the end of an idle time", one, 2*late, 2*late)
+	c.unsolicited(one, WhileIdle, maxIdleRest, now)
+	c.unsolicited(one, BeforeFirstRequest, maxIdleRest, now)
+	expect("bounds", one, maxNewConnRest, maxIdleRest)
+	now = now.Add(suspicionPeriod)
+	expect("after the suspicion period", one, usual.newConn, usual.idle)
+	if c.forgetExpired(now); len(c.backends) != 0 {
+		t.Errorf("%d backends are remembered after the suspicion period", len(c.backends))
+	}
+}
+
+// A connection rests after its first response and after a rejection. Meanwhile a request takes another one
+// that has rested, or waits.
+func TestUnsettledConnectionRests(t *testing.T) {
+	now := time.Now()
+	usual := rests{newConn: newConnRest, maxWait: maxRestWait}
+	settled := &Conn{idleSince: now.Add(-time.Second)}
+	unsettled := &Conn{idleSince: now, unsettled: true}
+	almost := &Conn{idleSince: now.Add(-unsettledRest + time.Millisecond), unsettled: true}
+	for name, test := range map[string]struct {
+		idle   []*Conn
+		wanted rests
+		want   *Conn
+	}{
+		"one that has rested":                  {[]*Conn{settled, unsettled}, usual, settled},
+		"the one that lacks least":             {[]*Conn{almost, unsettled}, usual, almost},
+		"none that lacks more than a new one":  {[]*Conn{unsettled}, rests{newConn: suspectNewConnRest, idle: suspectIdleRest, maxWait: maxSuspectRestWait}, nil},
+		"none that is idle":                    {nil, usual, nil},
+		"the last one, where none has to rest": {[]*Conn{settled, {idleSince: now}}, usual, nil},
+	} {
+		p, key := New(waitTimeout, time.Minute, 8), newKey()
+		if name == "the last one, where none has to rest" {
+			test.want = test.idle[1]
+		}
+		p.idle[key] = test.idle
+		if got := p.takeIdle(key, test.wanted); got != test.want {
+			t.Errorf("%s: took %+v, want %+v", name, got, test.want)
+		}
+	}
+}
+
+// exchangeWith makes one attempt at a peer whose response has six bytes.
+func exchangeWith(t *testing.T, p *Pool, key Key, addr string, timeout time.Duration, status policy.Status) (core.Result, string) {
+	t.Helper()
+	got := make([]byte, 6)
+	result := p.Do(t.Context(), &Exchange{Key: key, Addr: addr, Sent: time.Now(), Deadline: time.Now().Add(timeout),
+		Budget: semaphore.NewWeighted(1), EncodeRequest: func() net.Buffers { return net.Buffers{[]byte("request")} },
+		ReadResponse: func(cn *Conn, _ func(int64) error) (core.Result, bool, error) {
+			_, err := io.ReadFull(cn.Reader, got)
+			return core.Result{Status: status}, true, err
+		}})
+	return result, string(got)
+}
+
+// A peer that sends a response on a new connection, before any request, gets no request on it.
+func TestResponseBeforeTheFirstRequest(t *testing.T) {
+	t.Parallel()
+	var accepted atomic.Int64
+	respond := func(c net.Conn) {
+		for buf := make([]byte, len("request")); ; {
+			if _, err := io.ReadFull(c, buf); err != nil {
+				return
+			}
+			io.WriteString(c, "answer")
+		}
+	}
+	addr := startPeer(t, func(c net.Conn) { // the first two of the connections, which come one after the other
+		if accepted.Add(1) <= 2 {
+			io.WriteString(c, "unsent")
+		}
+		respond(c)
+	})
+	p, key := New(waitTimeout, time.Minute, 8), newKey()
+	if result, got := exchangeWith(t, p, key, addr, waitTimeout, policy.OK); result.Status != policy.OK || got != "answer" {
+		t.Errorf("result %+v, response %q", result, got)
+	}
+	if n := p.Unsolicited[BeforeFirstRequest].Load(); n != 2 || p.Open() != 1 {
+		t.Errorf("found %d times, want 2; %d connections open, want 1", n, p.Open())
+	}
+	everyOne := startPeer(t, func(c net.Conn) { io.WriteString(c, "unsent"); respond(c) })
+	if result, _ := exchangeWith(t, p, newKey(), everyOne, waitTimeout, policy.OK); !result.Status.NeverRan() {
+		t.Errorf("each connection has such a response: result %+v, want one that never ran", result)
+	}
+}
+
+// A peer that closes a new connection before any request has run nothing.
+func TestClosedBeforeTheFirstRequest(t *testing.T) {
+	t.Parallel()
+	addr := startPeer(t, func(c net.Conn) { c.Close() })
+	p := New(waitTimeout, time.Minute, 8)
+	if result, _ := exchangeWith(t, p, newKey(), addr, waitTimeout, policy.OK); result.Status != policy.ConnectFailed || p.Open() != 0 {
+		t.Errorf("result %+v, %d connections open", result, p.Open())
+	}
+}
+
+// A rejection on a connection that had no time to rest may be the response to another request.
+func TestRejectionWithoutRestIsUnconfirmed(t *testing.T) {
+	t.Parallel()
+	addr := startPeer(t, func(c net.Conn) {
+		for buf := make([]byte, len("request")); ; {
+			if _, err := io.ReadFull(c, buf); err != nil {
+				return
+			}
+			io.WriteString(c, "reject")
+		}
+	})
+	for _, test := range []struct {
+		name        string
+		timeout     time.Duration
+		unconfirmed bool
+	}{
+		{"time to rest", waitTimeout, false},
+		{"no time to rest", firstNewConnRest * (maxRestFraction - 1), true},
+	} {
+		p, key := New(waitTimeout, time.Minute, 8), newKey()
+		result, _ := exchangeWith(t, p, key, addr, test.timeout, policy.Rejected)
+		if result.Unconfirmed != test.unconfirmed || (p.Idle(key) == 0) != test.unconfirmed {
+			t.Errorf("%s: result %+v, %d connections idle", test.name, result, p.Idle(key))
+		}
+	}
+}
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -54,6 +54,9 @@
 	Disconnected func() bool
 	Budget       *semaphore.Weighted // memory for the response, in bytes
 	HealthCheck  bool                // not counted as an attempt
+	// MatchedByID says that ReadResponse accepts only a response that names the request. Otherwise the
+	// position on the connection is all that matches them.
+	MatchedByID bool
 
 	// EncodeRequest returns the bytes of the request. It is called once there is a connection.
 	EncodeRequest func() net.Buffers
@@ -90,7 +93,7 @@
 	if x.Deadline.Before(deadline) {
 		deadline = x.Deadline
 	}
-	cn, err := p.Get(ctx, x.Key, x.Addr, deadline)
+	cn, err := p.get(ctx, x.Key, x.Addr, deadline, x.Deadline)
 	if err != nil {
 		return core.Result{Status: connectStatus(err, x.Deadline.Before(connectDeadline))}
 	}
@@ -100,15 +103,26 @@
 	cn.SetDeadline(x.Deadline)
 	log := newAttemptLog(ctx, cn)
 	result, reusable = p.exchange(ctx, cn, x)
+	result.Unconfirmed = result.Status == policy.Rejected && !x.MatchedByID && !cn.rested
+	reusable = reusable && !result.Unconfirmed
+	cn.unsettled = !x.MatchedByID && (cn.carried == 1 || result.Status == policy.Rejected)
 	log.ended(ctx, x, cn, &result, reusable)
 	return result
 }
 
 // connectStatus returns the outcome of an attempt that got no connection, so nothing was sent. The backend is
-// at fault only if it refused the connection, or failed to accept it within the full connect timeout (not
-// deadlineFirst).
+// at fault only if it refused the connection, spoke or closed it before a request, or failed to accept it
+// within the full connect timeout (not deadlineFirst).
 func connectStatus(err error, deadlineFirst bool) policy.Status {
-	if IsLocalError(err) || deadlineFirst && !errors.Is(err, syscall.ECONNREFUSED) {
+	if IsLocalError(err) {
+		return policy.NotStarted
+	}
+	for _, backendError := range []error{syscall.ECONNREFUSED, ErrUnsolicited, errClosedBeforeRequest} {
+		if errors.Is(err, backendError) {
+			return policy.ConnectFailed
+		}
+	}
+	if deadlineFirst {
 		return policy.NotStarted
 	}
 	return policy.ConnectFailed
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -16,26 +16,27 @@
 	"golang.org/x/time/rate"
 
 	"ringtrack.example/ringtrack/internal/core"
-	"ringtrack.example/ringtrack/internal/socket"
 )
 
 const (
 	// defaultTimeout is used for a connect timeout or keepalive that is not positive.
 	defaultTimeout = time.Second
+	// maxDials bounds the connections that one attempt opens because of unsolicited bytes.
+	maxDials = 3
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
-
-	// A second response to one request may arrive some ms after the first, when the next request has already
-	// been written, and nothing in it says which request it belongs to. For settlePeriod after unexpected
-	// bytes arrived on any connection, connections are therefore reused only settleTime after their last
-	// response.
-	settleTime   = 50 * time.Millisecond
-	settlePeriod = time.Minute
 )
 
 // ErrTooManyConns says that the pool is at its connection limit and all connections are in use.
 var ErrTooManyConns = errors.New("connection limit reached, and all connections are in use")
 
+var (
+	// ErrUnsolicited says that a backend sent bytes on a connection before a request was written.
+	ErrUnsolicited = errors.New("unsolicited bytes before a request")
+	// errClosedBeforeRequest is wrapped by the error of a connection that ended before a request was written.
+	errClosedBeforeRequest = errors.New("closed before a request")
+)
+
 // Pool keeps idle connections to backends and limits the total number of connections. Its methods are safe
 // for concurrent use.
 //
@@ -52,6 +53,7 @@
 	connectTimeout time.Duration
 	keepalive      time.Duration // connections that were idle longer are not used
 	idleAges       idleAges
+	caution        caution
 	lastConnID     atomic.Uint64
 	unsolicitedLog *rate.Limiter
 
@@ -60,8 +62,7 @@
 	open     int // number of connections, idle and in use
 	// idle has the idle connections, the most recently used last; a key without any has no entry. The key has
 	// the backend rather than its address, which another backend may get after this one is removed.
-	idle         map[Key][]*Conn
-	unexpectedAt time.Time // when unexpected bytes last arrived on a connection
+	idle map[Key][]*Conn
 }
 
 // Key identifies interchangeable connections: those to one backend with one protocol.
@@ -127,32 +128,51 @@
 	p.Put(p.newConn(nc, key, addr))
 }
 
-// Get returns the most recently used idle connection that is still usable, or opens a new one before the
-// deadline. The caller must return it with Put or Close.
+// Get returns an idle connection that is still usable, or opens a new one before the deadline, and lets it
+// rest. The caller must return it with Put or Close.
 func (p *Pool) Get(ctx context.Context, key Key, addr string, deadline time.Time) (*Conn, error) {
-	for {
-		cn, err := p.takeIdleOrReserve(key)
+	return p.get(ctx, key, addr, deadline, deadline)
+}
+
+// get is Get with a deadline of its own for a connect.
+func (p *Pool) get(ctx context.Context, key Key, addr string, connectDeadline, deadline time.Time) (*Conn, error) {
+	for dialed := 0; ; {
+		wanted := p.caution.rests(key.Backend, time.Now())
+		cn, err := p.takeIdleOrReserve(key, wanted)
 		if err != nil {
 			return nil, err
 		}
-		if cn == nil {
-			return p.dial(ctx, key, addr, deadline)
+		if cn != nil {
+			if p.restIdle(ctx, cn, addr, wanted, deadline) {
+				return cn, nil
+			}
+			p.Close(cn)
+			if err := ctx.Err(); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if cn, err = p.dial(ctx, key, addr, connectDeadline); err != nil {
+			return nil, err
 		}
-		age := time.Since(cn.idleSince)
-		if cn.addr == addr && age < p.keepalive && p.idleAges.usable(age) && p.isSilent(cn, WhileIdle) {
-			cn.ageBucket = ageBucket(age)
+		err = p.rest(ctx, cn, wanted.newConn, deadline, BeforeFirstRequest)
+		if err == nil {
+			p.caution.silentNewConn()
 			return cn, nil
 		}
 		p.Close(cn)
+		if dialed++; !errors.Is(err, ErrUnsolicited) || dialed == maxDials {
+			return nil, err
+		}
 	}
 }
 
 // takeIdleOrReserve removes and returns an idle connection. If there is none it returns nil and counts the
 // connection that the caller will open; at the limit it closes an idle connection of any key to make room.
-func (p *Pool) takeIdleOrReserve(key Key) (*Conn, error) {
+func (p *Pool) takeIdleOrReserve(key Key, wanted rests) (*Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if cn := p.takeIdle(key); cn != nil {
+	if cn := p.takeIdle(key, wanted); cn != nil {
 		return cn, nil
 	}
 	if p.open >= p.maxConns && !p.evict() {
@@ -162,21 +182,28 @@
 	return nil, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if there is none. It skips
-// connections that have not settled yet (see settleTime). The caller holds the lock.
-func (p *Pool) takeIdle(key Key) *Conn {
+// takeIdle removes and returns the most recently used idle connection that has rested. If none has, it
+// returns the one that lacks least, unless opening another one is better than waiting for it; nil means that.
+// The caller holds the lock.
+func (p *Pool) takeIdle(key Key, wanted rests) *Conn {
 	idle := p.idle[key]
-	last := len(idle) - 1
-	if !p.unexpectedAt.IsZero() && time.Since(p.unexpectedAt) < settlePeriod {
-		for last >= 0 && time.Since(idle[last].idleSince) < settleTime {
-			last--
+	now := time.Now()
+	take, least := -1, wanted.maxWait
+	for i := len(idle) - 1; i >= 0; i-- {
+		lacking := wanted.lacking(idle[i], now)
+		if lacking == 0 {
+			take = i
+			break
+		}
+		if lacking <= least {
+			take, least = i, lacking
 		}
 	}
-	if last < 0 {
+	if take < 0 {
 		return nil
 	}
-	cn := idle[last]
-	p.setIdle(key, slices.Delete(idle, last, last+1))
+	cn := idle[take]
+	p.setIdle(key, slices.Delete(idle, take, take+1))
 	return cn
 }
 
@@ -270,32 +297,25 @@
 	}
 }
 
-// CloseExpired closes connections that have been idle for the keepalive time, and idle ones to backends that
-// became unavailable while a connection was in use.
+// CloseExpired closes connections that have been idle for the keepalive time, idle ones to backends that
+// became unavailable while a connection was in use, and those that are closed or have unsolicited bytes.
 func (p *Pool) CloseExpired() {
+	p.caution.forgetExpired(time.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, idle := range p.idle {
-		expired := 0
-		for expired < len(idle) && (key.Backend.Unavailable() || time.Since(idle[expired].idleSince) >= p.keepalive) {
+		kept := idle[:0]
+		for _, cn := range idle {
+			if !key.Backend.Unavailable() && time.Since(cn.idleSince) < p.keepalive && p.isSilent(cn, WhileIdle) {
+				kept = append(kept, cn)
+				continue
+			}
 			p.open--
-			idle[expired].Close()
-			expired++
+			cn.Close()
 		}
-		p.setIdle(key, idle[expired:])
-	}
-}
-
-// isSilent says whether a connection without a request is open and has no unread bytes. Otherwise it must not
-// carry a request, which would end with a reset if the peer closed the connection, or take the unsolicited
-// bytes for its response.
-func (p *Pool) isSilent(cn *Conn, where Place) bool {
-	state := socket.ReadState(cn.Conn)
-	if cn.Reader.Buffered() > 0 || state == socket.Unread {
-		p.noteUnsolicited(cn, where)
-		return false
+		clear(idle[len(kept):])
+		p.setIdle(key, kept)
 	}
-	return state == socket.Silent
 }
 
 // localErrors are the errors of Get for which the backend is not responsible.
--- a/internal/upstream/http/upstream_test.go
+++ b/internal/upstream/http/upstream_test.go
@@ -73,6 +73,7 @@
 	addr := ln.Addr().String()
 	s, b := testUpstream(8), &core.Backend{}
 	s.Pool.Adopt(nc, conns.Key{Backend: b}, addr)
+	time.Sleep(100 * time.Millisecond) // longer than connections have to rest
 	c := testCall(make([]byte, 64<<10))
 	now := time.Now()
 	if res := s.Do(context.Background(), b, addr, c, now, now.Add(waitTimeout)); res.Status != policy.ConnectFailed {
--- a/internal/upstream/thrift/upstream.go
+++ b/internal/upstream/thrift/upstream.go
@@ -76,6 +76,7 @@
 		Superseded:    &cc.Superseded,
 		Disconnected:  cc.Disconnected,
 		Budget:        u.Budget,
+		MatchedByID:   true,
 		EncodeRequest: func() net.Buffers { return c.encode(seq) },
 	}
 	if !c.OneWay {
