--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -51,42 +51,66 @@
 	return state
 }
 
-func peek(fd int) State {
-	var buf [1]byte
+// The system calls, which tests replace.
+var (
+	recvfrom = syscall.Recvfrom
+	poll     = unix.Poll
+)
+
+// receive reads at most len(p) bytes that have already arrived. It repeats a call that a signal interrupted.
+func receive(fd int, p []byte, flags int) (int, error) {
 	for {
-		n, _, err := syscall.Recvfrom(fd, buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-			continue
-		case errors.Is(err, syscall.EAGAIN):
-			return Silent
-		case err == nil && n > 0:
-			return Unread
+		n, _, err := recvfrom(fd, p, flags|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
 		}
-		return Ended
 	}
 }
 
+func peek(fd int) State {
+	var buf [1]byte
+	n, err := receive(fd, buf[:], syscall.MSG_PEEK)
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return Silent
+	case err == nil && n > 0:
+		return Unread
+	}
+	return Ended
+}
+
 // HungUp says whether the peer has closed its sending side, even if unread bytes precede that, or the
 // connection is broken or closed.
 func HungUp(nc net.Conn) bool {
 	hungUp := false
 	supported, open := control(nc, func(fd int) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-		if n, err := unix.Poll(fds, 0); err != nil || n == 0 {
-			return
-		}
-		hungUp = fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 || peek(fd) == Ended
+		hungUp = peerHungUp(fd)
 	})
 	return supported && (!open || hungUp)
 }
 
+func peerHungUp(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	for {
+		n, err := poll(fds, 0)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case err != nil:
+			return peek(fd) == Ended
+		case n == 0:
+			return false
+		}
+		return fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 || peek(fd) == Ended
+	}
+}
+
 // ReadNow reads the bytes that have already arrived into p and returns their number, 0 if there are none. It
 // never blocks and ignores the deadlines of the connection.
 func ReadNow(nc net.Conn, p []byte) int {
 	read := 0
 	control(nc, func(fd int) {
-		if n, _, err := syscall.Recvfrom(fd, p, syscall.MSG_DONTWAIT); err == nil {
+		if n, err := receive(fd, p, 0); err == nil {
 			read = n
 		}
 	})
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -3,8 +3,11 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // ReadState, HungUp and ReadNow, for every state in which a peer can leave a connection.
@@ -67,3 +70,65 @@
 		t.Error("a connection without a descriptor is not reported as silent")
 	}
 }
+
+// Interrupted system calls are repeated: they are no sign that nothing has arrived, or that the peer is there.
+// If poll fails for another reason, a read tells whether the connection has ended.
+func TestInterruptedCallsAreRepeated(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	realRecvfrom, realPoll := recvfrom, poll
+	defer func() { recvfrom, poll = realRecvfrom, realPoll }()
+	calls := 0
+	interrupted := func() bool { calls++; return calls%3 != 0 }
+	recvfrom = func(fd int, p []byte, flags int) (int, syscall.Sockaddr, error) {
+		if interrupted() {
+			return -1, nil, syscall.EINTR
+		}
+		return realRecvfrom(fd, p, flags)
+	}
+	poll = func(fds []unix.PollFd, timeout int) (int, error) {
+		if interrupted() {
+			return -1, unix.EINTR
+		}
+		return realPoll(fds, timeout)
+	}
+	io.WriteString(peer, "x")
+	for end := time.Now().Add(10 * time.Second); ReadState(nc) != Unread; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the byte has not arrived")
+		}
+	}
+	buf := make([]byte, 2)
+	if n := ReadNow(nc, buf); n != 1 || buf[0] != 'x' {
+		t.Errorf("read %d bytes, %q, want the one that has arrived", n, buf)
+	}
+	if HungUp(nc) {
+		t.Error("a peer that is there is reported as gone")
+	}
+	peer.Close()
+	for end := time.Now().Add(10 * time.Second); ReadState(nc) != Ended; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the end has not arrived")
+		}
+	}
+	if !HungUp(nc) {
+		t.Error("a peer that is gone is not reported after interrupted calls")
+	}
+	poll = func([]unix.PollFd, int) (int, error) { return -1, unix.ENOMEM }
+	if !HungUp(nc) {
+		t.Error("a peer that is gone is not reported if poll fails")
+	}
+}
