--- a/internal/upstream/conns/caution.go
+++ b/internal/upstream/conns/caution.go
@@ -11,16 +11,15 @@
 // the request. Bytes that a backend sends unasked, on a new connection or behind a response, are therefore
 // read as the next response, and every later response on the connection is one behind. Only time separates
 // them: what arrives while no request is in flight answers none. So connections rest before a request is
-// written where the position is less certain, and one on which anything arrives meanwhile is closed: a new
-// one, one whose first response was just read, or a rejection, which a backend sends before any work; and all
-// of them after unsolicited bytes.
+// written where the position is less certain, and one on which anything arrives meanwhile is closed: new ones,
+// those whose first response was just read, and all of them after unsolicited bytes.
 const (
 	// newConnRest is how long a new connection rests before its first request, firstNewConnRest how long the
 	// first ones of the process do, as nothing is known of its backends yet.
-	newConnRest, firstNewConnRest = 10 * time.Millisecond, 50 * time.Millisecond
+	newConnRest, firstNewConnRest = 5 * time.Millisecond, 25 * time.Millisecond
 	// firstNewConns is the number of first connections that have to stay silent.
 	firstNewConns = 32
-	// unsettledRest is how long a connection rests after its first response, and after a rejection.
+	// unsettledRest is how long a connection rests after its first response.
 	unsettledRest = 50 * time.Millisecond
 	// maxRestWait and maxSuspectRestWait are how long a request waits for the rest of an idle connection
 	// before another one is opened: usually, and after unsolicited bytes.
--- a/internal/upstream/conns/caution_test.go
+++ b/internal/upstream/conns/caution_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// A connection rests after its first response and after a rejection. Meanwhile a request takes another one
+// A connection rests after its first response. Meanwhile a request takes another one
 // that has rested, or waits.
 func TestUnsettledConnectionRests(t *testing.T) {
 	now := time.Now()
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -105,7 +105,7 @@
 	result, reusable = p.exchange(ctx, cn, x)
 	result.Unconfirmed = result.Status == policy.Rejected && !x.MatchedByID && !cn.rested
 	reusable = reusable && !result.Unconfirmed
-	cn.unsettled = !x.MatchedByID && (cn.carried == 1 || result.Status == policy.Rejected)
+	cn.unsettled = !x.MatchedByID && cn.carried == 1
 	log.ended(ctx, x, cn, &result, reusable)
 	return result
 }
