--- a/internal/upstream/conns/caution.go
+++ b/internal/upstream/conns/caution.go
@@ -11,14 +11,9 @@
 // the request. Bytes that a backend sends unasked, on a new connection or behind a response, are therefore
 // read as the next response, and every later response on the connection is one behind. Only time separates
 // them: what arrives while no request is in flight answers none. So connections rest before a request is
-// written where the position is less certain, and one on which anything arrives meanwhile is closed: new ones,
-// those whose first response was just read, and all of them after unsolicited bytes.
+// written where the position is less certain, and one on which anything arrives meanwhile is closed: those
+// whose first response was just read, and all of them, new ones too, after unsolicited bytes.
 const (
-	// newConnRest is how long a new connection rests before its first request, firstNewConnRest how long the
-	// first ones of the process do, as nothing is known of its backends yet.
-	newConnRest, firstNewConnRest = 5 * time.Millisecond, 25 * time.Millisecond
-	// firstNewConns is the number of first connections that have to stay silent.
-	firstNewConns = 32
 	// unsettledRest is how long a connection rests after its first response.
 	unsettledRest = 50 * time.Millisecond
 	// maxRestWait and maxSuspectRestWait are how long a request waits for the rest of an idle connection
@@ -27,9 +22,12 @@
 	// suspectNewConnRest and suspectIdleRest are the least rests after unsolicited bytes: of new connections,
 	// and of those that had a response.
 	suspectNewConnRest, suspectIdleRest = 25 * time.Millisecond, 50 * time.Millisecond
-	// maxNewConnRest and maxIdleRest bound the rests after unsolicited bytes that came later than that. Bytes
-	// that came later still do not belong to a request, as the message with which a server ends an idle time.
-	maxNewConnRest, maxIdleRest = 200 * time.Millisecond, time.Second
+	// unsolicitedNewConnRest is how long new connections rest after unsolicited bytes on a new connection to
+	// any backend, maxNewConnRest how long those to the same backend do.
+	unsolicitedNewConnRest, maxNewConnRest = 50 * time.Millisecond, 200 * time.Millisecond
+	// maxIdleRest bounds the rest behind a response. Bytes that came later still do not belong to a request,
+	// as the message with which a server ends an idle time.
+	maxIdleRest = time.Second
 	// suspicionPeriod is how long connections rest longer after unsolicited bytes.
 	suspicionPeriod = time.Minute
 )
@@ -41,13 +39,16 @@
 	until         time.Time     // of a backend's own rests
 }
 
-// lacking returns how long an idle connection still has to rest.
+// lacking returns how long a connection without a request still has to rest.
 func (r rests) lacking(cn *Conn, now time.Time) time.Duration {
 	rest := r.idle
-	if cn.unsettled {
+	switch {
+	case cn.carried == 0:
+		rest = r.newConn
+	case cn.unsettled:
 		rest = max(rest, unsettledRest)
 	}
-	return max(rest-now.Sub(cn.idleSince), 0)
+	return max(rest-now.Sub(cn.restingSince()), 0)
 }
 
 // caution decides how long connections rest. After unsolicited bytes of one backend connections to all rest
@@ -55,8 +56,8 @@
 // use.
 type caution struct {
 	mu             sync.Mutex
-	silentNewConns int       // at most firstNewConns
 	suspiciousTill time.Time // of all backends
+	newConnsTill   time.Time // of new connections to all backends
 	backends       map[*core.Backend]rests
 }
 
@@ -64,23 +65,16 @@
 func (c *caution) rests(b *core.Backend, now time.Time) rests {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wanted := rests{newConn: newConnRest, maxWait: maxRestWait}
+	wanted := rests{maxWait: maxRestWait}
 	if now.Before(c.suspiciousTill) {
 		wanted = c.backends[b].at(now)
 	}
-	if c.silentNewConns < firstNewConns {
-		wanted.newConn = max(wanted.newConn, firstNewConnRest)
+	if now.Before(c.newConnsTill) {
+		wanted.newConn = max(wanted.newConn, unsolicitedNewConnRest)
 	}
 	return wanted
 }
 
-// silentNewConn records that nothing came on a new connection while it rested.
-func (c *caution) silentNewConn() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.silentNewConns = min(c.silentNewConns+1, firstNewConns)
-}
-
 // at returns the rests that hold at a time after unsolicited bytes of any backend.
 func (r rests) at(now time.Time) rests {
 	if now.Before(r.until) {
@@ -95,17 +89,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.suspiciousTill = now.Add(suspicionPeriod)
+	if where == BeforeFirstRequest {
+		c.newConnsTill = c.suspiciousTill
+	}
 	if c.backends == nil {
 		c.backends = map[*core.Backend]rests{}
 	}
 	own := c.backends[b].at(now)
 	own.until = c.suspiciousTill
 	switch {
-	case after > maxIdleRest:
-		// no rest would have been long enough
 	case where == BeforeFirstRequest:
-		own.newConn = min(max(own.newConn, 2*after), maxNewConnRest)
-	default:
+		own.newConn = maxNewConnRest
+	case after <= maxIdleRest:
 		own.idle = min(max(own.idle, 2*after), maxIdleRest)
 	}
 	c.backends[b] = own
--- a/internal/upstream/conns/conn.go
+++ b/internal/upstream/conns/conn.go
@@ -23,10 +23,11 @@
 	carried   int       // requests that were written to it completely
 	written   time.Time // when the last of them was written
 	idleSince time.Time
-	rested    bool    // for as long as it had to, before its current use
-	unsettled bool    // its last response was the first one, or a rejection
-	ageBucket int     // of the idle time before its current use; 0: a new connection
-	stream    *Stream // of the current response, if one was created: it takes ownership of the connection
+	rested    bool          // for as long as it had to, before its current use
+	restedFor time.Duration // before its current use
+	unsettled bool          // its last response was the first one
+	ageBucket int           // of the idle time before its current use; 0: a new connection
+	stream    *Stream       // of the current response, if one was created: it takes ownership of the connection
 
 	mu        sync.Mutex
 	cancelled bool // all further reads and writes fail
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -58,6 +58,8 @@
 	// position on the connection is all that matches them.
 	MatchedByID bool
 
+	restedFor time.Duration // the part of the time since Sent that its connection rested, or was watched
+
 	// EncodeRequest returns the bytes of the request. It is called once there is a connection.
 	EncodeRequest func() net.Buffers
 	// ReadResponse reads the response and says whether the connection may carry another request. It calls
@@ -82,7 +84,7 @@
 	if ctx.Err() != nil && result.Reply == nil && result.Status != policy.NotStarted {
 		result.Status = policy.Cancelled
 	}
-	result.LatencyMs = float64(time.Since(x.Sent).Microseconds()) / 1000
+	result.LatencyMs = float64((time.Since(x.Sent) - x.restedFor).Microseconds()) / 1000
 	return result
 }
 
@@ -97,15 +99,22 @@
 	if err != nil {
 		return core.Result{Status: connectStatus(err, x.Deadline.Before(connectDeadline))}
 	}
+	x.restedFor = cn.restedFor
 	reusable := false
 	stop := context.AfterFunc(ctx, cn.cancel)
 	defer func() { p.release(cn, stop(), reusable) }()
 	cn.SetDeadline(x.Deadline)
 	log := newAttemptLog(ctx, cn)
 	result, reusable = p.exchange(ctx, cn, x)
-	result.Unconfirmed = result.Status == policy.Rejected && !x.MatchedByID && !cn.rested
-	reusable = reusable && !result.Unconfirmed
-	cn.unsettled = !x.MatchedByID && cn.carried == 1
+	if result.Status == policy.Rejected && !x.MatchedByID && !cn.rested {
+		result.Unconfirmed, reusable = true, false
+	}
+	if p.isDoubtful(cn, x, &result) {
+		result, reusable = p.confirm(ctx, cn, x, result, reusable)
+	}
+	if result.Status != policy.NotStarted {
+		cn.unsettled = !x.MatchedByID && cn.carried == 1
+	}
 	log.ended(ctx, x, cn, &result, reusable)
 	return result
 }
@@ -231,7 +240,7 @@
 	case err == nil:
 		// The latency of the attempt is measured from here: it must not include the time the client takes to
 		// send.
-		x.Sent = time.Now()
+		x.Sent, x.restedFor = time.Now(), 0
 		x.Deadline = deadline
 		cn.SetDeadline(deadline)
 		if ctx.Err() != nil {
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -54,6 +54,7 @@
 	keepalive      time.Duration // connections that were idle longer are not used
 	idleAges       idleAges
 	caution        caution
+	confirmations  confirmations
 	lastConnID     atomic.Uint64
 	unsolicitedLog *rate.Limiter
 
@@ -137,13 +138,12 @@
 // get is Get with a deadline of its own for a connect.
 func (p *Pool) get(ctx context.Context, key Key, addr string, connectDeadline, deadline time.Time) (*Conn, error) {
 	for dialed := 0; ; {
-		wanted := p.caution.rests(key.Backend, time.Now())
-		cn, err := p.takeIdleOrReserve(key, wanted)
+		cn, err := p.takeIdleOrReserve(key)
 		if err != nil {
 			return nil, err
 		}
 		if cn != nil {
-			if p.restIdle(ctx, cn, addr, wanted, deadline) {
+			if p.isUsable(cn, addr) && p.rest(ctx, cn, deadline, WhileIdle) == nil {
 				return cn, nil
 			}
 			p.Close(cn)
@@ -155,9 +155,7 @@
 		if cn, err = p.dial(ctx, key, addr, connectDeadline); err != nil {
 			return nil, err
 		}
-		err = p.rest(ctx, cn, wanted.newConn, deadline, BeforeFirstRequest)
-		if err == nil {
-			p.caution.silentNewConn()
+		if err = p.rest(ctx, cn, deadline, BeforeFirstRequest); err == nil {
 			return cn, nil
 		}
 		p.Close(cn)
@@ -169,7 +167,8 @@
 
 // takeIdleOrReserve removes and returns an idle connection. If there is none it returns nil and counts the
 // connection that the caller will open; at the limit it closes an idle connection of any key to make room.
-func (p *Pool) takeIdleOrReserve(key Key, wanted rests) (*Conn, error) {
+func (p *Pool) takeIdleOrReserve(key Key) (*Conn, error) {
+	wanted := p.caution.rests(key.Backend, time.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if cn := p.takeIdle(key, wanted); cn != nil {
