--- a/internal/upstream/conns/confirm.go
+++ b/internal/upstream/conns/confirm.go
@@ -19,10 +19,10 @@
 	earlyResponse = 50 * time.Millisecond
 	// confirmTime is how long a connection is watched, at most for the part of the time left that
 	// maxConfirmFraction says.
-	confirmTime        = 250 * time.Millisecond
+	confirmTime        = 150 * time.Millisecond
 	maxConfirmFraction = 2
 	// enoughConfirmed is the number of early responses after which backends are known to respond so soon.
-	enoughConfirmed = 16
+	enoughConfirmed = 8
 )
 
 // confirmations counts the early responses that no other one followed, by status: backends may reject sooner
@@ -56,11 +56,12 @@
 	clear(c.confirmed)
 }
 
-// isDoubtful says whether the response to the first request of a connection has to be confirmed.
+// isDoubtful says whether the response to the first request of a connection has to be confirmed. Bytes that came
+// in one piece with it were sent behind it, so the response is the one before them.
 func (p *Pool) isDoubtful(cn *Conn, x *Exchange, result *core.Result) bool {
 	matchedByPosition := !x.MatchedByID && x.ReadResponse != nil && !x.HealthCheck
 	answered := result.Status == policy.OK || result.Status == policy.Rejected
-	early := cn.carried == 1 && time.Since(cn.opened) < earlyResponse
+	early := cn.carried == 1 && time.Since(cn.opened) < earlyResponse && cn.Reader.Buffered() == 0
 	return matchedByPosition && answered && early && cn.stream == nil && p.confirmations.needed(result.Status)
 }
 
