--- a/internal/upstream/conns/confirm.go
+++ b/internal/upstream/conns/confirm.go
@@ -17,10 +17,10 @@
 const (
 	// earlyResponse is how soon after the opening of its connection a first response is early.
 	earlyResponse = 50 * time.Millisecond
-	// confirmTime is how long a connection is watched, at most for the part of the time left that
-	// maxConfirmFraction says.
-	confirmTime        = 150 * time.Millisecond
-	maxConfirmFraction = 2
+	// confirmServed and confirmRejected are how long a connection is watched, at most for the part of the time
+	// left that maxConfirmFraction says. The burst at the start of a process must not wait for long.
+	confirmServed, confirmRejected = 150 * time.Millisecond, 300 * time.Millisecond
+	maxConfirmFraction             = 2
 	// enoughConfirmed is the number of early responses after which backends are known to respond so soon.
 	enoughConfirmed = 8
 )
@@ -69,7 +69,11 @@
 // either may be the one to the request, which may have run. reusable is as in exchange.
 func (p *Pool) confirm(ctx context.Context, cn *Conn, x *Exchange, result core.Result, reusable bool) (core.Result, bool) {
 	begun := time.Now()
-	watch := min(confirmTime, x.Deadline.Sub(begun)/maxConfirmFraction)
+	wanted := confirmServed
+	if result.Status == policy.Rejected {
+		wanted = confirmRejected
+	}
+	watch := min(wanted, x.Deadline.Sub(begun)/maxConfirmFraction)
 	err := cn.awaitBytes(begun.Add(watch))
 	x.restedFor += time.Since(begun)
 	switch {
@@ -81,11 +85,12 @@
 		return core.Result{Status: policy.Error, BodyConsumed: x.WriteBody != nil}, false
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return result, false // nothing more can come
-	case watch < confirmTime:
+	}
+	p.confirmations.add(result.Status)
+	if watch < wanted {
 		result.Unconfirmed = result.Status == policy.Rejected
 		return result, false
 	}
-	p.confirmations.add(result.Status)
 	return result, reusable
 }
 
--- a/internal/upstream/conns/confirm_test.go
+++ b/internal/upstream/conns/confirm_test.go
@@ -29,7 +29,7 @@
 func TestEarlyResponseThatAnotherOneFollows(t *testing.T) {
 	t.Parallel()
 	for _, status := range []policy.Status{policy.OK, policy.Rejected} {
-		addr := serveEach(t, "unsent", confirmTime/5)
+		addr := serveEach(t, "unsent", confirmServed/5)
 		p, key := New(waitTimeout, time.Minute, 8), newKey()
 		result, _ := exchangeWith(t, p, key, addr, waitTimeout, status)
 		if result.Status != policy.Error && !result.Status.NeverRan() { // the latter: found before the request
@@ -56,7 +56,7 @@
 			t.Errorf("attempt %d: result %+v, response %q", i, result, got)
 		}
 		latency := time.Duration(result.LatencyMs * float64(time.Millisecond))
-		if watched := took - latency; (watched >= confirmTime) != (i < enoughConfirmed) {
+		if watched := took - latency; (watched >= confirmServed) != (i < enoughConfirmed) {
 			t.Errorf("attempt %d: the latency is %v of %v", i, latency, took)
 		}
 	}
@@ -71,7 +71,7 @@
 	t.Parallel()
 	addr := serveEach(t, "", 0)
 	p, key := New(waitTimeout, time.Minute, 8), newKey()
-	result, _ := exchangeWith(t, p, key, addr, confirmTime, policy.Rejected)
+	result, _ := exchangeWith(t, p, key, addr, confirmRejected, policy.Rejected)
 	if result.Status != policy.Rejected || !result.Unconfirmed || p.Open() != 0 {
 		t.Errorf("result %+v, %d connections open", result, p.Open())
 	}
