--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -42,7 +42,7 @@
 		return 2
 	}
 	defer os.RemoveAll(tmp)
-	r := &run{record: record, start: time.Now(), tmp: tmp, trouble: os.Getenv("TROUBLE") != "0"}
+	r := &run{record: record, start: time.Now(), tmp: tmp, memoryMB: 192, trouble: os.Getenv("TROUBLE") != "0"}
 	defer r.endAll()
 	r.logf("trouble: %v", r.trouble)
 	type result struct {
--- a/review/driver/run.go
+++ b/review/driver/run.go
@@ -22,9 +22,10 @@
 
 // run is one run of a case: its record and its processes.
 type run struct {
-	start   time.Time
-	tmp     string
-	trouble bool
+	start    time.Time
+	tmp      string
+	trouble  bool
+	memoryMB int // limit of an agent
 
 	mu        sync.Mutex
 	record    io.Writer
@@ -139,7 +140,7 @@
 	}
 	config := map[string]any{
 		"name": name, "listen": a.listen, "discovery": discovery, "seed": "8c1f30d27a5be964", "admin_addr": a.admin,
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": r.memoryMB, "sockets": 1024},
 		"known":    known,
 		"settings": settings(),
 	}
