conns: a connection rests behind every response, not only behind its first

Cause: over HTTP a response is matched to its request by its position on the connection. A connection that had carried two requests rested 0 ms until some backend had sent unsolicited bytes within the last minute, so the first late copies were read as the response to the request that had just been written.

A connection now rests 15 ms behind each response that is matched by position ("some milliseconds", and what a network and a busy host add). To wait less, one that has rested for 50 ms is preferred, then the one that has rested longest. Where the time left cuts a rest short, a response that begins before the rest would have ended counts as an attempt that may have run. Responses that name their request (Thrift) need no rest. The log tells how long the last response took, so that a true response behind a late copy can be told from a late copy.

--- a/internal/lab/acceptance/unsolicited.go
+++ b/internal/lab/acceptance/unsolicited.go
@@ -19,6 +19,10 @@
 	unsolicitedDeadline = 1200 * time.Millisecond
 	// unsolicitedShare is the share of the connections or responses that have the fault.
 	unsolicitedShare = 0.2
+	// unsolicitedLatest is how late a response comes that is some milliseconds late, at most.
+	unsolicitedLatest = 10 * time.Millisecond
+	// unsolicitedQuiet is a quiet time in which connections carry several requests.
+	unsolicitedQuiet = 250 * time.Millisecond
 	// unsolicitedLeast is the least share of the requests that have to be served for a run to count.
 	unsolicitedLeast = 0.5
 )
@@ -39,6 +43,10 @@
 	{Name: "second response after 300 ms", Moment: unsolicited.AfterResponse, Delay: 300 * time.Millisecond, Share: unsolicitedShare},
 	{Name: "rejection 80 ms after a response", Moment: unsolicited.AfterResponse, Delay: 80 * time.Millisecond, Rejected: true, Share: unsolicitedShare},
 	{Name: "rejection 250 ms after a response", Moment: unsolicited.AfterResponse, Delay: 250 * time.Millisecond, Rejected: true, Share: unsolicitedShare},
+	{Name: "second response after 4 ms following a quiet time", Moment: unsolicited.AfterResponse, Delay: 4 * time.Millisecond, Latest: unsolicitedLatest, Quiet: unsolicitedQuiet, Share: unsolicitedShare},
+	{Name: "second response after 9 ms following a quiet time", Moment: unsolicited.AfterResponse, Delay: 9 * time.Millisecond, Latest: unsolicitedLatest, Quiet: unsolicitedQuiet, Share: unsolicitedShare},
+	{Name: "rejection after 4 ms following a quiet time", Moment: unsolicited.AfterResponse, Delay: 4 * time.Millisecond, Latest: unsolicitedLatest, Quiet: unsolicitedQuiet, Rejected: true, Share: unsolicitedShare},
+	{Name: "rejection after 9 ms following a quiet time", Moment: unsolicited.AfterResponse, Delay: 9 * time.Millisecond, Latest: unsolicitedLatest, Quiet: unsolicitedQuiet, Rejected: true, Share: unsolicitedShare},
 	{Name: "rejection at accept of each connection", Moment: unsolicited.AfterAccept, Rejected: true, Share: 1},
 	{Name: "response at accept of each connection", Moment: unsolicited.AfterAccept, Share: 1},
 }
--- a/internal/upstream/conns/caution.go
+++ b/internal/upstream/conns/caution.go
@@ -10,10 +10,16 @@
 // A response over HTTP is matched to its request by its position on the connection alone: nothing in it names
 // the request. Bytes that a backend sends unasked, on a new connection or behind a response, are therefore
 // read as the next response, and every later response on the connection is one behind. Only time separates
-// them: what arrives while no request is in flight answers none. So connections rest before a request is
-// written where the position is less certain, and one on which anything arrives meanwhile is closed: those
-// whose first response was just read, and all of them, new ones too, after unsolicited bytes.
+// them: what arrives while no request is in flight answers none. So connections rest behind each response
+// before the next request is written, and one on which anything arrives meanwhile is closed. They rest longer
+// where the position is less certain: behind a first response, and all of them, new ones too, after unsolicited
+// bytes. Responses that name their request need no rest.
 const (
+	// settledRest is how long a connection rests after any response: a second one may come some milliseconds
+	// behind it, and the network and a busy host may delay that further.
+	settledRest = 15 * time.Millisecond
+	// preferredRest is how long a connection has rested that is used in preference to others.
+	preferredRest = unsettledRest
 	// unsettledRest is how long a connection rests after its first response.
 	unsettledRest = 50 * time.Millisecond
 	// maxRestWait and maxSuspectRestWait are how long a request waits for the rest of an idle connection
@@ -47,6 +53,8 @@
 		rest = r.newConn
 	case cn.unsettled:
 		rest = max(rest, unsettledRest)
+	case !cn.matchedByID:
+		rest = max(rest, settledRest)
 	}
 	return max(rest-now.Sub(cn.restingSince()), 0)
 }
--- a/internal/upstream/conns/conn.go
+++ b/internal/upstream/conns/conn.go
@@ -16,18 +16,21 @@
 	net.Conn
 	Reader *bufio.Reader
 
-	id        uint64 // unique in the pool, for the log
-	key       Key
-	addr      string
-	opened    time.Time
-	carried   int       // requests that were written to it completely
-	written   time.Time // when the last of them was written
-	idleSince time.Time
-	rested    bool          // for as long as it had to, before its current use
-	restedFor time.Duration // before its current use
-	unsettled bool          // its last response was the first one
-	ageBucket int           // of the idle time before its current use; 0: a new connection
-	stream    *Stream       // of the current response, if one was created: it takes ownership of the connection
+	id           uint64 // unique in the pool, for the log
+	key          Key
+	addr         string
+	opened       time.Time
+	carried      int           // requests that were written to it completely
+	written      time.Time     // when the last of them was written
+	responseTook time.Duration // from then to the end of its response
+	idleSince    time.Time
+	rested       bool          // for as long as it had to, before its current use
+	restedFor    time.Duration // before its current use
+	unsettled    bool          // its last response was the first one
+	// matchedByID says that its last request was matched to its response by an id.
+	matchedByID bool
+	ageBucket   int     // of the idle time before its current use; 0: a new connection
+	stream      *Stream // of the current response, if one was created: it takes ownership of the connection
 
 	mu        sync.Mutex
 	cancelled bool // all further reads and writes fail
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -114,6 +114,7 @@
 	}
 	if result.Status != policy.NotStarted {
 		cn.unsettled = !x.MatchedByID && cn.carried == 1
+		cn.matchedByID = x.MatchedByID
 	}
 	log.ended(ctx, x, cn, &result, reusable)
 	return result
@@ -218,7 +219,11 @@
 		return err
 	}
 	bodyConsumed := x.WriteBody != nil
+	if !x.MatchedByID && p.respondsTooSoon(cn) {
+		return core.Result{Status: policy.Error, BodyConsumed: bodyConsumed}, false
+	}
 	result, reusable, err := x.ReadResponse(cn, reserve)
+	cn.responseTook = time.Since(cn.written)
 	if err != nil {
 		x.Budget.Release(reserved)
 		p.RecordEnd(cn, statusOf(err) == policy.Reset)
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -181,16 +181,16 @@
 	return nil, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection that has rested. If none has, it
-// returns the one that lacks least, unless opening another one is better than waiting for it; nil means that.
-// The caller holds the lock.
+// takeIdle removes and returns the most recently used idle connection that has rested for preferredRest, else
+// the one that has rested longest. If none has rested, it returns the one that lacks least, unless opening
+// another one is better than waiting for it; nil means that. The caller holds the lock.
 func (p *Pool) takeIdle(key Key, wanted rests) *Conn {
 	idle := p.idle[key]
 	now := time.Now()
 	take, least := -1, wanted.maxWait
 	for i := len(idle) - 1; i >= 0; i-- {
 		lacking := wanted.lacking(idle[i], now)
-		if lacking == 0 {
+		if lacking == 0 && (idle[i].matchedByID || now.Sub(idle[i].restingSince()) >= preferredRest) {
 			take = i
 			break
 		}
--- a/internal/upstream/conns/unsolicited.go
+++ b/internal/upstream/conns/unsolicited.go
@@ -80,6 +80,19 @@
 	return nil
 }
 
+// respondsTooSoon waits for the response on a reused connection that had no time to rest before the request. It
+// says whether the response begins before the rest would have ended: then it may belong to an earlier request.
+func (p *Pool) respondsTooSoon(cn *Conn) bool {
+	if cn.rested || cn.carried == 1 {
+		return false
+	}
+	if _, err := cn.Reader.Peek(1); err != nil {
+		return false // reading the response fails as well
+	}
+	now := time.Now()
+	return p.caution.rests(cn.key.Backend, now).lacking(cn, now) > 0
+}
+
 // sleep waits for a time, or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
@@ -100,7 +113,9 @@
 	return c.idleSince
 }
 
-// noteUnsolicited counts and logs unsolicited bytes. The connection is closed by the caller.
+// noteUnsolicited counts and logs unsolicited bytes. The connection is closed by the caller. In the log
+// arrived_after counts from the end of the last response as it was read here. If last_response_took is less than
+// the backend needs, that response was itself a late copy, and the bytes are the response to the last request.
 func (p *Pool) noteUnsolicited(cn *Conn, where Place) {
 	p.Unsolicited[where].Add(1)
 	now := time.Now()
@@ -115,6 +130,9 @@
 			"backend", cn.addr, "place", where.String(), "connection", cn.id, "requests_carried", cn.carried,
 			"age", now.Sub(cn.opened), "resting", now.Sub(cn.restingSince()), "arrived_after", after,
 		}
+		if cn.carried > 0 {
+			attrs = append(attrs, "last_response_took", cn.responseTook)
+		}
 		// The caller may hold the pool's lock, and writing blocks if the reader of the log does not keep up.
 		go slog.Warn("backend sent bytes that answer no request", attrs...)
 	}
