conns: a rejection with more bytes behind it is not known to be the response

Requests that must not run twice could be sent again or rejected while their first attempt ran: when a stray "Not-Started" and the true response were read in one piece, the rejection was believed (isDoubtful lets a response pass that more came with).

Which of the two belongs to the request can't be told, so such a rejection is unconfirmed now: the attempt may have run, and the connection is closed. A response 200 with a copy right behind it still counts, as backends send copies so.

--- a/internal/upstream/conns/caution_test.go
+++ b/internal/upstream/conns/caution_test.go
@@ -150,6 +150,20 @@
 	}
 }
 
+// A rejection that came together with more bytes is not known to be the response to its request.
+func TestRejectionWithBytesBehindIsUnconfirmed(t *testing.T) {
+	t.Parallel()
+	addr := startPeer(t, func(c net.Conn) {
+		io.ReadFull(c, make([]byte, len("request")))
+		io.WriteString(c, "rejectanswer")
+	})
+	p, key := New(waitTimeout, time.Minute, 8), newKey()
+	result, _ := exchangeWith(t, p, key, addr, waitTimeout, policy.Rejected)
+	if !result.Unconfirmed || p.Open() != 0 || p.Unsolicited[BehindResponse].Load() != 1 {
+		t.Errorf("result %+v, %d connections open", result, p.Open())
+	}
+}
+
 // exchangeWith makes one attempt at a peer whose response has six bytes.
 func exchangeWith(t *testing.T, p *Pool, key Key, addr string, timeout time.Duration, status policy.Status) (core.Result, string) {
 	t.Helper()
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -106,7 +106,7 @@
 	cn.SetDeadline(x.Deadline)
 	log := newAttemptLog(ctx, cn)
 	result, reusable = p.exchange(ctx, cn, x)
-	if result.Status == policy.Rejected && !x.MatchedByID && !cn.rested {
+	if result.Status == policy.Rejected && !x.MatchedByID && (p.hasBytesBehind(cn) || !cn.rested) {
 		result.Unconfirmed, reusable = true, false
 	}
 	if p.isDoubtful(cn, x, &result) {
--- a/internal/upstream/conns/unsolicited.go
+++ b/internal/upstream/conns/unsolicited.go
@@ -93,6 +93,17 @@
 	return p.caution.rests(cn.key.Backend, now).lacking(cn, now) > 0
 }
 
+// hasBytesBehind says whether more bytes came with the complete response that was just read, and notes them. Either
+// may be the response to the request.
+func (p *Pool) hasBytesBehind(cn *Conn) bool {
+	if cn.stream != nil || cn.Reader.Buffered() == 0 && socket.ReadState(cn.Conn) != socket.Unread {
+		return false
+	}
+	cn.idleSince = time.Now()
+	p.noteUnsolicited(cn, BehindResponse)
+	return true
+}
+
 // sleep waits for a time, or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
