socket: a half-closed peer with unread bytes still gets the last answer

A client that had closed its sending side behind bytes which were not read got a reset behind its answer, which can destroy the answer: LingeringClose did not read the rest where the peer had hung up. It reads it now; the end has arrived already, so that this waits for nothing.

Measured: TestLingeringCloseBehindUnreadBytesOfAHalfClosedPeer failed before and passes.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -137,7 +137,7 @@
 // request were already read (readAhead), it therefore closes the sending side first, then reads and discards
 // until the peer closes its side, for at most 0.1 s and 256 KiB.
 func LingeringClose(nc net.Conn, readAhead bool) error {
-	if cw, ok := nc.(interface{ CloseWrite() error }); ok && (readAhead || ReadState(nc) == Unread) && !HungUp(nc) {
+	if cw, ok := nc.(interface{ CloseWrite() error }); ok && (readAhead || ReadState(nc) == Unread) {
 		if cw.CloseWrite() == nil {
 			nc.SetReadDeadline(time.Now().Add(lingerTimeout))
 			_, _ = io.CopyN(discardWriter{}, nc, lingerMaxBytes)
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -125,3 +125,22 @@
 		t.Error("a peer that is gone is not reported if poll fails")
 	}
 }
+
+// A peer that has closed its sending side behind bytes that were not read still gets the last answer: no reset
+// follows it.
+func TestLingeringCloseBehindUnreadBytesOfAHalfClosedPeer(t *testing.T) {
+	nc, peer := connect(t)
+	const unread = 64 << 10
+	peer.Write(make([]byte, unread))
+	peer.CloseWrite()
+	for end := time.Now().Add(10 * time.Second); !HungUp(nc); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the end has not arrived")
+		}
+	}
+	io.WriteString(nc, "answer")
+	LingeringClose(nc, false)
+	if got, err := io.ReadAll(peer); err != nil || string(got) != "answer" {
+		t.Errorf("the peer read %q, error %v", got, err)
+	}
+}
