downstream tests: the wait for a closed listener does not last over its refusal

TestCallOnANewConnectionIsAnsweredDuringShutdown failed in 3 of some 130 runs: the connect that waits for the refusal met the moment in which the listener begins to refuse, its SYN was dropped, and it came back after 1.01 s (logged in 1 of 1 failures of 100 further runs); the call that the test then sent came 1 s after the listener had closed, behind the whole shutdown. Such a connect ends after 0.1 s now and is made again, and only ECONNREFUSED counts as closed, where any error did before.

--- a/internal/downstream/close_test.go
+++ b/internal/downstream/close_test.go
@@ -1,9 +1,12 @@
 package downstream_test
 
 import (
+	"errors"
 	"io"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"ringtrack.example/ringtrack/internal/lab"
 	"ringtrack.example/ringtrack/internal/lab/world"
@@ -118,14 +121,18 @@
 	}
 }
 
-// waitForClosedListener waits until no more connections are accepted.
+// refusalTimeout is how long a connect waits for its refusal: a SYN that comes as the listener begins to refuse is
+// dropped, and would be sent again only after a second.
+const refusalTimeout = 100 * time.Millisecond
+
+// waitForClosedListener waits until new connections are refused.
 func waitForClosedListener(t *testing.T, w *world.World) {
 	t.Helper()
 	waitFor(t, "the listener is still open", func() bool {
-		c, err := w.Dial()
+		c, err := w.Protocol.Dial(w.Addr, refusalTimeout)
 		if err == nil {
 			c.Close()
 		}
-		return err != nil
+		return errors.Is(err, syscall.ECONNREFUSED)
 	})
 }
