thrift: an open call outlives a message behind it that can't be read

Callers got no answer, and their call was cancelled, when the next message on their connection could not be parsed, took too long to arrive, or found no memory: await took every error of reading ahead for a disconnect.

Only errors that say that the client has gone end the call now. One that concerns the message waits behind the open call, whose answer is written first; the connection then closes without a reset, as the client may still be sending the rest of the message.

--- a/internal/downstream/thrift/call.go
+++ b/internal/downstream/thrift/call.go
@@ -1,11 +1,14 @@
 package thrift
 
 import (
+	"errors"
+	"os"
 	"strconv"
 	"time"
 
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/membership"
+	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/socket"
 	"ringtrack.example/ringtrack/internal/thriftwire"
 	upstream "ringtrack.example/ringtrack/internal/upstream/thrift"
@@ -70,8 +73,7 @@
 	return call
 }
 
-// await waits for the answer. It returns false if the client has disconnected, or has sent a malformed
-// message, after which the connection is closed.
+// await waits for the answer. It returns false if the client has disconnected.
 func (s *Server) await(c *clientConn, call *core.Call, oneWay bool, messages <-chan message) (core.Answer, bool) {
 	var poll <-chan time.Time
 	for {
@@ -91,7 +93,7 @@
 				return core.Answer{}, false
 			}
 		case next := <-messages:
-			if next.err != nil && !oneWay {
+			if isDisconnect(next.err) && !oneWay {
 				s.Budget.Release(next.reserved)
 				return core.Answer{}, false
 			}
@@ -100,6 +102,25 @@
 	}
 }
 
+// isDisconnect reports whether the error of reading a message says that the client has disconnected. Any other
+// one concerns that message, not the calls before it.
+func isDisconnect(err error) bool {
+	if err == nil || upstream.IsUnreadable(err) {
+		return false
+	}
+	for _, ofMessage := range messageErrors {
+		if errors.Is(err, ofMessage) {
+			return false
+		}
+	}
+	return true
+}
+
+// messageErrors are further errors that concern a message.
+var messageErrors = []error{
+	errOverBudget, os.ErrDeadlineExceeded, panics.ErrRecovered, thriftwire.ErrHTTP, thriftwire.ErrTHeader,
+}
+
 // queueFull reports whether reading ahead ends: maxQueuedCalls are queued, or the last message is an error.
 func (c *clientConn) queueFull() bool {
 	n := len(c.queued)
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -53,9 +53,10 @@
 	stop := make(chan struct{})
 	var reader sync.WaitGroup
 	reader.Go(func() { s.readMessages(c, messages, stop) })
+	unreadable := false // the client may still be sending the rest of a message
 	defer func() {
 		close(stop)
-		socket.LingeringClose(c.Conn, len(c.queued) > 0)
+		socket.LingeringClose(c.Conn, unreadable || len(c.queued) > 0)
 		reader.Wait()
 		for i := range c.queued {
 			s.Budget.Release(c.queued[i].reserved)
@@ -72,6 +73,7 @@
 			return
 		}
 		if m.err != nil {
+			unreadable = true
 			s.rejectUnreadable(c, m)
 			return
 		}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -242,6 +242,9 @@
 // as it takes the budget.
 func (w *World) Leaked() bool { return !w.budget.TryAcquire(bodyMemory) }
 
+// TakeBodyMemory takes the whole budget for bodies, so that nothing that needs it can be read.
+func (w *World) TakeBodyMemory() { w.budget.TryAcquire(bodyMemory) }
+
 // Set changes the mode of all servers.
 func (w *World) Set(m lab.Mode) {
 	for _, s := range w.Servers {
