downstream: calls that were read are answered before a draining connection closes

Cause: a draining server closed a connection with its next ended call, a one-way one too, without regard to what had been read ahead: queued messages, one in the reader's hands, those in the read buffer. Between two queued calls the poll of the shutdown, or an eviction, could close the connection as well, as none was open. The idle time could end as a call arrived.

A Thrift connection now ends in one way only, whatever ends it (shutdown, idle time, eviction, a message that is no call): its reader stops behind what has arrived, and the connection closes once all of that has been answered. Under a shutdown one-way calls no longer count as the last answer. Behind the last answer calls that want a reply are rejected (nothing ran), one-way calls are still forwarded. Nothing more is read from the socket after the time that a shutdown gives incomplete calls. Eviction spares calls that were read, and takes idle connections first. Over HTTP the last answer says "Connection: close" only if no request has arrived behind it; those are rejected, and the last of them closes.

--- a/internal/downstream/http/conns.go
+++ b/internal/downstream/http/conns.go
@@ -159,15 +159,15 @@
 	}
 }
 
-// closeIdle closes idle connections, except those on which bytes have arrived that net/http has not read yet:
-// closing one would lose the request. Its answer closes the connection instead.
+// closeIdle closes idle connections, except those on which a request has arrived: closing one would lose the
+// request. Its answer closes the connection instead.
 func (c *clientConns) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for e := c.evictable[idle].Front(); e != nil; {
 		nc := e.Value.(net.Conn)
 		e = e.Next()
-		if socket.ReadState(nc) != socket.Unread {
+		if !requestArrived(nc) {
 			c.evict(nc)
 		}
 	}
@@ -240,6 +240,15 @@
 	return e
 }
 
+// requestArrived reports whether a further request has arrived on a connection, also one that net/http has read and
+// not handled yet, or bytes that were not read.
+func requestArrived(nc net.Conn) bool {
+	if conn, ok := nc.(*framedConn); ok && conn.hasUnhandledRequest() {
+		return true
+	}
+	return socket.ReadState(nc) == socket.Unread
+}
+
 // setEvictable makes a connection evictable, as the newest of its kind. The lock is held.
 func (c *clientConns) setEvictable(nc net.Conn, kind connKind) {
 	c.setBusy(nc)
--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -31,6 +31,10 @@
 	mu       sync.Mutex // net/http also reads in the background
 	framing  framingChecker
 	requests int // number of requests that the handler has been called for
+
+	// rejecting says that the connection ends: requests that arrived behind the last answer are rejected. Only
+	// the handler uses it.
+	rejecting bool
 }
 
 // newFramedConn wraps a new connection.
@@ -97,6 +101,13 @@
 	return c.framing.state == inHead && !c.framing.headBegun && len(c.framing.line) == 0
 }
 
+// hasUnhandledRequest reports whether the head of a request has been read that the handler has not been called for.
+func (c *framedConn) hasUnhandledRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framing.heads > c.requests
+}
+
 // trustNextRequest counts a request and reports whether its framing can be trusted.
 func (c *framedConn) trustNextRequest() bool {
 	c.mu.Lock()
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -27,10 +27,12 @@
 		default:
 		}
 	}
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
+	if framed && conn.rejecting {
+		s.rejectBehindLastAnswer(w, conn)
+		return
 	}
 	if req.RequestURI == readyPath && req.Method == http.MethodGet && req.ContentLength == 0 {
+		s.endIfDraining(w, conn)
 		s.serveReady(w)
 		return
 	}
@@ -63,7 +65,7 @@
 	s.EventLoop.Post(func() { submitted <- s.EventLoop.Submit(&c.Call) })
 	select {
 	case a := <-c.Answer:
-		s.answer(w, req, c, a, body)
+		s.answer(w, req, c, a, body, conn)
 	case <-req.Context().Done():
 		s.abandon(submitted)
 	case <-disconnected:
@@ -103,11 +105,14 @@
 }
 
 // answer writes the answer, and discards the rest of the body.
-func (s *Server) answer(w http.ResponseWriter, req *http.Request, c *call, a core.Answer, body *clientBody) {
+func (s *Server) answer(
+	w http.ResponseWriter, req *http.Request, c *call, a core.Answer, body *clientBody, conn *framedConn,
+) {
 	defer s.budget.Release(a.ReservedBytes) // even if writing a stream panics
 	if stream, ok := a.Reply.(*upstream.Stream); ok {
 		defer context.AfterFunc(req.Context(), stream.Cancel)()
 	}
+	s.endIfDraining(w, conn)
 	s.write(w, a, c.Class)
 	if body != nil {
 		body.discard(w)
--- a/internal/downstream/http/response.go
+++ b/internal/downstream/http/response.go
@@ -40,17 +40,11 @@
 // write writes the answer to a request.
 func (s *Server) write(w http.ResponseWriter, a core.Answer, class int) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
-	if s.draining.Load() { // again, as the drain may have begun after the request arrived
-		w.Header().Set("Connection", "close")
-	}
 	switch {
 	case a.Outcome == core.Served:
 		s.writeReply(w, a.Reply, class)
 	case a.Outcome == core.Rejected:
-		if a.RetryAfterMs > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfterMs/1000, 'f', 3, 64))
-		}
-		w.WriteHeader(http.StatusServiceUnavailable)
+		writeRejection(w, a.RetryAfterMs)
 	case a.Reason == core.BadRequest:
 		rejectStatus(w, a.Reply.(*upstream.Reply).Status)
 	case a.Reason == core.Duplicate:
@@ -64,6 +58,14 @@
 	}
 }
 
+// writeRejection writes the answer to a request that did not run. retryAfterMs is omitted if it is not positive.
+func writeRejection(w http.ResponseWriter, retryAfterMs float64) {
+	if retryAfterMs > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfterMs/1000, 'f', 3, 64))
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // writeReply writes the reply of a backend.
 func (s *Server) writeReply(w http.ResponseWriter, reply any, class int) {
 	if stream, ok := reply.(*upstream.Stream); ok {
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -43,8 +43,10 @@
 
 	ready    atomic.Bool
 	draining atomic.Bool // each connection is closed with its next answer
-	ln       atomic.Pointer[net.Listener]
-	served   chan struct{} // closed once the listener is closed and clientConns has all accepted connections
+	// readDeadline is until when a shutdown reads requests that have not arrived completely; nil: no shutdown.
+	readDeadline atomic.Pointer[time.Time]
+	ln           atomic.Pointer[net.Listener]
+	served       chan struct{} // closed once the listener is closed and clientConns has all accepted connections
 }
 
 // New returns a server that forwards calls to an upstream. budget is the memory for bodies. softLimit and
--- a/internal/downstream/http/shutdown.go
+++ b/internal/downstream/http/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -39,11 +40,12 @@
 			break
 		}
 	}
-	s.draining.Store(true)
-	s.clientConns.closeIdle()
 	drainStart := time.Now()
 	deadline := earlier(drainStart, start.Add(s.Linger)).Add(drainTimeout) // a late poll does not extend it
 	readDeadline := drainStart.Add(min(drainTimeout/2, shutdownReadTime))
+	s.readDeadline.Store(&readDeadline)
+	s.draining.Store(true)
+	s.clientConns.closeIdle()
 	for {
 		<-poll.C // a client whose connection was closed may still connect again
 		s.closeListener()
@@ -84,6 +86,33 @@
 	return b
 }
 
+// endIfDraining makes the answer that is about to be written the last one of its connection if the server is
+// draining. If requests have arrived behind it, they are still rejected, and the last of them closes the connection:
+// a close would leave them without an answer. conn may be nil.
+func (s *Server) endIfDraining(w http.ResponseWriter, conn *framedConn) {
+	if !s.draining.Load() {
+		return
+	}
+	if conn != nil && s.readsMore() && requestArrived(conn) {
+		conn.rejecting = true
+		return
+	}
+	w.Header().Set("Connection", "close")
+}
+
+// readsMore reports whether requests that arrive are still read.
+func (s *Server) readsMore() bool {
+	deadline := s.readDeadline.Load()
+	return deadline == nil || time.Now().Before(*deadline)
+}
+
+// rejectBehindLastAnswer rejects a request that arrived behind the last answer of its connection.
+func (s *Server) rejectBehindLastAnswer(w http.ResponseWriter, conn *framedConn) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	s.endIfDraining(w, conn)
+	writeRejection(w, s.settings.Limits.MaxRetryAfterMs)
+}
+
 // HandOver leaves new clients to another process that listens on the same address. It closes the listener at
 // once, and each connection with its next answer. Connections without a request stay open until Shutdown
 // closes them, as a request may be on its way.
--- a/internal/downstream/thrift/call.go
+++ b/internal/downstream/thrift/call.go
@@ -26,14 +26,17 @@
 func (s *Server) handle(c *clientConn, m *message, messages <-chan message, overloaded bool) bool {
 	oneWay := m.head.Kind == thriftwire.Oneway
 	if m.head.Kind != thriftwire.Call && !oneWay {
-		s.writeException(c, &m.head, CodeInvalidMessageType, "a message that is no call")
-		return false
+		s.endBehindAnswer(c)
+		return s.writeException(c, &m.head, CodeInvalidMessageType, "a message that is no call")
 	}
 	method := s.Table.find(m.head.Name)
 	if method == nil {
 		return oneWay || s.writeException(c, &m.head, CodeUnknownMethod, "the method is not listed here")
 	}
 	oneWay = oneWay || method.oneWay
+	if c.rejecting && !oneWay {
+		return s.writeException(c, &m.head, CodeRejected, rejectionText(s.RetryAfterMs))
+	}
 	call := s.newCall(c, m, method, oneWay)
 	call.AtConnectionLimit = overloaded
 	submitted := make(chan *core.Request, 1)
@@ -118,7 +121,7 @@
 
 // messageErrors are further errors that concern a message.
 var messageErrors = []error{
-	errOverBudget, os.ErrDeadlineExceeded, panics.ErrRecovered, thriftwire.ErrHTTP, thriftwire.ErrTHeader,
+	errReadingStopped, errOverBudget, os.ErrDeadlineExceeded, panics.ErrRecovered, thriftwire.ErrHTTP, thriftwire.ErrTHeader,
 }
 
 // queueFull reports whether reading ahead ends: maxQueuedCalls are queued, or the last message is an error.
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -7,10 +7,8 @@
 	"sync"
 	"time"
 
-	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/socket"
 	"ringtrack.example/ringtrack/internal/thriftwire"
-	upstream "ringtrack.example/ringtrack/internal/upstream/thrift"
 )
 
 const (
@@ -20,6 +18,9 @@
 	idleTimeout = 10 * time.Second
 )
 
+// errReadingStopped ends the messages of a connection on which no more calls are read.
+var errReadingStopped = errors.New("thrift: reading has been stopped")
+
 // errOverBudget is the error of a message for which the budget has no memory.
 var errOverBudget = errors.New("thrift: no memory for a message")
 
@@ -32,10 +33,16 @@
 	// ahead so that a disconnect that follows them is detected.
 	queued []message
 
+	replied bool // the last call got a reply
+	// rejecting says that the connection ends: of the calls that were read behind the last answer those that
+	// want a reply are rejected.
+	rejecting bool
+
 	// Guarded by the server's lock:
-	busy        bool // a call is open
-	readingCall bool // a call has begun to arrive and is not open yet
+	unanswered  int  // calls that were read and have not been answered, including the open one
+	readingCall bool // a call has begun to arrive and was not read completely
 	noCallYet   bool // no call has begun to arrive on this connection
+	stopping    bool // the reader ends behind what has arrived
 }
 
 // message is a message that was read, or the error that ended reading.
@@ -69,31 +76,45 @@
 	defer idle.Stop()
 	for {
 		m := c.nextMessage(messages, idle)
-		if m == nil {
+		switch {
+		case m == nil: // idle; a call that is arriving just now is still served
+			s.mu.Lock()
+			c.stopReading()
+			s.mu.Unlock()
+		case errors.Is(m.err, errReadingStopped):
 			return
-		}
-		if m.err != nil {
+		case m.err != nil:
 			unreadable = true
 			s.rejectUnreadable(c, m)
 			return
-		}
-		if !s.serveCall(c, m, messages) {
+		case !s.serveCall(c, m, messages):
 			return
 		}
 	}
 }
 
-// serveCall handles one call, and returns false if the connection is to be closed.
+// serveCall handles one call, and returns false if the connection is to be closed at once. While the server is
+// draining, the first answer is the last one but for rejections: the connection closes behind what was read.
 func (s *Server) serveCall(c *clientConn, m *message, messages <-chan message) (ok bool) {
-	overloaded := s.beginCall(c)
+	overloaded := s.beginCall()
+	c.replied = false
 	defer func() {
-		draining := s.endCall(c)
-		ok = ok && !draining
+		if s.endCall(c) && c.replied {
+			s.endBehindAnswer(c)
+		}
 	}()
 	defer s.Budget.Release(m.reserved)
 	return s.handle(c, m, messages, overloaded)
 }
 
+// endBehindAnswer ends a connection behind the calls that have been read or have arrived.
+func (s *Server) endBehindAnswer(c *clientConn) {
+	c.rejecting = true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.stopReading()
+}
+
 // nextMessage returns the first queued message, else waits for one. It returns nil after idleTimeout.
 func (c *clientConn) nextMessage(messages <-chan message, idle *time.Timer) *message {
 	if len(c.queued) > 0 {
@@ -110,12 +131,10 @@
 	}
 }
 
-// beginCall records that the connection has an open call, and reports whether too many connections have one.
-func (s *Server) beginCall(c *clientConn) (overloaded bool) {
+// beginCall records that a connection has an open call, and reports whether too many have one.
+func (s *Server) beginCall() (overloaded bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.busy = true
-	c.readingCall = false
 	s.busy++
 	return float64(s.busy) > maxBusyFraction*float64(s.MaxConns)
 }
@@ -124,73 +143,7 @@
 func (s *Server) endCall(c *clientConn) (draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.busy = false
+	c.unanswered--
 	s.busy--
 	return s.draining
 }
-
-// readMessages reads messages until an error or stop.
-func (s *Server) readMessages(c *clientConn, messages chan<- message, stop <-chan struct{}) {
-	for {
-		m := s.readMessage(c)
-		select {
-		case messages <- m:
-		case <-stop:
-			s.Budget.Release(m.reserved)
-			return
-		}
-		if m.err != nil {
-			return
-		}
-	}
-}
-
-// readMessage reads the next message.
-func (s *Server) readMessage(c *clientConn) (m message) {
-	defer panics.Recover("reading Thrift", c.RemoteAddr().String(), func() { m.err = panics.ErrRecovered })
-	c.SetReadDeadline(time.Time{}) // serve has the idle timeout
-	if c.transport == 0 {
-		if err := c.detectTransport(); err != nil {
-			return message{err: err}
-		}
-	}
-	if _, err := c.reader.Peek(1); err != nil {
-		return message{err: err}
-	}
-	s.mu.Lock()
-	c.readingCall = true
-	c.noCallYet = false
-	s.mu.Unlock()
-	c.SetReadDeadline(time.Now().Add(readTimeout))
-	m.bytes, m.head, m.err = upstream.Read(c.reader, c.transport, s.Limits, s.Table.paths, func(n int64) error {
-		if !s.Budget.TryAcquire(n) {
-			return errOverBudget
-		}
-		m.reserved += n
-		return nil
-	})
-	m.receivedAt = time.Now()
-	return m
-}
-
-// detectTransport detects the transport of a connection by its first bytes.
-func (c *clientConn) detectTransport() error {
-	for n := 1; ; n++ {
-		if _, err := c.reader.Peek(n); err != nil {
-			return err
-		}
-		if n == 1 {
-			c.SetReadDeadline(time.Now().Add(readTimeout))
-		}
-		b, _ := c.reader.Peek(c.reader.Buffered())
-		transport, _, detected, err := thriftwire.Detect(b)
-		if err != nil {
-			return err
-		}
-		if detected {
-			c.transport = transport
-			return nil
-		}
-		n = len(b)
-	}
-}
--- /dev/null
+++ b/internal/downstream/thrift/read.go
@@ -0,0 +1,123 @@
+package thrift
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"ringtrack.example/ringtrack/internal/panics"
+	"ringtrack.example/ringtrack/internal/socket"
+	"ringtrack.example/ringtrack/internal/thriftwire"
+	upstream "ringtrack.example/ringtrack/internal/upstream/thrift"
+)
+
+// expiredDeadline makes reads fail immediately.
+var expiredDeadline = time.Unix(1, 0)
+
+// readMessages reads messages until an error or stop.
+func (s *Server) readMessages(c *clientConn, messages chan<- message, stop <-chan struct{}) {
+	for {
+		m := s.readMessage(c)
+		select {
+		case messages <- m:
+		case <-stop:
+			s.Budget.Release(m.reserved)
+			return
+		}
+		if m.err != nil {
+			return
+		}
+	}
+}
+
+// readMessage reads the next message.
+func (s *Server) readMessage(c *clientConn) (m message) {
+	defer panics.Recover("reading Thrift", c.RemoteAddr().String(), func() { m.err = panics.ErrRecovered })
+	if err := s.awaitCall(c); err != nil {
+		return message{err: err}
+	}
+	if c.transport == 0 {
+		if err := c.detectTransport(); err != nil {
+			return message{err: err}
+		}
+	}
+	m.bytes, m.head, m.err = upstream.Read(c.reader, c.transport, s.Limits, s.Table.paths, func(n int64) error {
+		if !s.Budget.TryAcquire(n) {
+			return errOverBudget
+		}
+		m.reserved += n
+		return nil
+	})
+	m.receivedAt = time.Now()
+	if m.err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c.readingCall = false
+		c.unanswered++
+	}
+	return m
+}
+
+// awaitCall waits for the first byte of a call and then sets the deadline for the rest. It returns
+// errReadingStopped if reading has been stopped and nothing more has arrived.
+func (s *Server) awaitCall(c *clientConn) error {
+	for {
+		if !s.mayRead(c) {
+			return errReadingStopped
+		}
+		_, err := c.reader.Peek(1)
+		s.mu.Lock()
+		stopped := err != nil && c.stopping && errors.Is(err, os.ErrDeadlineExceeded)
+		if err == nil {
+			c.readingCall = true
+			c.noCallYet = false
+			c.SetReadDeadline(time.Now().Add(readTimeout))
+		}
+		s.mu.Unlock()
+		if !stopped {
+			return err
+		}
+	}
+}
+
+// mayRead reports whether another call may be read, and removes the read deadline; serve has the idle timeout.
+// After a stop that is the case only for bytes that have been read from the socket, or have arrived before the
+// read deadline of a shutdown.
+func (s *Server) mayRead(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.stopping && c.reader.Buffered() == 0 {
+		if s.draining && !time.Now().Before(s.readDeadline) || socket.ReadState(c.Conn) != socket.Unread {
+			return false
+		}
+	}
+	c.SetReadDeadline(time.Time{})
+	return true
+}
+
+// stopReading ends the reader behind what has arrived. The server's lock is held.
+func (c *clientConn) stopReading() {
+	c.stopping = true
+	if !c.readingCall {
+		c.SetReadDeadline(expiredDeadline)
+	}
+}
+
+// detectTransport detects the transport of a connection by its first bytes.
+func (c *clientConn) detectTransport() error {
+	for n := 1; ; n++ {
+		if _, err := c.reader.Peek(n); err != nil {
+			return err
+		}
+		b, _ := c.reader.Peek(c.reader.Buffered())
+		transport, _, detected, err := thriftwire.Detect(b)
+		if err != nil {
+			return err
+		}
+		if detected {
+			c.transport = transport
+			return nil
+		}
+		n = len(b)
+	}
+}
--- a/internal/downstream/thrift/reply.go
+++ b/internal/downstream/thrift/reply.go
@@ -105,6 +105,7 @@
 	if c.transport == thriftwire.Framed {
 		binary.BigEndian.PutUint32(head, uint32(len(head)-frameLengthBytes+len(rest)))
 	}
+	c.replied = true
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	out := net.Buffers{head, rest}
 	_, err := out.WriteTo(c.Conn)
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -52,8 +52,10 @@
 	conns    map[*clientConn]struct{}
 	busy     int // number of connections with an open call
 	draining bool
-	served   chan struct{}  // closed when Serve returns; nil before Serve
-	handlers sync.WaitGroup // goroutines of the connections
+	// readDeadline is until when a shutdown waits for calls to arrive completely.
+	readDeadline time.Time
+	served       chan struct{}  // closed when Serve returns; nil before Serve
+	handlers     sync.WaitGroup // goroutines of the connections
 }
 
 // Serve accepts connections until the listener is closed, and then returns nil.
@@ -121,16 +123,36 @@
 	return false
 }
 
-// evict closes a connection without an open call. It returns false if there is none. The lock is held.
+// evict closes a connection without a call that was read and not answered: an idle one, else a new one, else one
+// whose call is incomplete. It returns false if there is none. The lock is held.
 func (s *Server) evict() bool {
+	var victim *clientConn
 	for c := range s.conns {
-		if !c.busy {
-			delete(s.conns, c)
-			c.Close()
-			return true
+		if c.unanswered == 0 && (victim == nil || c.evictionRank() < victim.evictionRank()) {
+			victim = c
 		}
 	}
-	return false
+	if victim == nil {
+		return false
+	}
+	delete(s.conns, victim)
+	if victim.readingCall {
+		victim.Close()
+	}
+	victim.stopReading()
+	return true
+}
+
+// evictionRank returns the rank of a connection among those that may be evicted, the lowest first. The server's lock
+// is held.
+func (c *clientConn) evictionRank() int {
+	switch {
+	case c.readingCall || socket.ReadState(c.Conn) == socket.Unread:
+		return 2
+	case c.noCallYet:
+		return 1
+	}
+	return 0
 }
 
 // Shutdown shuts the server down without losing a call. It serves as before for Linger, or until no client is
@@ -146,8 +168,10 @@
 			break
 		}
 	}
+	readTime := min(drainTimeout/2, shutdownReadTime)
 	s.mu.Lock()
 	s.draining = true
+	s.readDeadline = time.Now().Add(readTime)
 	served := s.served
 	s.mu.Unlock()
 	ln.Close()
@@ -159,8 +183,7 @@
 	if now.Before(start.Add(s.Linger)) {
 		deadline = now.Add(drainTimeout)
 	}
-	readDeadline := now.Add(min(drainTimeout/2, shutdownReadTime))
-	for time.Now().Before(deadline) && s.closeUnused(readDeadline) {
+	for time.Now().Before(deadline) && s.closeUnused() {
 		time.Sleep(shutdownPollInterval)
 	}
 	s.mu.Lock()
@@ -177,20 +200,23 @@
 	return len(s.conns) == 0
 }
 
-// closeUnused closes connections without an open call, and reports whether others remain. Until readDeadline
-// it spares those on which a call is arriving, and new ones, whose first call may be on its way: closing them
-// would lose the call.
-func (s *Server) closeUnused(readDeadline time.Time) (remain bool) {
+// closeUnused makes connections end that have no call, and reports whether any connection remains. Until the read
+// deadline it spares those on which a call is arriving, and new ones, whose first call may be on its way: closing
+// them would lose the call.
+func (s *Server) closeUnused() (remain bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	readTimeLeft := time.Now().Before(s.readDeadline)
 	for c := range s.conns {
-		if c.busy || c.mayDeliverCall() && time.Now().Before(readDeadline) {
-			remain = true
-		} else {
+		switch {
+		case c.unanswered > 0 || c.mayDeliverCall() && readTimeLeft:
+		case c.readingCall:
 			c.Close()
+		default:
+			c.stopReading()
 		}
 	}
-	return remain
+	return len(s.conns) > 0
 }
 
 // mayDeliverCall reports whether a call is arriving or may be on its way. The server's lock is held.
