--- a/internal/downstream/http/disconnect_test.go
+++ b/internal/downstream/http/disconnect_test.go
@@ -7,27 +7,15 @@
 	"testing"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/lab/tcppair"
 	"ringtrack.example/ringtrack/internal/socket"
 )
 
 // newDetectedConn returns both ends of a client's connection, whose disconnect detector is running.
-func newDetectedConn(t *testing.T) (client net.Conn, c *framedConn) {
+func newDetectedConn(t *testing.T) (client *net.TCPConn, c *framedConn) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	if client, err = net.Dial("tcp", ln.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { client.Close() })
-	nc, err := framedListener{ln}.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { nc.Close() })
-	c = nc.(*framedConn)
+	accepted, client := tcppair.New(t)
+	c = newFramedConn(accepted)
 	c.disconnect.start()
 	return client, c
 }
@@ -37,7 +25,7 @@
 func TestDisconnectIsNotifiedOnce(t *testing.T) {
 	client, c := newDetectedConn(t)
 	io.WriteString(client, strings.Repeat("x", maxReadAheadBytes+1))
-	client.(*net.TCPConn).CloseWrite()
+	client.CloseWrite()
 	select {
 	case <-c.disconnect.disconnected:
 	case <-time.After(10 * time.Second):
--- a/internal/downstream/thrift/read_test.go
+++ b/internal/downstream/thrift/read_test.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"ringtrack.example/ringtrack/internal/lab/tcppair"
 	"ringtrack.example/ringtrack/internal/socket"
 	"ringtrack.example/ringtrack/internal/thriftwire"
 )
@@ -29,25 +30,13 @@
 // newTestConn returns a server and a connection of it, which nothing reads, and the client's side.
 func newTestConn(t *testing.T, s *Server) (c *clientConn, client net.Conn) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	if client, err = net.Dial("tcp", ln.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	nc, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { client.Close(); nc.Close() })
-	c = &clientConn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), noCallYet: true}
+	accepted, dialed := tcppair.New(t)
+	c = &clientConn{Conn: accepted, reader: bufio.NewReaderSize(accepted, readBufferBytes), noCallYet: true}
 	if s.conns == nil {
 		s.conns = map[*clientConn]struct{}{}
 	}
 	s.conns[c] = struct{}{}
-	return c, client
+	return c, dialed
 }
 
 func newTestServer() *Server {
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -8,28 +8,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-)
 
-// connect returns both ends of a connection.
-func connect(t *testing.T) (nc net.Conn, peer *net.TCPConn) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	dialed, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { dialed.Close() })
-	nc, err = ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { nc.Close() })
-	return nc, dialed.(*net.TCPConn)
-}
+	"ringtrack.example/ringtrack/internal/lab/tcppair"
+)
 
 // ReadState, HungUp and ReadNow, for every state in which a peer can leave a connection.
 func TestReadState(t *testing.T) {
@@ -46,7 +27,7 @@
 		"reset":                  {func(p *net.TCPConn) { p.SetLinger(0); p.Close() }, Ended, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			nc, peer := connect(t)
+			nc, peer := tcppair.New(t)
 			test.do(peer)
 			for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 				if HungUp(nc) == test.hungUp && (test.state == Ended || ReadState(nc) == test.state) {
@@ -81,7 +62,7 @@
 // Interrupted system calls are repeated: they are no sign that nothing has arrived, or that the peer is there.
 // If poll fails for another reason, a read tells whether the connection has ended.
 func TestInterruptedCallsAreRepeated(t *testing.T) {
-	nc, peer := connect(t)
+	nc, peer := tcppair.New(t)
 	realRecvfrom, realPoll := recvfrom, poll
 	defer func() { recvfrom, poll = realRecvfrom, realPoll }()
 	calls := 0
@@ -129,7 +110,7 @@
 // A peer that has closed its sending side behind bytes that were not read still gets the last answer: no reset
 // follows it.
 func TestLingeringCloseBehindUnreadBytesOfAHalfClosedPeer(t *testing.T) {
-	nc, peer := connect(t)
+	nc, peer := tcppair.New(t)
 	const unread = 64 << 10
 	peer.Write(make([]byte, unread))
 	peer.CloseWrite()
