conns: waits for resting connections are worth one connection more

The most recently used connection that has rested is taken again, and once requests to a backend have waited for 100 ms all together another connection is opened.

--- a/internal/upstream/conns/caution.go
+++ b/internal/upstream/conns/caution.go
@@ -18,13 +18,14 @@
 	// settledRest is how long a connection rests after any response: a second one may come some milliseconds
 	// behind it, and the network and a busy host may delay that further.
 	settledRest = 15 * time.Millisecond
-	// preferredRest is how long a connection has rested that is used in preference to others.
-	preferredRest = unsettledRest
 	// unsettledRest is how long a connection rests after its first response.
 	unsettledRest = 50 * time.Millisecond
 	// maxRestWait and maxSuspectRestWait are how long a request waits for the rest of an idle connection
 	// before another one is opened: usually, and after unsolicited bytes.
 	maxRestWait, maxSuspectRestWait = unsettledRest, 40 * time.Millisecond
+	// maxRestWaits is how long requests to a backend wait for resting connections, all together, before another one
+	// is opened: about what opening a connection costs.
+	maxRestWaits = 100 * time.Millisecond
 	// suspectNewConnRest and suspectIdleRest are the least rests after unsolicited bytes: of new connections,
 	// and of those that had a response.
 	suspectNewConnRest, suspectIdleRest = 25 * time.Millisecond, 50 * time.Millisecond
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -61,6 +62,8 @@
 	mu       sync.Mutex
 	maxConns int
 	open     int // number of connections, idle and in use
+	// restWaits has, by key, how long requests have waited for resting connections since one was opened instead.
+	restWaits map[Key]time.Duration
 	// idle has the idle connections, the most recently used last; a key without any has no entry. The key has
 	// the backend rather than its address, which another backend may get after this one is removed.
 	idle map[Key][]*Conn
@@ -87,6 +90,7 @@
 		maxConns:       maxConns,
 		unsolicitedLog: rate.NewLimiter(unsolicitedLogRate, unsolicitedLogBurst),
 		idle:           map[Key][]*Conn{},
+		restWaits:      map[Key]time.Duration{},
 	}
 }
 
@@ -181,24 +185,24 @@
 	return nil, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection that has rested for preferredRest, else
-// the one that has rested longest. If none has rested, it returns the one that lacks least, unless opening
-// another one is better than waiting for it; nil means that. The caller holds the lock.
+// takeIdle removes and returns the most recently used idle connection that has rested. If none has, it
+// returns the one that lacks least, unless opening another one is better than waiting for it; nil means that.
+// The caller holds the lock.
 func (p *Pool) takeIdle(key Key, wanted rests) *Conn {
 	idle := p.idle[key]
 	now := time.Now()
 	take, least := -1, wanted.maxWait
 	for i := len(idle) - 1; i >= 0; i-- {
 		lacking := wanted.lacking(idle[i], now)
-		if lacking == 0 && (idle[i].matchedByID || now.Sub(idle[i].restingSince()) >= preferredRest) {
-			take = i
+		if lacking == 0 {
+			take, least = i, 0
 			break
 		}
 		if lacking <= least {
 			take, least = i, lacking
 		}
 	}
-	if take < 0 {
+	if take < 0 || least > 0 && !p.mayWait(key, least) {
 		return nil
 	}
 	cn := idle[take]
@@ -206,6 +210,18 @@
 	return cn
 }
 
+// mayWait says whether a request is to wait for a connection that has to rest for a time, and counts the time. Waits
+// that add up to maxRestWaits are worth a connection more. The caller holds the lock.
+func (p *Pool) mayWait(key Key, lacking time.Duration) bool {
+	waited := p.restWaits[key] + lacking
+	if waited > maxRestWaits && p.open < p.maxConns {
+		delete(p.restWaits, key)
+		return false
+	}
+	p.restWaits[key] = waited
+	return true
+}
+
 // dial opens a connection that is already counted in p.open.
 func (p *Pool) dial(ctx context.Context, key Key, addr string, deadline time.Time) (*Conn, error) {
 	dialer := net.Dialer{Deadline: deadline, KeepAlive: -1}
@@ -315,6 +331,7 @@
 		clear(idle[len(kept):])
 		p.setIdle(key, kept)
 	}
+	maps.DeleteFunc(p.restWaits, func(key Key, _ time.Duration) bool { return len(p.idle[key]) == 0 })
 }
 
 // localErrors are the errors of Get for which the backend is not responsible.
