--- a/internal/upstream/conns/caution.go
+++ b/internal/upstream/conns/caution.go
@@ -24,8 +24,8 @@
 	// before another one is opened: usually, and after unsolicited bytes.
 	maxRestWait, maxSuspectRestWait = unsettledRest, 40 * time.Millisecond
 	// maxRestWaits is how long requests to a backend wait for resting connections, all together, before another one
-	// is opened: about what opening a connection costs.
-	maxRestWaits = 100 * time.Millisecond
+	// is opened. It costs its server a handshake, and a place for as long as it is kept.
+	maxRestWaits = 500 * time.Millisecond
 	// suspectNewConnRest and suspectIdleRest are the least rests after unsolicited bytes: of new connections,
 	// and of those that had a response.
 	suspectNewConnRest, suspectIdleRest = 25 * time.Millisecond, 50 * time.Millisecond
