--- /dev/null
+++ b/internal/lab/pressure/pressure_test.go
@@ -0,0 +1,86 @@
+package pressure
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// program is the path of the agent's program, which is built without the race detector: that would multiply its memory.
+var program string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "pressure")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	program = filepath.Join(dir, "ringtrack")
+	build := exec.Command("go", "build", "-race=false", "-o", program, "ringtrack.example/ringtrack/cmd/ringtrack")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// crowdDuration is how long a crowd misbehaves in a test.
+const crowdDuration = 4 * time.Second
+
+// Clients that misbehave take neither the process over its memory limit nor other clients' answers.
+func TestCrowdsNeitherExhaustMemoryNorDelayOtherClients(t *testing.T) {
+	tests := []struct {
+		name     string
+		scenario Scenario
+	}{
+		{"heads of short fields without an end, 64 MB", Scenario{MemoryMB: 64, Crowds: []Crowd{{EndlessHead, 400}}}},
+		{"heads of short fields without an end, 16 MB", Scenario{MemoryMB: 16, Crowds: []Crowd{{EndlessHead, 400}}}},
+		{"heads of short fields at once, 32 MB", Scenario{MemoryMB: 32, Crowds: []Crowd{{EndlessHeadAtOnce, 250}}}},
+		{"whole heads of short fields, 24 MB", Scenario{MemoryMB: 24, Crowds: []Crowd{{ShortFieldsWithoutBody, 400}}}},
+		{"whole heads of long fields, 16 MB", Scenario{MemoryMB: 16, Crowds: []Crowd{{LongFieldsWithoutBody, 440}}}},
+		{"trailers, 24 MB", Scenario{MemoryMB: 24, Crowds: []Crowd{{SlowTrailers, 400}}}},
+		{"half bodies, 24 MB", Scenario{MemoryMB: 24, Crowds: []Crowd{{PartOfBody, 440}}}},
+		{"half bodies, 16 MB", Scenario{MemoryMB: 16, Crowds: []Crowd{{PartOfBody, 440}}}},
+		{"slow bodies, 32 MB", Scenario{MemoryMB: 32, Crowds: []Crowd{{SlowBody, 440}}}},
+		{"slow readers, 16 MB", Scenario{MemoryMB: 16, Crowds: []Crowd{{SlowReader, 400}}}},
+		{"all of them, and kills, 16 MB", Scenario{MemoryMB: 16, Kills: 2, Crowds: []Crowd{
+			{EndlessHead, 80}, {ShortFieldsWithoutBody, 80}, {LongFieldsWithoutBody, 80}, {PartOfBody, 80}, {SlowReader, 80}}}},
+		{"readiness, 6 connections", Scenario{MemoryMB: 64, Crowds: []Crowd{{ReadyFlood, 6}}}},
+		{"readiness, 100 connections", Scenario{MemoryMB: 64, Crowds: []Crowd{{ReadyFlood, 100}}}},
+		{"readiness, pipelined", Scenario{MemoryMB: 64, Crowds: []Crowd{{PipelinedReadyFlood, 6}}}},
+		{"readiness, new connections", Scenario{MemoryMB: 64, Crowds: []Crowd{{ReadyOnNewConnections, 6}}}},
+		{"small requests", Scenario{MemoryMB: 64, Crowds: []Crowd{{SmallRequestFlood, 6}}}},
+		{"unsound requests", Scenario{MemoryMB: 64, Crowds: []Crowd{{UnsoundRequestFlood, 6}}}},
+		{"expired requests", Scenario{MemoryMB: 64, Crowds: []Crowd{{ExpiredRequestFlood, 6}}}},
+		{"Thrift messages of the wrong type", Scenario{MemoryMB: 64, Thrift: true, Crowds: []Crowd{{ThriftReplyFlood, 6}}}},
+		{"Thrift calls of unknown methods", Scenario{MemoryMB: 64, Thrift: true, Crowds: []Crowd{{ThriftUnknownFlood, 6}}}},
+		{"Thrift one-way calls of unknown methods", Scenario{MemoryMB: 64, Thrift: true, Crowds: []Crowd{{ThriftOnewayFlood, 6}}}},
+		{"Thrift calls", Scenario{MemoryMB: 64, Thrift: true, Crowds: []Crowd{{ThriftCallFlood, 6}}}},
+		{"Thrift, half messages, 24 MB", Scenario{MemoryMB: 24, Thrift: true, Crowds: []Crowd{{PartOfThriftMessage, 220}}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := test.scenario
+			s.Program = program
+			s.Sockets = 1024
+			s.Duration = crowdDuration
+			s.Seed = 1
+			result, err := Run(t.Context(), &s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(result)
+			for _, violation := range result.Violations() {
+				t.Error(violation)
+			}
+		})
+	}
+}
