downstream http: a head of more than 128 fields is answered 431 before net/http keeps it

Cause: MaxHeaderBytes bounds the bytes of a head, not what net/http makes of them: a field of four bytes takes over a hundred (a map entry, a slice, two strings). 400 clients with such heads took 73 MiB of 64, and the collector the core. The framing checker, which sees the bytes first, counts the fields, also those behind a Content-Length that can't be read, and ends such a head with an empty line, so that the handler answers it in its turn; of trailers it passes on 16. Nothing behind a message that can't be used is parsed any more.

--- a/internal/downstream/http/disconnect.go
+++ b/internal/downstream/http/disconnect.go
@@ -27,9 +27,9 @@
 // interrupt its own read, and restores the deadline that net/http set.
 type disconnectDetector struct {
 	conn         net.Conn
-	onRead       func(p []byte) // called with the bytes of each read
-	disconnected chan struct{}  // closed once the client has disconnected
-	once         sync.Once      // closes disconnected: both a poll and the end of the bytes may show it
+	onRead       func(p []byte) (usable int) // called with the bytes of each read; returns how many may be passed on
+	disconnected chan struct{}               // closed once the client has disconnected
+	once         sync.Once                   // closes disconnected: both a poll and the end of the bytes may show it
 
 	mu           sync.Mutex
 	readAhead    []byte
@@ -68,7 +68,8 @@
 	go d.run(d.stop, d.stopped)
 }
 
-// run reads ahead until stop or an error. From maxReadAheadBytes on it polls the socket instead.
+// run reads ahead until stop or an error. From maxReadAheadBytes on, or once nothing more is passed on, it polls the
+// socket instead.
 func (d *disconnectDetector) run(stop, stopped chan struct{}) {
 	defer close(stopped)
 	buf := make([]byte, readAheadBufferBytes)
@@ -81,9 +82,9 @@
 			return
 		}
 		n, err := d.conn.Read(buf[:min(capacity, len(buf))])
-		d.onRead(buf[:n])
+		usable := d.onRead(buf[:n])
 		d.mu.Lock()
-		d.readAhead = append(d.readAhead, buf[:n]...)
+		d.readAhead = append(d.readAhead, buf[:usable]...)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			d.err = err
 			d.notify()
@@ -92,6 +93,10 @@
 		if err != nil {
 			return
 		}
+		if usable < n {
+			d.poll(stop)
+			return
+		}
 	}
 }
 
--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -23,6 +23,9 @@
 	return newFramedConn(nc), nil
 }
 
+// errFramingEnded is the error of reading behind a message that can't be used.
+var errFramingEnded = errors.New("http: nothing is read behind a message that can't be used")
+
 // framedConn is a client's connection that checks the framing of requests and detects the disconnect.
 type framedConn struct {
 	net.Conn
@@ -59,6 +62,11 @@
 }
 
 func (c *framedConn) read(p []byte) (int, error) {
+	// net/http reads a single byte only to detect a disconnect.
+	detectsDisconnect := len(p) == 1
+	if c.framingEnded() && !detectsDisconnect {
+		return 0, errFramingEnded
+	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.betweenRequests() {
 		// Serves a request that arrives just as the idle timeout of its connection expires.
@@ -67,14 +75,27 @@
 			err = nil
 		}
 	}
-	c.checkFraming(p[:n])
-	return n, err
+	usable := c.checkFraming(p[:n])
+	switch {
+	case usable == n || detectsDisconnect:
+		return n, err
+	case usable == 0:
+		return 0, errFramingEnded
+	}
+	return usable, nil
+}
+
+// checkFraming returns how many of the bytes may be passed on.
+func (c *framedConn) checkFraming(p []byte) (usable int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framing.feed(p)
 }
 
-func (c *framedConn) checkFraming(p []byte) {
+func (c *framedConn) framingEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.framing.feed(p)
+	return c.framing.ended()
 }
 
 // SetReadDeadline goes through the detector, which sets a deadline of its own to end its reads.
@@ -108,12 +129,13 @@
 	return c.framing.heads > c.requests
 }
 
-// trustNextRequest counts a request and reports whether its framing can be trusted.
-func (c *framedConn) trustNextRequest() bool {
+// checkNextRequest counts a request. It reports whether its framing can be trusted, and whether its head was cut off
+// as it has too many fields.
+func (c *framedConn) checkNextRequest() (trusted, tooManyFields bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
-	return c.framing.firstUntrusted == 0 || c.requests < c.framing.firstUntrusted
+	return c.framing.firstUntrusted == 0 || c.requests < c.framing.firstUntrusted, c.requests == c.framing.tooManyFields
 }
 
 // Close closes the connection without a reset, which could destroy the last answer, even if the client has
--- a/internal/downstream/http/framing.go
+++ b/internal/downstream/http/framing.go
@@ -9,17 +9,21 @@
 // framingChecker tracks the message framing in the raw bytes of a client's connection. It detects what
 // net/http accepts silently: a request with both Content-Length and Transfer-Encoding, of which net/http
 // ignores the former. A request whose length is ambiguous may smuggle another one (RFC 9112, sections 6 and
-// 7). The checker only decides whether the framing of a chunked request can be trusted. Once it can't parse a
-// message, it trusts none from that one on.
+// 7). Once it can't parse a message, it trusts none from that one on, and ends the stream of bytes.
+//
+// It also bounds the fields of a head and of a trailer section: net/http bounds their bytes alone, and a field of four
+// bytes takes it over a hundred.
 type framingChecker struct {
 	state            framingState
 	line             []byte // the current line, as far as it has arrived, truncated to maxLine
 	contentLength    int64  // of the current head; -1: there is none
 	transferEncoding bool   // the current head has this field
 	headBegun        bool   // a line of the current head has arrived
+	lines            int    // number of complete lines of the current head or trailer section
 	remaining        int64  // bytes of the body or the chunk
 	heads            int    // number of complete heads
 	firstUntrusted   int    // number of the first head that is not trusted, counted from 1; 0: there is none
+	tooManyFields    int    // number of the head with more than maxHeaderFields; 0: there is none
 }
 
 type framingState uint8
@@ -31,7 +35,8 @@
 	inChunk
 	inChunkEnd
 	inTrailer
-	untrusted
+	inUntrustedHead // the head can't be used, and is to be ended
+	untrusted       // nothing that follows is passed on
 )
 
 const (
@@ -40,26 +45,60 @@
 	maxLine = 256
 	// maxLengthBits bounds the lengths of bodies and chunks that are accepted.
 	maxLengthBits = 62
+	// maxHeaderFields bounds the fields of a head, and maxTrailerFields those of a trailer section.
+	maxHeaderFields  = 128
+	maxTrailerFields = 16
 )
 
-// feed processes bytes that were read from the connection.
-func (f *framingChecker) feed(p []byte) {
-	for len(p) > 0 && f.state != untrusted {
-		if f.state == inBody || f.state == inChunk {
-			p = f.skip(p)
+// feed processes bytes that were read from the connection, and returns how many of them may be passed on. A head that
+// can't be used ends there with an empty line, which replaces its next byte, so that it can be answered; of anything
+// else that can't be used the rest is dropped.
+func (f *framingChecker) feed(p []byte) (usable int) {
+	rest := p
+	for len(rest) > 0 && f.state != untrusted {
+		f.limitFields(rest[0])
+		switch f.state {
+		case untrusted:
+			return len(p) - len(rest)
+		case inUntrustedHead:
+			rest[0] = '\n'
+			f.state = untrusted
+			return len(p) - len(rest) + 1
+		case inBody, inChunk:
+			rest = f.skip(rest)
 			continue
 		}
-		part, rest, ended := bytes.Cut(p, []byte("\n"))
+		part, behind, ended := bytes.Cut(rest, []byte("\n"))
 		f.line = append(f.line, part[:min(len(part), maxLine-len(f.line))]...)
 		if !ended {
-			return
+			return len(p)
 		}
-		p = rest
+		rest = behind
 		f.endLine(strings.TrimSuffix(string(f.line), "\r"))
 		f.line = f.line[:0]
 	}
+	return len(p) - len(rest)
 }
 
+// limitFields ends a head or trailer section if next begins one field too many.
+func (f *framingChecker) limitFields(next byte) {
+	if len(f.line) > 0 || next == '\r' || next == '\n' {
+		return
+	}
+	switch {
+	case f.state == inHead && f.lines > maxHeaderFields: // the first line is the request line
+		f.heads++
+		f.tooManyFields = f.heads
+		f.firstUntrusted = f.heads
+		f.state = inUntrustedHead
+	case f.state == inTrailer && f.lines >= maxTrailerFields:
+		f.markUntrusted(f.heads + 1)
+	}
+}
+
+// ended reports whether nothing that follows is passed on.
+func (f *framingChecker) ended() bool { return f.state == untrusted }
+
 // skip skips bytes of a body or chunk, and returns those that follow it.
 func (f *framingChecker) skip(p []byte) []byte {
 	n := min(int64(len(p)), f.remaining)
@@ -80,6 +119,7 @@
 	f.contentLength = -1
 	f.transferEncoding = false
 	f.headBegun = false
+	f.lines = 0
 }
 
 // markUntrusted stops checking and trusts no head from this number on.
@@ -101,6 +141,7 @@
 			f.markUntrusted(f.heads + 1)
 		}
 	case inTrailer:
+		f.lines++
 		if line == "" {
 			f.nextMessage()
 		}
@@ -116,6 +157,7 @@
 		f.markUntrusted(f.heads + 1) // net/http rejects it too, and closes the connection
 	case size == 0:
 		f.state = inTrailer
+		f.lines = 0
 	default:
 		f.state = inChunk
 		f.remaining = int64(size)
@@ -129,12 +171,14 @@
 		return
 	}
 	f.headBegun = true
+	f.lines++
 	name, value, _ := strings.Cut(line, ":")
 	switch strings.ToLower(strings.TrimRight(name, " \t")) {
 	case "content-length":
 		n, err := strconv.ParseUint(strings.Trim(value, " \t"), 10, maxLengthBits)
 		if err != nil || f.contentLength >= 0 && f.contentLength != int64(n) {
-			f.markUntrusted(f.heads + 1)
+			f.firstUntrusted = f.heads + 1
+			f.state = inUntrustedHead // net/http rejects it too
 			return
 		}
 		f.contentLength = int64(n)
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -15,11 +15,11 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	receivedAt := time.Now()
-	framingTrusted := false
+	framingTrusted, tooManyFields := false, false
 	var disconnected <-chan struct{} // closed if the client disconnects and net/http does not detect that
 	conn, framed := req.Context().Value(connKey{}).(*framedConn)
 	if framed {
-		framingTrusted = conn.trustNextRequest()
+		framingTrusted, tooManyFields = conn.checkNextRequest()
 		disconnected = conn.disconnect.disconnected
 		select {
 		case <-disconnected: // during an earlier request, after which this one was pipelined
@@ -27,6 +27,10 @@
 		default:
 		}
 	}
+	if tooManyFields {
+		rejectStatus(w, http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
 	if framed && conn.rejecting {
 		s.rejectBehindLastAnswer(w, conn)
 		return
