downstream http: an answer ahead of the body ends its connection at once

Cause: net/http keeps a connection with its buffers and its request for half a second behind an answer to a request whose body was not read (rstAvoidanceDelay), also one that has been evicted and is no longer counted, and reads up to 256 KiB of such a body without a limit of time. With 440 clients that send whole heads and no body 491 of 683 goroutines slept there (a goroutine dump), and took 28 to 36 MiB of 16. Such an answer says its length, is flushed, and ends its handler; the connection's own close reads what is left, at most 0.1 s. Heads over 16 KiB are ended by the framing checker, as those with too many fields, since net/http's own 431 waits the same half second.

--- a/internal/downstream/http/body.go
+++ b/internal/downstream/http/body.go
@@ -42,6 +42,7 @@
 	readBytes  int64
 	discarding bool // discard reads the rest, and Read returns an error
 	ended      bool // the end or an error was read
+	complete   bool // the end was read
 }
 
 func newBody(w http.ResponseWriter, req *http.Request) *clientBody {
@@ -72,6 +73,7 @@
 	case nil:
 		return n, nil
 	case io.EOF:
+		b.complete = true
 		_ = b.setReadDeadline(time.Time{}) // net/http reads on, to detect that the client disconnects
 	default:
 		_ = b.setReadDeadline(start) // the rest is not read
@@ -86,19 +88,19 @@
 }
 
 // discard reads and drops the rest of the body after an answer that was written before its end: some clients
-// read the answer only once they have sent the complete request.
-func (b *clientBody) discard(w http.ResponseWriter) {
+// read the answer only once they have sent the complete request. It reports whether the end was read.
+func (b *clientBody) discard(w http.ResponseWriter) (complete bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.discarding = true
 	if b.ended {
-		return
+		return b.complete
 	}
 	_ = http.NewResponseController(w).Flush()
 	buf := make([]byte, discardBufferBytes)
 	for {
 		if _, err := b.readLocked(buf); err != nil {
-			return
+			return b.complete
 		}
 	}
 }
--- a/internal/downstream/http/disconnect.go
+++ b/internal/downstream/http/disconnect.go
@@ -20,6 +20,9 @@
 	disconnectPollInterval = 25 * time.Millisecond
 )
 
+// expiredDeadline makes reads fail immediately.
+var expiredDeadline = time.Unix(1, 0)
+
 // disconnectDetector detects that a client disconnects while its request is open, in the cases in which
 // net/http does not: net/http's own check ends with the first byte that arrives after the request, and does
 // not begin before the body has arrived completely. The detector then reads ahead, up to maxReadAheadBytes,
@@ -123,7 +126,7 @@
 	defer d.mu.Unlock()
 	if stop, stopped := d.stop, d.stopped; stop != nil {
 		close(stop)
-		d.conn.SetReadDeadline(time.Unix(1, 0)) // interrupts its read
+		d.conn.SetReadDeadline(expiredDeadline) // interrupts its read
 		d.mu.Unlock()
 		<-stopped
 		d.mu.Lock()
--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -130,12 +130,12 @@
 }
 
 // checkNextRequest counts a request. It reports whether its framing can be trusted, and whether its head was cut off
-// as it has too many fields.
-func (c *framedConn) checkNextRequest() (trusted, tooManyFields bool) {
+// as it is too large.
+func (c *framedConn) checkNextRequest() (trusted, tooLarge bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
-	return c.framing.firstUntrusted == 0 || c.requests < c.framing.firstUntrusted, c.requests == c.framing.tooManyFields
+	return c.framing.firstUntrusted == 0 || c.requests < c.framing.firstUntrusted, c.requests == c.framing.tooLarge
 }
 
 // Close closes the connection without a reset, which could destroy the last answer, even if the client has
--- a/internal/downstream/http/framing.go
+++ b/internal/downstream/http/framing.go
@@ -11,8 +11,9 @@
 // ignores the former. A request whose length is ambiguous may smuggle another one (RFC 9112, sections 6 and
 // 7). Once it can't parse a message, it trusts none from that one on, and ends the stream of bytes.
 //
-// It also bounds the fields of a head and of a trailer section: net/http bounds their bytes alone, and a field of four
-// bytes takes it over a hundred.
+// It also bounds the bytes and fields of a head, and the fields of a trailer section. net/http bounds bytes alone, and a
+// field of four bytes takes it over a hundred; it also keeps a connection for half a second behind a head that is too
+// long.
 type framingChecker struct {
 	state            framingState
 	line             []byte // the current line, as far as it has arrived, truncated to maxLine
@@ -20,10 +21,11 @@
 	transferEncoding bool   // the current head has this field
 	headBegun        bool   // a line of the current head has arrived
 	lines            int    // number of complete lines of the current head or trailer section
+	headBytes        int    // of the current head
 	remaining        int64  // bytes of the body or the chunk
 	heads            int    // number of complete heads
 	firstUntrusted   int    // number of the first head that is not trusted, counted from 1; 0: there is none
-	tooManyFields    int    // number of the head with more than maxHeaderFields; 0: there is none
+	tooLarge         int    // number of the head that exceeds maxHeadBytes or maxHeaderFields; 0: there is none
 }
 
 type framingState uint8
@@ -69,6 +71,12 @@
 			continue
 		}
 		part, behind, ended := bytes.Cut(rest, []byte("\n"))
+		if room := max(maxHeadBytes-f.headBytes, 0); f.state == inHead && len(part) > room {
+			f.markTooLarge()
+			rest[room] = '\n' // ends the line
+			return len(p) - len(rest) + room + 1 + f.feed(rest[room+1:])
+		}
+		f.headBytes += len(rest) - len(behind)
 		f.line = append(f.line, part[:min(len(part), maxLine-len(f.line))]...)
 		if !ended {
 			return len(p)
@@ -87,15 +95,20 @@
 	}
 	switch {
 	case f.state == inHead && f.lines > maxHeaderFields: // the first line is the request line
-		f.heads++
-		f.tooManyFields = f.heads
-		f.firstUntrusted = f.heads
-		f.state = inUntrustedHead
+		f.markTooLarge()
 	case f.state == inTrailer && f.lines >= maxTrailerFields:
 		f.markUntrusted(f.heads + 1)
 	}
 }
 
+// markTooLarge ends the current head, which counts as complete.
+func (f *framingChecker) markTooLarge() {
+	f.heads++
+	f.tooLarge = f.heads
+	f.firstUntrusted = f.heads
+	f.state = inUntrustedHead
+}
+
 // ended reports whether nothing that follows is passed on.
 func (f *framingChecker) ended() bool { return f.state == untrusted }
 
@@ -120,6 +133,7 @@
 	f.transferEncoding = false
 	f.headBegun = false
 	f.lines = 0
+	f.headBytes = 0
 }
 
 // markUntrusted stops checking and trusts no head from this number on.
--- a/internal/downstream/http/framing_test.go
+++ b/internal/downstream/http/framing_test.go
@@ -79,20 +79,22 @@
 	})
 }
 
-// A head with too many fields ends behind the last field that is allowed, however the bytes are split, and nothing
+// A head with too many fields or bytes ends behind the last field that is allowed, however the bytes are split, and nothing
 // behind it is passed on. Of trailers with too many fields the beginning is passed on.
-func TestFieldsOverTheLimitAreCutOff(t *testing.T) {
+func TestHeadsOverTheLimitsAreCutOff(t *testing.T) {
 	fields := func(n int) string { return strings.Repeat("a:\r\n", n) }
 	chunked := plainHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n"
 	allowed := plainHead + fields(maxHeaderFields-1) // and Host
 	for _, c := range []struct {
 		name, text, usable string
-		tooManyFields      int
+		tooLarge           int
 	}{
 		{"as many as allowed", allowed + "\r\n", allowed + "\r\n", 0},
 		{"one more", allowed + "a:\r\n\r\nGET", allowed + "\n", 1},
 		{"without an end", plainHead + fields(5000), allowed + "\n", 1},
 		{"behind a request", plainHead + "\r\n" + plainHead + fields(5000), plainHead + "\r\n" + allowed + "\n", 2},
+		{"a long line", plainHead + "X: " + strings.Repeat("p", 32<<10), (plainHead + "X: " + strings.Repeat("p", 32<<10))[:maxHeadBytes] + "\n\n", 1},
+		{"a long request line", strings.Repeat("p", 32<<10), strings.Repeat("p", maxHeadBytes) + "\n\n", 1},
 		{"behind an invalid length", plainHead + "Content-Length: x\r\n" + fields(5000), plainHead + "Content-Length: x\r\n\n", 0},
 		{"trailers", chunked + fields(maxTrailerFields) + "\r\n" + plainHead, chunked + fields(maxTrailerFields) + "\r\n" + plainHead, 0},
 		{"too many trailers", chunked + fields(5000), chunked + fields(maxTrailerFields), 0},
@@ -105,9 +107,9 @@
 				usable = append(usable, rest[:f.feed(rest[:n])]...)
 				rest = rest[n:]
 			}
-			if string(usable) != c.usable || f.tooManyFields != c.tooManyFields {
-				t.Errorf("%s, %d bytes at once: %d bytes of which %q is the end, too many fields in head %d; want %d bytes, head %d",
-					c.name, step, len(usable), usable[max(0, len(usable)-20):], f.tooManyFields, len(c.usable), c.tooManyFields)
+			if string(usable) != c.usable || f.tooLarge != c.tooLarge {
+				t.Errorf("%s, %d bytes at once: %d bytes of which %q is the end, too large head %d; want %d bytes, head %d",
+					c.name, step, len(usable), usable[max(0, len(usable)-20):], f.tooLarge, len(c.usable), c.tooLarge)
 			}
 		}
 	}
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -15,11 +15,11 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	receivedAt := time.Now()
-	framingTrusted, tooManyFields := false, false
+	framingTrusted, headTooLarge := false, false
 	var disconnected <-chan struct{} // closed if the client disconnects and net/http does not detect that
 	conn, framed := req.Context().Value(connKey{}).(*framedConn)
 	if framed {
-		framingTrusted, tooManyFields = conn.checkNextRequest()
+		framingTrusted, headTooLarge = conn.checkNextRequest()
 		disconnected = conn.disconnect.disconnected
 		select {
 		case <-disconnected: // during an earlier request, after which this one was pipelined
@@ -27,9 +27,8 @@
 		default:
 		}
 	}
-	if tooManyFields {
-		rejectStatus(w, http.StatusRequestHeaderFieldsTooLarge)
-		return
+	if headTooLarge {
+		reject(w, statusError(http.StatusRequestHeaderFieldsTooLarge))
 	}
 	if framed && conn.rejecting {
 		s.rejectBehindLastAnswer(w, conn)
@@ -43,7 +42,6 @@
 	c, err := s.parseCall(req, receivedAt, framingTrusted)
 	if err != nil {
 		reject(w, err)
-		return
 	}
 	var body *clientBody // not nil if a part is still to be read
 	if req.ContentLength != 0 {
@@ -51,8 +49,7 @@
 		body, reserved, err = s.readBody(w, req, c)
 		defer func() { s.budget.Release(reserved) }()
 		if err != nil {
-			reject(w, requestErrorf(http.StatusBadRequest, "body can't be read"))
-			return
+			reject(w, badRequestf("body can't be read"))
 		}
 	}
 	if !s.clientConns.requestRead(req.Context()) {
@@ -118,8 +115,8 @@
 	}
 	s.endIfDraining(w, conn)
 	s.write(w, a, c.Class)
-	if body != nil {
-		body.discard(w)
+	if body != nil && !body.discard(w) && a.Outcome != core.Served {
+		endUnread(w)
 	}
 }
 
--- a/internal/downstream/http/response.go
+++ b/internal/downstream/http/response.go
@@ -19,22 +19,41 @@
 	streamBufferBytes  = 16 << 10
 )
 
-// reject answers an invalid request with an error, and closes the connection: a client that sends one invalid
-// request sends more, and the bytes that follow may belong to it.
+// reject answers an invalid request whose body may be unread, and ends the handler.
 func reject(w http.ResponseWriter, err error) {
+	writeError(w, err)
+	endUnread(w)
+}
+
+// writeError answers an invalid request with an error, and closes the connection: a client that sends one invalid
+// request sends more, and the bytes that follow may belong to it.
+func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusBadRequest
 	var requestErr *requestError
 	if errors.As(err, &requestErr) {
 		status = requestErr.status
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	text := err.Error() + "\n"
 	w.Header().Set("Connection", "close")
-	http.Error(w, err.Error(), status)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("X-Content-Type-Options", "nosniff")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text) // fails only if the client has disconnected
 }
 
-// rejectStatus calls reject with the standard text of the status.
-func rejectStatus(w http.ResponseWriter, status int) {
-	reject(w, requestErrorf(status, "%s", http.StatusText(status)))
+// statusError returns an error with the standard text of the status.
+func statusError(status int) error { return requestErrorf(status, "%s", http.StatusText(status)) }
+
+// endUnread ends the handler behind an answer of known length, and closes the connection, on which a part of the
+// request may be unread. By itself net/http would wait for that part without a limit of time, or keep the connection
+// for half a second.
+func endUnread(w http.ResponseWriter) {
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(expiredDeadline)
+	panic(http.ErrAbortHandler)
 }
 
 // write writes the answer to a request.
@@ -46,24 +65,30 @@
 	case a.Outcome == core.Rejected:
 		writeRejection(w, a.RetryAfterMs)
 	case a.Reason == core.BadRequest:
-		rejectStatus(w, a.Reply.(*upstream.Reply).Status)
+		writeError(w, statusError(a.Reply.(*upstream.Reply).Status))
 	case a.Reason == core.Duplicate:
-		rejectStatus(w, http.StatusConflict)
+		writeError(w, statusError(http.StatusConflict))
 	case a.Reason == core.IncompleteRequest:
-		reject(w, requestErrorf(http.StatusBadRequest, "body can't be read"))
+		writeError(w, badRequestf("body can't be read"))
 	case a.Reason == core.DeadlineExceeded:
-		w.WriteHeader(http.StatusGatewayTimeout)
+		writeStatus(w, http.StatusGatewayTimeout)
 	default:
-		w.WriteHeader(http.StatusBadGateway)
+		writeStatus(w, http.StatusBadGateway)
 	}
 }
 
+// writeStatus writes an answer without content.
+func writeStatus(w http.ResponseWriter, status int) {
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
 // writeRejection writes the answer to a request that did not run. retryAfterMs is omitted if it is not positive.
 func writeRejection(w http.ResponseWriter, retryAfterMs float64) {
 	if retryAfterMs > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfterMs/1000, 'f', 3, 64))
 	}
-	w.WriteHeader(http.StatusServiceUnavailable)
+	writeStatus(w, http.StatusServiceUnavailable)
 }
 
 // writeReply writes the reply of a backend.
--- a/internal/lab/pressure/pressure.go
+++ b/internal/lab/pressure/pressure.go
@@ -35,7 +35,7 @@
 	LimitKB       int64
 	EndedByItself bool
 	Clients       ClientCounts // the usual clients' requests while the crowds misbehaved
-	Log           string // of the agent
+	Log           string       // of the agent
 }
 
 // Violations returns the bounds that a result exceeds. At least half of the usual clients' requests have to be served.
