Accepts are paced: 64 at once, then 500 a second on each listener of clients

Cause: a client that is evicted or rejected connects again at once. Some hundred of them made the one core accept and read heads only, and the collector run behind; connections that were evicted and not yet closed were no longer counted. Those beyond the pace wait in the accept queue.

The number of connections follows from memory_mb too, a quarter of it at 48 KiB each.

--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -41,6 +41,15 @@
 	minAdminConnections = 2
 )
 
+// Memory for connections of clients, so that those which never deliver a request fit into the limit: they are held
+// before anything is reserved for them.
+const (
+	// clientConnBytes is what a connection takes with the longest head and the unreserved part of a body.
+	clientConnBytes = 48 << 10
+	// clientMemoryDivisor gives the part of the memory limit that is for connections of clients.
+	clientMemoryDivisor = 4
+)
+
 // reservedDescriptors returns how many descriptors are used for neither backends nor clients of the
 // downstreams.
 func (c *Config) reservedDescriptors() int {
@@ -74,9 +83,10 @@
 // maxBackendConnections returns the limit of connections to backends.
 func (c *Config) maxBackendConnections() int { return c.connectionsPerSide() }
 
-// maxClientConnections returns the limit of client connections of each downstream.
+// maxClientConnections returns the limit of client connections of each downstream, by descriptors and by memory.
 func (c *Config) maxClientConnections() int {
-	return max(c.connectionsPerSide()/c.downstreams(), minClientConnections)
+	inMemory := c.MemoryMB << 20 / clientMemoryDivisor / clientConnBytes
+	return max(min(c.connectionsPerSide(), inMemory)/c.downstreams(), minClientConnections)
 }
 
 // maxIdleClients returns how many clients of a downstream may be connected before idle ones are closed. The
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/downstream/pace"
 	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/policy"
 )
@@ -89,7 +90,7 @@
 func (s *Server) Serve(ln net.Listener) error {
 	defer close(s.served)
 	s.ln.Store(&ln)
-	if err := s.httpServer.Serve(framedListener{ln}); !s.draining.Load() {
+	if err := s.httpServer.Serve(framedListener{pace.NewListener(ln)}); !s.draining.Load() {
 		return fmt.Errorf("downstream http: %w", err)
 	}
 	return nil
--- /dev/null
+++ b/internal/downstream/pace/listener.go
@@ -0,0 +1,34 @@
+// Package pace bounds the processor time that clients can cause without a request that is admitted: by connecting, and
+// by requests that the agent answers by itself. It delays them, and rejects nothing.
+package pace
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// acceptsPerSecond bounds the connections that a listener accepts. Those beyond it wait in the accept queue.
+	acceptsPerSecond = 500
+	// acceptBurst is how many connections are accepted at once, as after a restart.
+	acceptBurst = 64
+)
+
+// Listener is a listener that accepts no more than acceptsPerSecond.
+type Listener struct {
+	net.Listener
+	limiter *rate.Limiter
+}
+
+// NewListener returns a listener that accepts the connections of another one.
+func NewListener(ln net.Listener) *Listener {
+	return &Listener{Listener: ln, limiter: rate.NewLimiter(acceptsPerSecond, acceptBurst)}
+}
+
+// Accept implements net.Listener. It is called by one goroutine.
+func (l *Listener) Accept() (net.Conn, error) {
+	time.Sleep(l.limiter.Reserve().Delay())
+	return l.Listener.Accept()
+}
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"ringtrack.example/ringtrack/internal/core"
+	"ringtrack.example/ringtrack/internal/downstream/pace"
 	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/socket"
 	"ringtrack.example/ringtrack/internal/thriftwire"
@@ -66,6 +67,7 @@
 	s.conns = map[*clientConn]struct{}{}
 	s.served = served
 	s.mu.Unlock()
+	ln = pace.NewListener(ln)
 	for {
 		nc, err := ln.Accept()
 		switch {
