Clients' connections are bounded by memory; unfinished bodies, slow answers give way

Cause: the number of client connections followed from descriptors alone, while each takes 16 KiB and twice its head before anything is reserved. And a request whose body is passed on as it comes counted as open and its connection as busy: with 440 clients that stopped half way all others were refused (2,371 of 3,054) or closed unread (676), as with 400 that read long answers slowly. Connections have a weight (stacks and buffers, head, streams), and all of a listener's a quarter of memory_mb. An unfinished body may be evicted, the one that stands still longest first, and at most a sixteenth of the connections have one on its way to a server. An answer may be evicted once its client let writes block for 0.25 s altogether, or 0.5 s after its time. Thrift's connections follow from memory too, at 48 KiB each.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -99,6 +99,7 @@
 	p.serveFor, p.answerWithin = cfg.shutdownPlan()
 	upstream := &httpup.Upstream{Pool: p.pool, Budget: p.bodyBudget, ReportFields: cfg.loadReportNames()}
 	p.http = httpdown.New(&cfg.Settings, p.bodyBudget, upstream, cfg.maxIdleClients(), cfg.maxClientConnections())
+	p.http.ConnMemory = cfg.clientConnMemory()
 	upstreams := []core.Upstream{upstream}
 	if err := p.newThrift(); err != nil {
 		return nil, err
@@ -160,7 +161,7 @@
 		Budget:       p.bodyBudget,
 		Table:        table,
 		Limits:       limits,
-		MaxConns:     p.cfg.maxClientConnections(),
+		MaxConns:     p.cfg.maxThriftConnections(),
 		RetryAfterMs: p.cfg.Settings.Limits.MaxRetryAfterMs,
 	}
 	return nil
--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -44,10 +44,10 @@
 // Memory for connections of clients, so that those which never deliver a request fit into the limit: they are held
 // before anything is reserved for them.
 const (
-	// clientConnBytes is what a connection takes with the longest head and the unreserved part of a body.
-	clientConnBytes = 48 << 10
 	// clientMemoryDivisor gives the part of the memory limit that is for connections of clients.
 	clientMemoryDivisor = 4
+	// thriftConnBytes is what a connection takes at most with its buffers, stacks and the calls that are read ahead.
+	thriftConnBytes = 48 << 10
 )
 
 // reservedDescriptors returns how many descriptors are used for neither backends nor clients of the
@@ -83,10 +83,19 @@
 // maxBackendConnections returns the limit of connections to backends.
 func (c *Config) maxBackendConnections() int { return c.connectionsPerSide() }
 
-// maxClientConnections returns the limit of client connections of each downstream, by descriptors and by memory.
+// maxClientConnections returns the limit of client connections of each downstream.
 func (c *Config) maxClientConnections() int {
-	inMemory := c.MemoryMB << 20 / clientMemoryDivisor / clientConnBytes
-	return max(min(c.connectionsPerSide(), inMemory)/c.downstreams(), minClientConnections)
+	return max(c.connectionsPerSide()/c.downstreams(), minClientConnections)
+}
+
+// clientConnMemory returns the memory for the connections of each downstream, in bytes.
+func (c *Config) clientConnMemory() int {
+	return c.MemoryMB << 20 / clientMemoryDivisor / c.downstreams()
+}
+
+// maxThriftConnections returns the limit of connections of Thrift clients, by descriptors and by memory.
+func (c *Config) maxThriftConnections() int {
+	return max(min(c.maxClientConnections(), c.clientConnMemory()/thriftConnBytes), minClientConnections)
 }
 
 // maxIdleClients returns how many clients of a downstream may be connected before idle ones are closed. The
--- a/internal/downstream/http/body.go
+++ b/internal/downstream/http/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -35,18 +36,28 @@
 // Read counts, not the time between reads.
 type clientBody struct {
 	setReadDeadline func(time.Time) error // of the connection
+	onProgress      func()                // called as bytes arrive, at most once in progressInterval
+	onEnd           func()                // called once the body is complete
 
 	mu         sync.Mutex
 	source     io.Reader
 	readTime   time.Duration
 	readBytes  int64
-	discarding bool // discard reads the rest, and Read returns an error
-	ended      bool // the end or an error was read
-	complete   bool // the end was read
+	progressAt time.Time // when onProgress was last called
+	discarding bool      // discard reads the rest, and Read returns an error
+	ended      bool      // the end or an error was read
+	complete   bool      // the end was read
 }
 
-func newBody(w http.ResponseWriter, req *http.Request) *clientBody {
-	return &clientBody{source: req.Body, setReadDeadline: http.NewResponseController(w).SetReadDeadline}
+// newBody returns the body of a request on one of the connections.
+func newBody(w http.ResponseWriter, req *http.Request, conns *clientConns) *clientBody {
+	nc, _ := req.Context().Value(connKey{}).(net.Conn)
+	return &clientBody{
+		source:          req.Body,
+		setReadDeadline: http.NewResponseController(w).SetReadDeadline,
+		onProgress:      func() { conns.bodyProgresses(nc) },
+		onEnd:           func() { conns.requestRead(req.Context()) },
+	}
 }
 
 // Read implements io.Reader. An error other than io.EOF means that the body is incomplete.
@@ -66,6 +77,10 @@
 	n, err := b.source.Read(p)
 	b.readTime += time.Since(start)
 	b.readBytes += int64(n)
+	if n > 0 && start.Sub(b.progressAt) >= progressInterval {
+		b.progressAt = start
+		b.onProgress()
+	}
 	if b.readBytes > MaxBodyBytes {
 		return n, errBodyTooLong
 	}
@@ -74,6 +89,7 @@
 		return n, nil
 	case io.EOF:
 		b.complete = true
+		b.onEnd()
 		_ = b.setReadDeadline(time.Time{}) // net/http reads on, to detect that the client disconnects
 	default:
 		_ = b.setReadDeadline(start) // the rest is not read
--- a/internal/downstream/http/conns.go
+++ b/internal/downstream/http/conns.go
@@ -20,24 +20,29 @@
 	maxBusyFraction = 7.0 / 8
 	// More connections of one kind than softLimit/burstDivisor are a burst.
 	burstDivisor = 4
+	// maxUnreadSkipped bounds how many connections with unread bytes are passed over in the search for one to evict.
+	maxUnreadSkipped = 16
 )
 
-// connKind is what a connection without an open request is doing.
+// connKind is what a connection that may be evicted is doing.
 type connKind int
 
 const (
-	noRequest   connKind = iota // no complete head has arrived yet
-	idle                        // between requests
-	readingBody                 // a head has arrived, and its body is being read
-	connKinds                   // the number of kinds
+	noRequest      connKind = iota // no complete head has arrived yet
+	idle                           // between requests
+	readingBody                    // a head has arrived, and its body is being read
+	forwardingBody                 // the same, and the body is forwarded as it arrives
+	slowAnswer                     // an answer is being read slowly, or its time is over
+	connKinds                      // the number of kinds
 )
 
-// clientConns bounds the number of clients' connections by eviction. Every connection is accepted, as a
-// client in the accept queue would get neither an answer nor a close.
+// clientConns bounds the number of clients' connections, and the memory that they take, by eviction. Every connection
+// is accepted, as a client in the accept queue would get neither an answer nor a close.
 //
 // Only connections without an open request are evicted, the oldest of each kind first: those that have
 // delivered no complete request for newConnGracePeriod, or that are part of a burst; then idle ones; then the
-// others. So hundreds of clients that connect and send nothing, or half a request, evict each other and not
+// others. A request whose body is still arriving is not open, and one whose answer is late, or read slowly, no longer
+// is: their connections go before any that has to be closed unread. So hundreds of clients that connect and send nothing, or half a request, evict each other and not
 // the clients that are served.
 //
 // Eviction begins at the soft limit, long before the descriptors run out: an application that limits its own
@@ -50,16 +55,21 @@
 type clientConns struct {
 	softLimit int // above it, idle connections and those without a request for too long are evicted
 	hardLimit int // above it, new ones are evicted too
+	// memoryLimit bounds the weights of all connections, as hardLimit their number; 0: not bounded.
+	memoryLimit int
 
-	mu        sync.Mutex
-	conns     map[net.Conn]*clientConn
-	closing   int                  // number of evicted connections that are still in conns
-	evictable [connKinds]list.List // connections without an open request, the oldest first
+	mu              sync.Mutex
+	conns           map[net.Conn]*clientConn
+	closing         int                  // number of evicted connections that are still in conns
+	evictable       [connKinds]list.List // connections that may be evicted, the oldest first
+	weight          int                  // of the connections that are not closing
+	evictableWeight int                  // of those in evictable
 }
 
 // clientConn is one connection.
 type clientConn struct {
 	element      *list.Element // in evictable; nil while a request is open
+	weight       int           // about the bytes of memory that it takes
 	kind         connKind
 	since        time.Time // when it became of this kind
 	closing      bool
@@ -81,7 +91,10 @@
 	for kind := range c.evictable {
 		busy -= c.evictable[kind].Len()
 	}
-	return float64(busy) > maxBusyFraction*float64(c.hardLimit)
+	if float64(busy) > maxBusyFraction*float64(c.hardLimit) {
+		return true
+	}
+	return c.memoryLimit > 0 && float64(c.weight-c.evictableWeight) > maxBusyFraction*float64(c.memoryLimit)
 }
 
 // empty reports whether no client is connected.
@@ -103,25 +116,23 @@
 	switch state {
 	case http.StateNew:
 		c.conns[nc] = &clientConn{}
+		c.setWeight(nc, connBytes)
 		c.setEvictable(nc, noRequest)
+		c.followHead(nc)
 	case http.StateActive:
 		c.setEvictable(nc, readingBody)
 	case http.StateIdle:
+		c.setWeight(nc, connBytes)
 		c.setEvictable(nc, idle)
 	case http.StateClosed, http.StateHijacked:
 		c.setBusy(nc)
+		c.setWeight(nc, 0)
 		if conn := c.conns[nc]; conn != nil && conn.closing {
 			c.closing--
 		}
 		delete(c.conns, nc)
 	}
-	for len(c.conns)-c.closing > c.softLimit {
-		victim := c.nextVictim()
-		if victim == nil {
-			break
-		}
-		c.evict(victim)
-	}
+	c.evictExcess()
 }
 
 // requestRead records that a handler's connection has delivered a complete request, and protects the
@@ -185,6 +196,7 @@
 // evict closes a connection without an open request. The lock is held.
 func (c *clientConns) evict(nc net.Conn) {
 	c.setBusy(nc)
+	c.setWeight(nc, 0)
 	c.conns[nc].closing = true
 	c.closing++
 	abort(nc) // net/http's read then fails, and it reports StateClosed
@@ -199,47 +211,6 @@
 	nc.Close()
 }
 
-// nextVictim returns the connection to evict next; nil: there is none, or there are only new ones and the
-// hard limit is not exceeded. The lock is held.
-func (c *clientConns) nextVictim() net.Conn {
-	overHardLimit := len(c.conns)-c.closing > c.hardLimit
-	burst := false
-	var oldest net.Conn
-	for _, kind := range []connKind{noRequest, readingBody} {
-		e := c.candidate(kind, overHardLimit)
-		if e == nil {
-			continue
-		}
-		nc := e.Value.(net.Conn)
-		many := c.evictable[kind].Len() > c.softLimit/burstDivisor
-		if many && overHardLimit || time.Since(c.conns[nc].since) > newConnGracePeriod {
-			return nc
-		}
-		burst = burst || many
-		if oldest == nil || c.conns[nc].since.Before(c.conns[oldest].since) {
-			oldest = nc
-		}
-	}
-	// The connections of a burst evict only each other.
-	if e := c.candidate(idle, overHardLimit); e != nil && !burst {
-		return e.Value.(net.Conn)
-	}
-	if !overHardLimit {
-		return nil
-	}
-	return oldest
-}
-
-// candidate returns the oldest connection of a kind that may be evicted. One with unread bytes may be evicted
-// only above the hard limit. The lock is held.
-func (c *clientConns) candidate(kind connKind, overHardLimit bool) *list.Element {
-	e := c.evictable[kind].Front()
-	for !overHardLimit && e != nil && socket.ReadState(e.Value.(net.Conn)) == socket.Unread {
-		e = e.Next()
-	}
-	return e
-}
-
 // requestArrived reports whether a further request has arrived on a connection, also one that net/http has read and
 // not handled yet, or bytes that were not read.
 func requestArrived(nc net.Conn) bool {
@@ -256,6 +227,7 @@
 		conn.kind = kind
 		conn.element = c.evictable[kind].PushBack(nc)
 		conn.since = time.Now()
+		c.evictableWeight += conn.weight
 	}
 }
 
@@ -264,5 +236,6 @@
 	if conn := c.conns[nc]; conn != nil && conn.element != nil {
 		c.evictable[conn.kind].Remove(conn.element)
 		conn.element = nil
+		c.evictableWeight -= conn.weight
 	}
 }
--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -31,9 +31,12 @@
 	net.Conn
 	disconnect disconnectDetector
 
-	mu       sync.Mutex // net/http also reads in the background
-	framing  framingChecker
-	requests int // number of requests that the handler has been called for
+	onHeadGrown func(bytes int) // called as a head has grown; nil: nobody wants to know. Set before the first read.
+
+	mu           sync.Mutex // net/http also reads in the background
+	framing      framingChecker
+	requests     int // number of requests that the handler has been called for
+	reportedHead int // bytes that onHeadGrown was last called with
 
 	// rejecting says that the connection ends: requests that arrived behind the last answer are rejected. Only
 	// the handler uses it.
@@ -88,8 +91,20 @@
 // checkFraming returns how many of the bytes may be passed on.
 func (c *framedConn) checkFraming(p []byte) (usable int) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.framing.feed(p)
+	usable = c.framing.feed(p)
+	held := c.framing.heldHeadBytes()
+	if held < c.reportedHead {
+		c.reportedHead = 0 // another head has begun
+	}
+	grown := held >= c.reportedHead+headReportBytes
+	if grown {
+		c.reportedHead = held
+	}
+	c.mu.Unlock()
+	if grown && c.onHeadGrown != nil {
+		c.onHeadGrown(held)
+	}
+	return usable
 }
 
 func (c *framedConn) framingEnded() bool {
--- a/internal/downstream/http/framing.go
+++ b/internal/downstream/http/framing.go
@@ -22,6 +22,7 @@
 	headBegun        bool   // a line of the current head has arrived
 	lines            int    // number of complete lines of the current head or trailer section
 	headBytes        int    // of the current head
+	lastHeadBytes    int    // of the last complete head, until the next one begins
 	remaining        int64  // bytes of the body or the chunk
 	heads            int    // number of complete heads
 	firstUntrusted   int    // number of the first head that is not trusted, counted from 1; 0: there is none
@@ -109,6 +110,9 @@
 	f.state = inUntrustedHead
 }
 
+// heldHeadBytes returns the bytes of the current head, or of the last one while none has begun since.
+func (f *framingChecker) heldHeadBytes() int { return max(f.headBytes, f.lastHeadBytes) }
+
 // ended reports whether nothing that follows is passed on.
 func (f *framingChecker) ended() bool { return f.state == untrusted }
 
@@ -185,6 +189,7 @@
 		return
 	}
 	f.headBegun = true
+	f.lastHeadBytes = 0
 	f.lines++
 	name, value, _ := strings.Cut(line, ":")
 	switch strings.ToLower(strings.TrimRight(name, " \t")) {
@@ -207,6 +212,7 @@
 		return
 	}
 	f.heads++
+	f.lastHeadBytes = f.headBytes
 	switch {
 	case f.transferEncoding && f.contentLength >= 0:
 		f.markUntrusted(f.heads)
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -52,10 +52,12 @@
 			reject(w, badRequestf("body can't be read"))
 		}
 	}
-	if !s.clientConns.requestRead(req.Context()) {
+	c.AtConnectionLimit = s.clientConns.overloaded()
+	if body != nil {
+		c.AtConnectionLimit = !s.clientConns.uploadBegins(req.Context()) || c.AtConnectionLimit
+	} else if !s.clientConns.requestRead(req.Context()) {
 		panic(http.ErrAbortHandler) // nothing was forwarded
 	}
-	c.AtConnectionLimit = s.clientConns.overloaded()
 	if framed {
 		c.Disconnected = conn.disconnect.isDisconnected
 		if body != nil {
@@ -86,7 +88,7 @@
 // readBody reads the body into the call. Of a long one it reads the beginning and returns the rest. The
 // caller releases the bytes reserved from the budget, also after an error.
 func (s *Server) readBody(w http.ResponseWriter, req *http.Request, c *call) (rest *clientBody, reserved int64, err error) {
-	body := newBody(w, req)
+	body := newBody(w, req, s.clientConns)
 	var more bool
 	c.upstreamCall.Body, reserved, more, err = body.buffer(req.ContentLength, s.budget)
 	if err != nil {
@@ -114,7 +116,7 @@
 		defer context.AfterFunc(req.Context(), stream.Cancel)()
 	}
 	s.endIfDraining(w, conn)
-	s.write(w, a, c.Class)
+	s.write(w, req, a, c)
 	if body != nil && !body.discard(w) && a.Outcome != core.Served {
 		endUnread(w)
 	}
--- a/internal/downstream/http/response.go
+++ b/internal/downstream/http/response.go
@@ -57,11 +57,11 @@
 }
 
 // write writes the answer to a request.
-func (s *Server) write(w http.ResponseWriter, a core.Answer, class int) {
+func (s *Server) write(w http.ResponseWriter, req *http.Request, a core.Answer, c *call) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	switch {
 	case a.Outcome == core.Served:
-		s.writeReply(w, a.Reply, class)
+		s.writeReply(w, req, a.Reply, c)
 	case a.Outcome == core.Rejected:
 		writeRejection(w, a.RetryAfterMs)
 	case a.Reason == core.BadRequest:
@@ -92,9 +92,9 @@
 }
 
 // writeReply writes the reply of a backend.
-func (s *Server) writeReply(w http.ResponseWriter, reply any, class int) {
+func (s *Server) writeReply(w http.ResponseWriter, req *http.Request, reply any, c *call) {
 	if stream, ok := reply.(*upstream.Stream); ok {
-		s.writeStream(w, stream, class)
+		s.writeStream(w, req, stream, c)
 		return
 	}
 	r := reply.(*upstream.Reply)
@@ -116,33 +116,38 @@
 
 // writeStream forwards a long reply as it arrives. If the reply is truncated, the connection is closed before
 // the end of the answer, so that the client detects that.
-func (s *Server) writeStream(w http.ResponseWriter, stream *upstream.Stream, class int) {
+func (s *Server) writeStream(w http.ResponseWriter, req *http.Request, stream *upstream.Stream, c *call) {
 	outcome := core.Failed
+	download := s.clientConns.downloadBegins(req.Context(), c.Deadline)
 	defer func() {
+		download.end()
 		stream.Close(outcome == core.Served)
-		s.EventLoop.Counters().CountStreamed(class, outcome)
+		s.EventLoop.Counters().CountStreamed(c.Class, outcome)
 		if outcome != core.Served {
 			panic(http.ErrAbortHandler) // net/http then closes the connection
 		}
 	}()
 	setHeader(w, &stream.Reply, stream.Length)
 	w.WriteHeader(http.StatusOK)
-	if copyStream(w, stream) == nil {
+	if copyStream(w, stream, download) == nil {
 		outcome = core.Served
 	}
 }
 
 // copyStream writes a stream, each part as soon as it has arrived.
-func copyStream(w http.ResponseWriter, stream *upstream.Stream) error {
+func copyStream(w http.ResponseWriter, stream *upstream.Stream, download *download) error {
 	controller := http.NewResponseController(w)
 	part := stream.Body
 	buf := make([]byte, streamBufferBytes)
 	for {
 		_ = controller.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
-		if _, err := w.Write(part); err != nil {
-			return err
-		}
-		if err := controller.Flush(); err != nil {
+		err := download.write(func() error {
+			if _, err := w.Write(part); err != nil {
+				return err
+			}
+			return controller.Flush()
+		})
+		if err != nil {
 			return err
 		}
 		n, err := stream.Read(buf)
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -33,6 +33,8 @@
 type Server struct {
 	EventLoop *core.EventLoop // set before Serve
 	Linger    time.Duration   // how long Shutdown keeps serving as before; 0: defaultLinger
+	// ConnMemory bounds the memory that the connections of clients take, in bytes; 0: it is not bounded.
+	ConnMemory int
 
 	settings    *policy.Settings
 	upstream    core.Upstream
@@ -90,6 +92,7 @@
 func (s *Server) Serve(ln net.Listener) error {
 	defer close(s.served)
 	s.ln.Store(&ln)
+	s.clientConns.memoryLimit = s.ConnMemory
 	if err := s.httpServer.Serve(framedListener{pace.NewListener(ln)}); !s.draining.Load() {
 		return fmt.Errorf("downstream http: %w", err)
 	}
--- a/internal/lab/pressure/agent.go
+++ b/internal/lab/pressure/agent.go
@@ -39,6 +39,7 @@
 	ended   chan struct{} // closed once the current process has ended
 	peak    atomic.Int64  // KiB
 	stopped atomic.Bool   // the current process is being killed by this package
+	ready   atomic.Bool   // the current process has been ready
 	crashed atomic.Bool   // a process has ended by itself
 }
 
@@ -114,6 +115,7 @@
 		}
 		resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
+			a.ready.Store(true)
 			return nil
 		}
 	}
@@ -144,6 +146,7 @@
 	default:
 	}
 	a.stopped.Store(true)
+	a.ready.Store(false)
 	_ = cmd.Process.Kill()
 	<-ended
 }
--- a/internal/lab/pressure/clients.go
+++ b/internal/lab/pressure/clients.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -142,6 +144,8 @@
 		switch {
 		case c.agent.process() != process || c.agent.stopped.Load():
 			return // lost with a process that was killed
+		case errors.Is(err, syscall.ECONNREFUSED) && !c.agent.ready.Load():
+			return // the next process does not listen yet
 		case !reused:
 			c.counts.unanswered()
 			return
