downstream http: a body is waited for no longer than 2.5 s, however fast it began

Cause: each byte earned time at 24 KiB a second without a bound, so that 96 KiB sent at once allowed 5.5 s of silence and 900 KiB over 25 s, in which the connection held its buffer, and the others were refused. A client that stops in the middle of a request is owed its error or close within 3 s. The time that bytes earn is bounded by 2.5 s ahead. TestSilentBodyEndsInTime failed before for 96 KiB, 900 KiB and 3 MiB and passes. The tests of internal/lab/pressure are no longer cached across changes of the program.

--- a/internal/downstream/http/body.go
+++ b/internal/downstream/http/body.go
@@ -24,9 +24,11 @@
 	// discardBufferBytes is the size of the buffer for a body that is discarded.
 	discardBufferBytes = 4 << 10
 
-	// The time limit of a body is bodyGracePeriod plus the time for its bytes at minBodyBytesPerSecond.
+	// A body may be waited for bodyGracePeriod, and longer by the time of its bytes at minBodyBytesPerSecond, but not
+	// over maxBodyPause ahead: bytes that came fast allow no longer silence.
 	bodyGracePeriod       = 1500 * time.Millisecond
 	minBodyBytesPerSecond = 24 << 10
+	maxBodyPause          = 2500 * time.Millisecond
 )
 
 // errBodyTooLong is the error of a body that exceeds MaxBodyBytes.
@@ -41,7 +43,7 @@
 
 	mu         sync.Mutex
 	source     io.Reader
-	readTime   time.Duration
+	allowance  time.Duration // for which the client may still be waited for
 	readBytes  int64
 	progressAt time.Time // when onProgress was last called
 	discarding bool      // discard reads the rest, and Read returns an error
@@ -54,6 +56,7 @@
 	nc, _ := req.Context().Value(connKey{}).(net.Conn)
 	return &clientBody{
 		source:          req.Body,
+		allowance:       bodyGracePeriod,
 		setReadDeadline: http.NewResponseController(w).SetReadDeadline,
 		onProgress:      func() { conns.bodyProgresses(nc) },
 		onEnd:           func() { conns.requestRead(req.Context()) },
@@ -73,9 +76,9 @@
 // readLocked reads the next bytes. The lock is held.
 func (b *clientBody) readLocked(p []byte) (int, error) {
 	start := time.Now()
-	_ = b.setReadDeadline(start.Add(maxReadTime(b.readBytes) - b.readTime))
+	_ = b.setReadDeadline(start.Add(b.allowance))
 	n, err := b.source.Read(p)
-	b.readTime += time.Since(start)
+	b.allowance = min(b.allowance-time.Since(start)+readTime(n), maxBodyPause)
 	b.readBytes += int64(n)
 	if n > 0 && start.Sub(b.progressAt) >= progressInterval {
 		b.progressAt = start
@@ -98,10 +101,8 @@
 	return n, err
 }
 
-// maxReadTime returns how long n bytes of a body may take to arrive.
-func maxReadTime(n int64) time.Duration {
-	return bodyGracePeriod + time.Duration(n)*time.Second/minBodyBytesPerSecond
-}
+// readTime returns how long n bytes take to arrive at the lowest rate.
+func readTime(n int) time.Duration { return time.Duration(n) * time.Second / minBodyBytesPerSecond }
 
 // discard reads and drops the rest of the body after an answer that was written before its end: some clients
 // read the answer only once they have sent the complete request. It reports whether the end was read.
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -101,7 +101,7 @@
 	c.upstreamCall.Remaining = body
 	c.upstreamCall.Length = req.ContentLength
 	c.TimeAfterBody = c.timeout
-	c.Deadline = c.Deadline.Add(maxReadTime(MaxBodyBytes))
+	c.Deadline = c.Deadline.Add(bodyGracePeriod + readTime(MaxBodyBytes))
 	// Permits an answer before the end of the body, which is then still read to its end.
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	return body, reserved, nil
--- a/internal/lab/pressure/pressure_test.go
+++ b/internal/lab/pressure/pressure_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
+
+	_ "ringtrack.example/ringtrack/internal/agent" // a cached result of these tests ends with a change of the program
 )
 
 // program is the path of the agent's program, which is built without the race detector: that would multiply its memory.
@@ -84,3 +87,36 @@
 		})
 	}
 }
+
+// stopWithin is how long after a client has stopped in the middle of a request it has its error or close.
+const stopWithin = 3 * time.Second
+
+// A client that stops in the middle of its body gets an error or a close in time, however much it has sent before.
+func TestSilentBodyEndsInTime(t *testing.T) {
+	addr := startAgent(t, &Scenario{MemoryMB: 64, Sockets: 1024})
+	for _, sent := range []int{0, 1, 32 << 10, 96 << 10, 900 << 10, 3 << 20} {
+		t.Run(fmt.Sprintf("%d bytes", sent), func(t *testing.T) {
+			t.Parallel()
+			took, err := TimeToEnd(addr, sent, 2*stopWithin)
+			if err != nil || took > stopWithin {
+				t.Errorf("ended after %v, want %v: %v", took, stopWithin, err)
+			}
+		})
+	}
+}
+
+// startAgent starts an agent without a crowd, until the test ends, and returns its address.
+func startAgent(t *testing.T, s *Scenario) string {
+	t.Helper()
+	s.Program = program
+	w, err := newWorld(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.close)
+	if err := w.agent.start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.agent.stop)
+	return w.agent.addr
+}
