--- a/internal/downstream/http/body.go
+++ b/internal/downstream/http/body.go
@@ -8,8 +8,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
+	"ringtrack.example/ringtrack/internal/downstream/pace"
 	"ringtrack.example/ringtrack/internal/upstream/conns"
 )
 
@@ -21,6 +20,8 @@
 	// unreservedBytes are read without a reservation. Memory is reserved only for what exceeds them, so that
 	// a client that declares a long body and does not send it reserves none.
 	unreservedBytes = 4 << 10
+	// bufferGrowth is the factor by which the buffer of a body grows, as its bytes arrive.
+	bufferGrowth = 4
 	// discardBufferBytes is the size of the buffer for a body that is discarded.
 	discardBufferBytes = 4 << 10
 
@@ -122,10 +123,10 @@
 	}
 }
 
-// buffer reads the body, up to maxBufferedBody and as far as the budget permits. length is -1 if unknown.
+// buffer reads the body, up to maxBufferedBody and as far as the buffers permit. length is -1 if unknown.
 // more reports that the body continues. The caller releases the bytes reserved from the budget, also after an
 // error.
-func (b *clientBody) buffer(length int64, budget *semaphore.Weighted) (body []byte, reserved int64, more bool, err error) {
+func (b *clientBody) buffer(length int64, buffers *pace.Buffers) (body []byte, reserved int64, more bool, err error) {
 	limit := int64(maxBufferedBody)
 	if length >= 0 {
 		limit = min(limit, length)
@@ -136,9 +137,9 @@
 			return body, reserved, false, b.readEnd()
 		}
 		if len(body) == cap(body) {
-			grown := min(int64(2*cap(body)), limit)
+			grown := min(int64(bufferGrowth*cap(body)), limit)
 			extra := grown - int64(cap(body))
-			if extra == 0 || !budget.TryAcquire(extra) {
+			if extra == 0 || !buffers.TryAcquire(extra) {
 				return body, reserved, true, nil
 			}
 			reserved += extra
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -90,7 +90,7 @@
 func (s *Server) readBody(w http.ResponseWriter, req *http.Request, c *call) (rest *clientBody, reserved int64, err error) {
 	body := newBody(w, req, s.clientConns)
 	var more bool
-	c.upstreamCall.Body, reserved, more, err = body.buffer(req.ContentLength, s.budget)
+	c.upstreamCall.Body, reserved, more, err = body.buffer(req.ContentLength, s.buffers)
 	if err != nil {
 		return nil, reserved, err
 	}
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -35,10 +35,13 @@
 	Linger    time.Duration   // how long Shutdown keeps serving as before; 0: defaultLinger
 	// ConnMemory bounds the memory that the connections of clients take, in bytes; 0: it is not bounded.
 	ConnMemory int
+	// BodyMemory is the size of the budget for bodies, which bounds how fast they are buffered; 0: that is not bounded.
+	BodyMemory int64
 
 	settings    *policy.Settings
 	upstream    core.Upstream
 	budget      *semaphore.Weighted // memory for the bytes of bodies after unreservedBytes
+	buffers     *pace.Buffers       // for bodies of requests, from the budget
 	classes     map[string]int
 	tenants     map[string]int
 	httpServer  *http.Server
@@ -59,6 +62,7 @@
 		settings:    settings,
 		upstream:    upstream,
 		budget:      budget,
+		buffers:     pace.NewBuffers(budget, 0),
 		classes:     map[string]int{},
 		tenants:     map[string]int{},
 		clientConns: newClientConns(softLimit, hardLimit),
@@ -93,6 +97,7 @@
 	defer close(s.served)
 	s.ln.Store(&ln)
 	s.clientConns.memoryLimit = s.ConnMemory
+	s.buffers = pace.NewBuffers(s.budget, s.BodyMemory)
 	if err := s.httpServer.Serve(framedListener{pace.NewListener(ln)}); !s.draining.Load() {
 		return fmt.Errorf("downstream http: %w", err)
 	}
--- a/internal/downstream/thrift/read.go
+++ b/internal/downstream/thrift/read.go
@@ -42,7 +42,7 @@
 		}
 	}
 	m.bytes, m.head, m.err = upstream.Read(c.reader, c.transport, s.Limits, s.Table.paths, func(n int64) error {
-		if !s.Budget.TryAcquire(n) {
+		if !s.buffers.TryAcquire(n) {
 			return errOverBudget
 		}
 		m.reserved += n
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -41,13 +41,15 @@
 	EventLoop    *core.EventLoop
 	Upstream     core.Upstream
 	Budget       *semaphore.Weighted // memory for the bytes of messages after the first few KiB
+	BudgetBytes  int64               // size of the budget, which bounds how fast messages are buffered; 0: that is not bounded
 	Table        *Table
 	Limits       thriftwire.Limits
 	MaxConns     int
 	Linger       time.Duration // how long Shutdown keeps serving as before; 0: defaultLinger
 	RetryAfterMs float64       // of a rejection for which the core gives no time
 
-	lastID atomic.Uint64 // of a call
+	lastID  atomic.Uint64 // of a call
+	buffers *pace.Buffers // for messages of clients, from the budget
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{}
@@ -67,6 +69,7 @@
 	s.conns = map[*clientConn]struct{}{}
 	s.served = served
 	s.mu.Unlock()
+	s.buffers = pace.NewBuffers(s.Budget, s.BudgetBytes)
 	ln = pace.NewListener(ln)
 	for {
 		nc, err := ln.Accept()
--- a/internal/upstream/thrift/read.go
+++ b/internal/upstream/thrift/read.go
@@ -12,6 +12,8 @@
 const (
 	// unreservedBytes is the memory that a message may use without a reservation.
 	unreservedBytes = 4 << 10
+	// bufferGrowth is the factor by which the buffer of a message grows, as its bytes arrive.
+	bufferGrowth = 4
 	// frameLengthBytes is the size of the length field before a framed message.
 	frameLengthBytes = 4
 	// defaultFrameLimit bounds a frame if the limits have no size.
@@ -66,8 +68,8 @@
 	return msg, nil
 }
 
-// readFrame reads the content of a frame. Memory for a large frame is reserved only after its first bytes
-// have arrived, so that a peer can't occupy memory just by announcing one.
+// readFrame reads the content of a frame. Memory for a large frame is reserved only as its bytes arrive, so that a peer
+// can't occupy memory just by announcing one.
 func readFrame(br *bufio.Reader, limits thriftwire.Limits, reserve func(n int64) error) ([]byte, error) {
 	length, err := br.Peek(frameLengthBytes)
 	if err == io.EOF && br.Buffered() > 0 {
@@ -89,15 +91,18 @@
 	if _, err := io.ReadFull(br, msg); err != nil {
 		return nil, err
 	}
-	if size <= unreservedBytes {
-		return msg, nil
-	}
-	if err := reserve(int64(size)); err != nil {
-		return nil, err
+	for len(msg) < size {
+		grown := min(bufferGrowth*len(msg), size)
+		if err := reserve(int64(grown - len(msg))); err != nil {
+			return nil, err
+		}
+		arrived := len(msg)
+		msg = append(make([]byte, 0, grown), msg...)[:grown]
+		if _, err := io.ReadFull(br, msg[arrived:]); err != nil {
+			return nil, err
+		}
 	}
-	msg = append(make([]byte, 0, size), msg...)[:size]
-	_, err = io.ReadFull(br, msg[unreservedBytes:])
-	return msg, err
+	return msg, nil
 }
 
 // readUnframed reads a message of the unframed transport, which has no length: parsing its content finds its
@@ -116,7 +121,7 @@
 		arrived, _ := br.Peek(br.Buffered())
 		before := len(msg)
 		if before+len(arrived) > cap(msg) {
-			grown := max(2*cap(msg), before+len(arrived))
+			grown := max(bufferGrowth*cap(msg), before+len(arrived))
 			if err := reserve(int64(grown - cap(msg))); err != nil {
 				return nil, err
 			}
