--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -100,7 +100,7 @@
 	upstream := &httpup.Upstream{Pool: p.pool, Budget: p.bodyBudget, ReportFields: cfg.loadReportNames()}
 	p.http = httpdown.New(&cfg.Settings, p.bodyBudget, upstream, cfg.maxIdleClients(), cfg.maxClientConnections())
 	p.http.ConnMemory = cfg.clientConnMemory()
-	p.http.BodyMemory = cfg.bodyBudget()
+	p.http.BodyMemory = cfg.requestBudget()
 	upstreams := []core.Upstream{upstream}
 	if err := p.newThrift(); err != nil {
 		return nil, err
@@ -160,7 +160,7 @@
 	p.thrift = &thrift.Server{
 		Upstream:     &thriftup.Upstream{Pool: p.pool, Budget: p.bodyBudget, Limits: limits},
 		Budget:       p.bodyBudget,
-		BudgetBytes:  p.cfg.bodyBudget(),
+		BudgetBytes:  p.cfg.requestBudget(),
 		Table:        table,
 		Limits:       limits,
 		MaxConns:     p.cfg.maxThriftConnections(),
--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -132,3 +132,6 @@
 // bodyBudget returns the memory for bodies of requests and responses, except small ones, in bytes. The rest
 // is for connections, the balancer and the runtime.
 func (c *Config) bodyBudget() int64 { return int64(c.MemoryMB) << 20 / 5 }
+
+// requestBudget returns the part of the budget for bodies from which the requests of each downstream have their share.
+func (c *Config) requestBudget() int64 { return c.bodyBudget() / int64(c.downstreams()) }
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -47,7 +47,7 @@
 	if req.ContentLength != 0 {
 		var reserved int64
 		body, reserved, err = s.readBody(w, req, c)
-		defer func() { s.budget.Release(reserved) }()
+		defer func() { s.buffers.Release(reserved) }()
 		if err != nil {
 			reject(w, badRequestf("body can't be read"))
 		}
--- a/internal/downstream/thrift/call.go
+++ b/internal/downstream/thrift/call.go
@@ -97,7 +97,7 @@
 			}
 		case next := <-messages:
 			if isDisconnect(next.err) && !oneWay {
-				s.Budget.Release(next.reserved)
+				s.buffers.Release(next.reserved)
 				return core.Answer{}, false
 			}
 			c.queued = append(c.queued, next)
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -66,7 +66,7 @@
 		socket.LingeringClose(c.Conn, unreadable || len(c.queued) > 0)
 		reader.Wait()
 		for i := range c.queued {
-			s.Budget.Release(c.queued[i].reserved)
+			s.buffers.Release(c.queued[i].reserved)
 		}
 		s.mu.Lock()
 		delete(s.conns, c)
@@ -103,7 +103,7 @@
 			s.endBehindAnswer(c)
 		}
 	}()
-	defer s.Budget.Release(m.reserved)
+	defer s.buffers.Release(m.reserved)
 	return s.handle(c, m, messages, overloaded)
 }
 
--- a/internal/downstream/thrift/read.go
+++ b/internal/downstream/thrift/read.go
@@ -21,7 +21,7 @@
 		select {
 		case messages <- m:
 		case <-stop:
-			s.Budget.Release(m.reserved)
+			s.buffers.Release(m.reserved)
 			return
 		}
 		if m.err != nil {
--- a/internal/downstream/thrift/reply.go
+++ b/internal/downstream/thrift/reply.go
@@ -40,7 +40,7 @@
 // rejectUnreadable answers a message that could not be read, if that is possible. Nothing of it was
 // forwarded.
 func (s *Server) rejectUnreadable(c *clientConn, m *message) {
-	s.Budget.Release(m.reserved)
+	s.buffers.Release(m.reserved)
 	switch {
 	case errors.Is(m.err, thriftwire.ErrHTTP):
 		c.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/lab/pressure/clients.go
+++ b/internal/lab/pressure/clients.go
@@ -125,8 +125,12 @@
 // request sends one request. One that crosses the close of a reused connection is sent once more.
 func (c *client) request() {
 	id := nextRequestID()
-	text := fmt.Sprintf("GET /api/%x HTTP/1.1\r\nHost: x\r\nRequest-Id: %x\r\nRequest-Class: read\r\nRequest-Timeout-Ms: %d\r\n\r\n",
-		id%64, id, clientTimeout.Milliseconds())
+	path := "/api"
+	if id%4 == 1 {
+		path = mediumPath
+	}
+	text := fmt.Sprintf("GET %s/%x HTTP/1.1\r\nHost: x\r\nRequest-Id: %x\r\nRequest-Class: read\r\nRequest-Timeout-Ms: %d\r\n\r\n",
+		path, id%64, id, clientTimeout.Milliseconds())
 	if id%2 == 0 {
 		text = fmt.Sprintf("POST /api/%x HTTP/1.1\r\nHost: x\r\nRequest-Id: %x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: %d\r\nContent-Length: 5\r\n\r\norder",
 			id%64, id, clientTimeout.Milliseconds())
--- a/internal/lab/pressure/world.go
+++ b/internal/lab/pressure/world.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"ringtrack.example/ringtrack/internal/lab"
@@ -23,6 +24,9 @@
 	// longAnswerBytes is the length of an answer to a request for longPath.
 	longAnswerBytes = 4 << 20
 	longPath        = "/api/long"
+	// mediumAnswerBytes is the length of an answer to a request below mediumPath: one that the agent buffers.
+	mediumAnswerBytes = 48 << 10
+	mediumPath        = "/api/medium"
 )
 
 // settings are the agent's settings.
@@ -94,17 +98,21 @@
 		return
 	}
 	time.Sleep(backendWork)
-	if req.URL.Path == longPath {
-		w.Header().Set("Content-Length", strconv.Itoa(longAnswerBytes))
-		part := make([]byte, 64<<10)
-		for written := 0; written < longAnswerBytes; written += len(part) {
-			if _, err := w.Write(part); err != nil {
-				return
-			}
+	length := 4
+	switch {
+	case req.URL.Path == longPath:
+		length = longAnswerBytes
+	case strings.HasPrefix(req.URL.Path, mediumPath):
+		length = mediumAnswerBytes
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(length))
+	for part := make([]byte, 64<<10); length > 0; {
+		n, err := w.Write(part[:min(length, len(part))])
+		if err != nil {
+			return
 		}
-		return
+		length -= n
 	}
-	fmt.Fprint(w, "done")
 }
 
 // configureThrift gives the agent a Thrift listener on which no method but orders is listed.
