Answers that need no server are paced by connection, over HTTP and Thrift

Cause: readiness, rejections and Thrift exceptions are answered ahead of all limits for admitted requests, as fast as the processor permits. A draining server does not wait.

The stand-ins serve Thrift too: their answers in HTTP to Thrift calls had made the balancer eject them.

--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/downstream/pace"
 	"ringtrack.example/ringtrack/internal/socket"
 )
 
@@ -38,9 +39,10 @@
 	requests     int // number of requests that the handler has been called for
 	reportedHead int // bytes that onHeadGrown was last called with
 
-	// rejecting says that the connection ends: requests that arrived behind the last answer are rejected. Only
-	// the handler uses it.
+	// Only the handler uses these. rejecting says that the connection ends: requests that arrived behind the last
+	// answer are rejected.
 	rejecting bool
+	pace      *pace.Conn // nil before the first request
 }
 
 // newFramedConn wraps a new connection.
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -21,6 +21,7 @@
 	if framed {
 		framingTrusted, headTooLarge = conn.checkNextRequest()
 		disconnected = conn.disconnect.disconnected
+		s.awaitPace(conn)
 		select {
 		case <-disconnected: // during an earlier request, after which this one was pipelined
 			panic(http.ErrAbortHandler)
@@ -37,6 +38,7 @@
 	if req.RequestURI == readyPath && req.Method == http.MethodGet && req.ContentLength == 0 {
 		s.endIfDraining(w, conn)
 		s.serveReady(w)
+		charge(conn)
 		return
 	}
 	c, err := s.parseCall(req, receivedAt, framingTrusted)
@@ -76,6 +78,23 @@
 	}
 }
 
+// awaitPace waits if the connection has had many answers that needed no server. A draining server has no time for that.
+func (s *Server) awaitPace(conn *framedConn) {
+	if conn.pace == nil {
+		conn.pace = s.answers.NewConn()
+	}
+	if !s.draining.Load() {
+		conn.pace.Wait()
+	}
+}
+
+// charge records an answer that needed no server. conn may be nil.
+func charge(conn *framedConn) {
+	if conn != nil {
+		conn.pace.Charge()
+	}
+}
+
 func (s *Server) serveReady(w http.ResponseWriter) {
 	if s.ready.Load() {
 		w.WriteHeader(http.StatusOK)
@@ -117,6 +136,9 @@
 	}
 	s.endIfDraining(w, conn)
 	s.write(w, req, a, c)
+	if a.Outcome == core.Rejected {
+		charge(conn)
+	}
 	if body != nil && !body.discard(w) && a.Outcome != core.Served {
 		endUnread(w)
 	}
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -42,6 +42,7 @@
 	upstream    core.Upstream
 	budget      *semaphore.Weighted // memory for the bytes of bodies after unreservedBytes
 	buffers     *pace.Buffers       // for bodies of requests, from the budget
+	answers     *pace.Answers
 	classes     map[string]int
 	tenants     map[string]int
 	httpServer  *http.Server
@@ -63,6 +64,7 @@
 		upstream:    upstream,
 		budget:      budget,
 		buffers:     pace.NewBuffers(budget, 0),
+		answers:     pace.NewAnswers(),
 		classes:     map[string]int{},
 		tenants:     map[string]int{},
 		clientConns: newClientConns(softLimit, hardLimit),
--- a/internal/downstream/http/shutdown.go
+++ b/internal/downstream/http/shutdown.go
@@ -111,6 +111,7 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	s.endIfDraining(w, conn)
 	writeRejection(w, s.settings.Limits.MaxRetryAfterMs)
+	charge(conn)
 }
 
 // HandOver leaves new clients to another process that listens on the same address. It closes the listener at
--- a/internal/downstream/thrift/call.go
+++ b/internal/downstream/thrift/call.go
@@ -26,15 +26,18 @@
 func (s *Server) handle(c *clientConn, m *message, messages <-chan message, overloaded bool) bool {
 	oneWay := m.head.Kind == thriftwire.Oneway
 	if m.head.Kind != thriftwire.Call && !oneWay {
+		c.pace.Charge()
 		s.endBehindAnswer(c)
 		return s.writeException(c, &m.head, CodeInvalidMessageType, "a message that is no call")
 	}
 	method := s.Table.find(m.head.Name)
 	if method == nil {
+		c.pace.Charge()
 		return oneWay || s.writeException(c, &m.head, CodeUnknownMethod, "the method is not listed here")
 	}
 	oneWay = oneWay || method.oneWay
 	if c.rejecting && !oneWay {
+		c.pace.Charge()
 		return s.writeException(c, &m.head, CodeRejected, rejectionText(s.RetryAfterMs))
 	}
 	call := s.newCall(c, m, method, oneWay)
@@ -46,6 +49,9 @@
 		s.EventLoop.Post(func() { s.EventLoop.ClientDisconnected(<-submitted) })
 		return false
 	}
+	if answer.Outcome == core.Rejected {
+		c.pace.Charge()
+	}
 	return s.answer(c, m, answer, oneWay)
 }
 
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/downstream/pace"
 	"ringtrack.example/ringtrack/internal/socket"
 	"ringtrack.example/ringtrack/internal/thriftwire"
 )
@@ -34,6 +35,7 @@
 	queued []message
 
 	replied bool // the last call got a reply
+	pace    *pace.Conn
 	// rejecting says that the connection ends: of the calls that were read behind the last answer those that
 	// want a reply are rejected.
 	rejecting bool
@@ -76,6 +78,7 @@
 	defer idle.Stop()
 	for {
 		m := c.nextMessage(messages, idle)
+		s.awaitPace(c)
 		switch {
 		case m == nil: // idle; a call that is arriving just now is still served
 			s.mu.Lock()
@@ -107,6 +110,16 @@
 	return s.handle(c, m, messages, overloaded)
 }
 
+// awaitPace waits if the connection has had many answers that needed no server. A draining server has no time for that.
+func (s *Server) awaitPace(c *clientConn) {
+	s.mu.Lock()
+	draining := s.draining
+	s.mu.Unlock()
+	if !draining {
+		c.pace.Wait()
+	}
+}
+
 // endBehindAnswer ends a connection behind the calls that have been read or have arrived.
 func (s *Server) endBehindAnswer(c *clientConn) {
 	c.rejecting = true
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -50,6 +50,7 @@
 
 	lastID  atomic.Uint64 // of a call
 	buffers *pace.Buffers // for messages of clients, from the budget
+	answers *pace.Answers
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{}
@@ -70,6 +71,7 @@
 	s.served = served
 	s.mu.Unlock()
 	s.buffers = pace.NewBuffers(s.Budget, s.BudgetBytes)
+	s.answers = pace.NewAnswers()
 	ln = pace.NewListener(ln)
 	for {
 		nc, err := ln.Accept()
@@ -93,7 +95,7 @@
 // accept serves a connection in a new goroutine. It closes the connection if there are too many and none can
 // be evicted.
 func (s *Server) accept(nc net.Conn) {
-	c := &clientConn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), noCallYet: true}
+	c := &clientConn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), noCallYet: true, pace: s.answers.NewConn()}
 	s.mu.Lock()
 	if len(s.conns) >= s.MaxConns && !s.evict() {
 		s.mu.Unlock()
--- a/internal/lab/pressure/world.go
+++ b/internal/lab/pressure/world.go
@@ -3,31 +3,17 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
-	"time"
 
 	"ringtrack.example/ringtrack/internal/lab"
 	"ringtrack.example/ringtrack/internal/membership"
 )
 
-const (
-	backendCount = 4
-	// backendWork is how long a backend works on a request.
-	backendWork = 10 * time.Millisecond
-	// longAnswerBytes is the length of an answer to a request for longPath.
-	longAnswerBytes = 4 << 20
-	longPath        = "/api/long"
-	// mediumAnswerBytes is the length of an answer to a request below mediumPath: one that the agent buffers.
-	mediumAnswerBytes = 48 << 10
-	mediumPath        = "/api/medium"
-)
+// backendCount is the number of backends.
+const backendCount = 4
 
 // settings are the agent's settings.
 const settings = `{"classes":[
@@ -58,9 +44,16 @@
 	if w.dir, err = os.MkdirTemp("", "pressure"); err != nil {
 		return nil, err
 	}
-	entries, err := w.startBackends()
-	if err != nil {
-		return nil, err
+	var entries []membership.Entry
+	for i := range backendCount {
+		server, err := lab.Accept(serveBackend)
+		if err != nil {
+			return nil, err
+		}
+		w.closers = append(w.closers, server.Close)
+		entries = append(entries, membership.Entry{
+			ID: "s-" + strconv.Itoa(i), Addr: server.Addr, Zone: "east", Kind: "big", State: membership.Up, Weight: 1,
+		})
 	}
 	if w.discovery, err = lab.NewDiscoveryService(entries...); err != nil {
 		return nil, err
@@ -79,42 +72,6 @@
 	return w, err
 }
 
-// startBackends starts the backends. With Thrift half of them serve that, and the other half HTTP.
-func (w *world) startBackends() (entries []membership.Entry, err error) {
-	for i := range backendCount {
-		id := "s-" + strconv.Itoa(i)
-		server := httptest.NewServer(http.HandlerFunc(serveBackend))
-		w.closers = append(w.closers, server.Close)
-		entries = append(entries, membership.Entry{
-			ID: id, Addr: server.Listener.Addr().String(), Zone: "east", Kind: "big", State: membership.Up, Weight: 1,
-		})
-	}
-	return entries, nil
-}
-
-// serveBackend answers a request after backendWork.
-func serveBackend(w http.ResponseWriter, req *http.Request) {
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return
-	}
-	time.Sleep(backendWork)
-	length := 4
-	switch {
-	case req.URL.Path == longPath:
-		length = longAnswerBytes
-	case strings.HasPrefix(req.URL.Path, mediumPath):
-		length = mediumAnswerBytes
-	}
-	w.Header().Set("Content-Length", strconv.Itoa(length))
-	for part := make([]byte, 64<<10); length > 0; {
-		n, err := w.Write(part[:min(length, len(part))])
-		if err != nil {
-			return
-		}
-		length -= n
-	}
-}
-
 // configureThrift gives the agent a Thrift listener on which no method but orders is listed.
 func (w *world) configureThrift() error {
 	addr, err := freeAddr()
