A request's time runs while its server does not read the body

Cause: the time of a streamed request began when the agent had read its last byte and written that to the server. The client had sent it long before: some megabytes wait in sockets while the server reads slowly. With a server that reads 0.8 MB a second and clients with 1 s the answer to 4 and 5 MB came 2.57 s after the last byte, to 16 MB 11.9 s. All time in which the agent does not wait for the client now counts, once no more is unread than sockets hold (8 MiB); gaps under 5 ms, the agent's own work, do not. The deadline timer follows this clock, also in the queue and while the server is connected to, and the deadline passed on is what it says.

A slow client before a fast server, and 60 MiB within 0.5 s, are served as before.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -17,6 +17,7 @@
 	deadlineTimer     *time.Timer   // calls deadlineExceeded
 	deadlineShortened bool          // by the shutdown of the process
 	idClaimed         bool          // in Config.SharedIDs
+	bodyPending       bool          // its streamed body has not been written completely
 
 	attempts     []*attempt
 	inFlight     int // attempts in flight
@@ -62,8 +63,9 @@
 	l.requestsByClientID[c.ID] = r
 	left, untilDeadlineTimer := RequestTimeouts(left)
 	if c.TimeAfterBody > 0 {
-		untilDeadlineTimer = time.Until(c.Deadline)
-		c.onBodyWritten = func(at time.Time) { l.Post(func() { l.bodyWritten(r, at) }) }
+		r.bodyPending = true
+		untilDeadlineTimer = l.untilBodyDeadline(c)
+		c.onBodyWritten = func(deadline time.Time) { l.Post(func() { l.bodyWritten(r, deadline) }) }
 	}
 	r.deadlineTimer = time.AfterFunc(untilDeadlineTimer, func() {
 		l.Post(func() { l.deadlineExceeded(r) })
@@ -103,13 +105,22 @@
 	return limit > 0 && l.openRequests > limit
 }
 
-// bodyWritten sets the deadline of a streamed call, whose last byte was written to a backend at the given
-// time.
-func (l *EventLoop) bodyWritten(r *Request, at time.Time) {
+// untilBodyDeadline returns the time until the deadline of a streamed call whose body is not complete.
+func (l *EventLoop) untilBodyDeadline(c *Call) time.Duration {
+	deadline := c.Deadline
+	if c.BodyDeadline != nil {
+		deadline = earliest(deadline, c.BodyDeadline())
+	}
+	return time.Until(deadline) - deadlineTimerMargin
+}
+
+// bodyWritten sets the deadline of a streamed call, whose last byte was written to a backend.
+func (l *EventLoop) bodyWritten(r *Request, deadline time.Time) {
 	if r.answered {
 		return
 	}
-	r.call.Deadline = l.limitToShutdown(at.Add(r.call.TimeAfterBody))
+	r.bodyPending = false
+	r.call.Deadline = l.limitToShutdown(deadline)
 	left, untilDeadlineTimer := RequestTimeouts(time.Until(r.call.Deadline))
 	r.deadlineTimer.Reset(max(untilDeadlineTimer, 0))
 	l.handle(&policy.Event{
@@ -121,12 +132,17 @@
 }
 
 // deadlineExceeded is called by the deadline timer. The balancer should have completed the request before,
-// so this indicates a bug or a stall and is logged and counted, unless a shutdown shortened the deadline.
+// so this indicates a bug or a stall and is logged and counted, unless a shutdown shortened the deadline, or a backend
+// did not read a streamed body.
 func (l *EventLoop) deadlineExceeded(r *Request) {
 	if r.answered {
 		return
 	}
-	if !r.deadlineShortened {
+	if left := l.untilBodyDeadline(r.call); r.bodyPending && left > 0 {
+		r.deadlineTimer.Reset(left) // the client was waited for meanwhile
+		return
+	}
+	if !r.deadlineShortened && !r.bodyPending {
 		l.stats.DeadlineExceeded++
 		l.log(slog.LevelWarn, "request deadline exceeded", "attempts", len(r.attempts), "in_flight", r.inFlight,
 			"late_ms", msFromDuration(time.Since(r.call.Deadline.Add(-deadlineTimerMargin))))
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -28,7 +28,11 @@
 	// TimeAfterBody, if it is not 0, makes this a streamed call: its body is forwarded while it arrives. It
 	// is the time allowed after the last byte of the body; Deadline then bounds the complete call.
 	TimeAfterBody time.Duration
-	onBodyWritten func(at time.Time)
+	// BodyDeadline, if it is set, returns the deadline of a streamed call as it is while its body is forwarded: the time
+	// in which a backend does not read counts, and that in which the client does not send does not. nil: no time
+	// counts before the last byte. It is safe for concurrent use.
+	BodyDeadline  func() time.Time
+	onBodyWritten func(deadline time.Time)
 
 	// Disconnected, if it is set, reports whether the client has closed its connection, which the
 	// downstream may not have detected yet. An upstream calls it right before writing the first byte of an
@@ -45,11 +49,23 @@
 	Superseded atomic.Bool
 }
 
+// BodyTimeLeft returns the time that is left of a streamed call if the client has sent its body.
+func (c *Call) BodyTimeLeft() time.Duration {
+	if c.BodyDeadline == nil {
+		return c.TimeAfterBody
+	}
+	return time.Until(c.BodyDeadline())
+}
+
 // BodyWritten records when the last byte of a streamed call was written to a backend, and returns the
 // deadline of that attempt. An attempt's upstream calls it at most once.
 func (c *Call) BodyWritten(at time.Time) (until time.Time) {
-	c.onBodyWritten(at)
-	return at.Add(c.TimeAfterBody - deadlineTimerMargin)
+	deadline := at.Add(c.TimeAfterBody)
+	if c.BodyDeadline != nil {
+		deadline = earliest(deadline, c.BodyDeadline())
+	}
+	c.onBodyWritten(deadline)
+	return deadline.Add(-deadlineTimerMargin)
 }
 
 // Outcome is how a call ends.
--- a/internal/downstream/http/body.go
+++ b/internal/downstream/http/body.go
@@ -41,6 +41,8 @@
 	setReadDeadline func(time.Time) error // of the connection
 	onProgress      func()                // called as bytes arrive, at most once in progressInterval
 	onEnd           func()                // called once the body is complete
+	length          int64                 // as announced; -1: unknown
+	clock           *requestClock         // nil while the body is buffered
 
 	mu         sync.Mutex
 	source     io.Reader
@@ -58,6 +60,7 @@
 	return &clientBody{
 		source:          req.Body,
 		allowance:       bodyGracePeriod,
+		length:          req.ContentLength,
 		setReadDeadline: http.NewResponseController(w).SetReadDeadline,
 		onProgress:      func() { conns.bodyProgresses(nc) },
 		onEnd:           func() { conns.requestRead(req.Context()) },
@@ -77,10 +80,17 @@
 // readLocked reads the next bytes. The lock is held.
 func (b *clientBody) readLocked(p []byte) (int, error) {
 	start := time.Now()
+	if b.clock != nil {
+		b.clock.readBegins(start)
+	}
 	_ = b.setReadDeadline(start.Add(b.allowance))
 	n, err := b.source.Read(p)
-	b.allowance = min(b.allowance-time.Since(start)+readTime(n), maxBodyPause)
+	end := time.Now()
+	b.allowance = min(b.allowance-end.Sub(start)+readTime(n), maxBodyPause)
 	b.readBytes += int64(n)
+	if b.clock != nil {
+		b.clock.readEnds(end, b.mayBeComplete())
+	}
 	if n > 0 && start.Sub(b.progressAt) >= progressInterval {
 		b.progressAt = start
 		b.onProgress()
@@ -102,6 +112,11 @@
 	return n, err
 }
 
+// mayBeComplete reports whether the client may have sent the complete body.
+func (b *clientBody) mayBeComplete() bool {
+	return b.length < 0 || b.length-b.readBytes <= maxKernelBytes
+}
+
 // readTime returns how long n bytes take to arrive at the lowest rate.
 func readTime(n int) time.Duration { return time.Duration(n) * time.Second / minBodyBytesPerSecond }
 
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -120,6 +120,8 @@
 	c.upstreamCall.Remaining = body
 	c.upstreamCall.Length = req.ContentLength
 	c.TimeAfterBody = c.timeout
+	body.clock = newRequestClock(c.timeout, body.mayBeComplete())
+	c.BodyDeadline = body.clock.deadline
 	c.Deadline = c.Deadline.Add(bodyGracePeriod + readTime(MaxBodyBytes))
 	// Permits an answer before the end of the body, which is then still read to its end.
 	_ = http.NewResponseController(w).EnableFullDuplex()
--- a/internal/lab/pressure/backend.go
+++ b/internal/lab/pressure/backend.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -21,10 +22,17 @@
 	mediumAnswerBytes = 48 << 10
 	mediumPath        = "/api/medium"
 	smallAnswerBytes  = 4
+	// backendReadBuffer is the size of a backend's socket buffer, so that one that reads slowly is felt.
+	backendReadBuffer = 64 << 10
+	// A request for slowPath is read in pieces of slowPathPiece, one in slowPathInterval.
+	slowPath         = "/api/slow"
+	slowPathPiece    = 16 << 10
+	slowPathInterval = 20 * time.Millisecond
 )
 
 // serveBackend serves a connection to a backend, which speaks HTTP or framed Thrift.
 func serveBackend(nc net.Conn) {
+	_ = nc.(*net.TCPConn).SetReadBuffer(backendReadBuffer)
 	reader := bufio.NewReader(nc)
 	first, err := reader.Peek(1)
 	if err != nil {
@@ -44,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+	if err := readBody(req); err != nil {
 		return err
 	}
 	time.Sleep(backendWork)
@@ -68,6 +76,21 @@
 	return nil
 }
 
+// readBody reads the body of a request, slowly if that is for slowPath.
+func readBody(req *http.Request) error {
+	for {
+		_, err := io.CopyN(io.Discard, req.Body, slowPathPiece)
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		case req.URL.Path == slowPath:
+			time.Sleep(slowPathInterval)
+		}
+	}
+}
+
 // thriftKindOffset is the offset of the type of a message behind the length of its frame.
 const thriftKindOffset = 7
 
--- a/internal/lab/pressure/pressure_test.go
+++ b/internal/lab/pressure/pressure_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -105,6 +106,37 @@
 	}
 }
 
+// A request whose body waits for a server that reads slowly is answered in time after the client's last byte, though
+// most of it lies in sockets by then. A client that is slow itself is served.
+func TestAnswerComesInTimeThoughTheServerReadsSlowly(t *testing.T) {
+	addr := startAgent(t, &Scenario{MemoryMB: 64, Sockets: 1024})
+	for _, test := range []struct {
+		name   string
+		upload Upload
+		served bool
+	}{
+		{"2 MB", Upload{Path: slowPath, Bytes: 2 << 20, Timeout: time.Second, Piece: 64 << 10}, false},
+		{"4 MB", Upload{Path: slowPath, Bytes: 4 << 20, Timeout: time.Second, Piece: 64 << 10}, false},
+		{"5 MB", Upload{Path: slowPath, Bytes: 5 << 20, Timeout: time.Second, Piece: 64 << 10}, false},
+		{"16 MB", Upload{Path: slowPath, Bytes: 16 << 20, Timeout: time.Second, Piece: 64 << 10}, false},
+		{"2 MB with time", Upload{Path: slowPath, Bytes: 2 << 20, Timeout: 8 * time.Second, Piece: 64 << 10}, true},
+		{"slow client", Upload{Path: "/api/1", Bytes: 1200 << 10, Timeout: 500 * time.Millisecond, Piece: 200 << 10, Pause: time.Second}, true},
+		{"fast client and server", Upload{Path: "/api/1", Bytes: 60 << 20, Timeout: 500 * time.Millisecond, Piece: 64 << 10}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			status, took, err := test.upload.Send(addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("answered %d %v after the last byte", status, took)
+			if took > test.upload.Timeout+lateSlack || test.served != (status == http.StatusOK) {
+				t.Errorf("answered %d %v after the last byte, served %v wanted", status, took, test.served)
+			}
+		})
+	}
+}
+
 // startAgent starts an agent without a crowd, until the test ends, and returns its address.
 func startAgent(t *testing.T, s *Scenario) string {
 	t.Helper()
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -80,7 +80,7 @@
 		EncodeRequest: func() net.Buffers { return net.Buffers{c.Head(time.Until(deadline)), c.Body} },
 	}
 	if c.Remaining != nil {
-		x.EncodeRequest = func() net.Buffers { return net.Buffers{c.Head(cc.TimeAfterBody), c.encodedBody()} }
+		x.EncodeRequest = func() net.Buffers { return net.Buffers{c.Head(cc.BodyTimeLeft()), c.encodedBody()} }
 		x.WriteBody = func(w io.Writer) (time.Time, error) {
 			if err := c.writeRemaining(w); err != nil {
 				return time.Time{}, err
