membership: a removed server's node counts again only if its process started later

Cause: any node that was created after discovery had removed a server counted as a new server. A comment of TestMergeMostRestrictiveStateWins said the contrary of the rule, and no assertion of it changes.

--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -37,8 +37,9 @@
 type server struct {
 	id       string
 	endpoint *Entry // as discovery lists it; nil: not listed
-	// delisted says that discovery listed the server and then removed it. Its nodes are ignored from then on,
-	// until a new one is created.
+	// delisted says that discovery listed the server and then removed it. Its nodes are ignored from then on, until
+	// one is created by a process that started later than the last one: a process whose session has expired creates
+	// its node again.
 	delisted bool
 
 	nodes             map[string]*RegistryNode // by name
--- a/internal/membership/merge_test.go
+++ b/internal/membership/merge_test.go
@@ -26,7 +26,7 @@
 	m.updateDiscovery(false, endpoint("a", Removed))
 	m.wantState("a", "")
 	m.expireNode("a")
-	m.createNode("a", 4, 0) // a node created after the removal counts
+	m.createNode("a", 4, 0) // nothing says that this is another process
 	if m.reported["a"].Addr != "" {
 		t.Errorf("an entry without an address is listed: %+v", m.reported["a"])
 	}
@@ -43,6 +43,44 @@
 	}
 }
 
+// A server that discovery removed stays removed when its process creates its node again, as it does after its session
+// has expired. A process that started later counts.
+func TestRemovedServerStaysRemovedUntilAnotherProcessStarts(t *testing.T) {
+	const startedMs = 1e12 - 3_600_000
+	for _, complete := range []bool{false, true} {
+		m := newMergeHarness(t, nil)
+		m.updateDiscovery(true, endpoint("a", Up), endpoint("b", Up))
+		m.RegistrySynced(m.now)
+		create := func(owner int64, started float64) {
+			m.czxid++
+			e := endpoint("a", Up)
+			e.StartedMs = started
+			m.NodeUpdated(m.now, RegistryNode{Name: "a", Entry: e, Czxid: m.czxid, CtimeMs: m.now, Owner: owner})
+			m.applyChanges()
+		}
+		create(1, startedMs)
+		m.wantState("a", Up)
+		if complete {
+			m.updateDiscovery(true, endpoint("b", Up))
+		} else {
+			m.updateDiscovery(false, endpoint("a", Removed))
+		}
+		m.wantState("a", "")
+		m.expireNode("a")
+		m.advance(400)
+		create(2, startedMs) // in another session
+		m.wantState("a", "")
+		m.expireNode("a")
+		create(3, 0) // its start is not known
+		m.wantState("a", "")
+		m.expireNode("a")
+		m.advance(10_000)
+		create(4, m.now)
+		m.advance(10_000)
+		m.wantState("a", Up)
+	}
+}
+
 func TestMergeRegistryOnlyServers(t *testing.T) {
 	m := newMergeHarness(t, nil)
 	m.NodeUpdated(m.now, RegistryNode{Name: "n", Czxid: 1, Entry: endpoint("new", Up)})
--- a/internal/membership/mergeregistry.go
+++ b/internal/membership/mergeregistry.go
@@ -26,8 +26,9 @@
 	hadNode := len(s.nodes) > 0
 	s.nodes[n.Name] = &n
 	m.markChanged(s)
-	if s.process.nodeUpdated(now, &n, m.registrySynced) {
-		s.delisted = false
+	knownStartMs := max(s.reported.StartedMs, s.process.startedMs)
+	if s.process.nodeUpdated(now, &n, m.registrySynced) && knownStartMs > 0 && n.Entry.StartedMs > knownStartMs {
+		s.delisted = false // another process than the one that discovery removed
 	}
 	if !hadNode {
 		m.firstNodeCreated(now, s)
