core: a backend's processes are told apart, not taken for one another by id or address

Cause: a backend was its id. With a later start, or as it came again after a removal, connections to the earlier process stayed in the pool, those in use were put back, and attempts that waited for a connection went to the new, cold process though they were decided for the old one. And two backends could be listed at one address: after a new process had come up there under a new id, requests for the one that had gone went to it, beyond its group, until the list said so. A backend has an incarnation, which changes with a later start, another address or a return; connections and attempts belong to one. A process that is newly listed at an address supersedes the one listed there, unless that started later or one list names both with the same start.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -59,9 +59,10 @@
 		r.firstSentAt = now
 		r.firstSentTo = l.endpoints.endpoint(backend)
 	}
-	// No attempt is in flight, so nothing reads these two fields concurrently.
+	// No attempt is in flight, so nothing reads these fields concurrently.
 	r.call.RetryBefore = l.shared.startDeadline(index, retryUntil)
 	r.call.Superseded.Store(false)
+	r.call.Incarnation = backend.Incarnation()
 	l.startAttempt(r, index, now, until)
 }
 
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -15,6 +15,7 @@
 	names        membership.Names
 	byID         map[string]*Backend      // listed backends, and removed ones with attempts in flight
 	byPolicyAddr map[policy.Addr]*Backend // the same backends by the address that the balancer uses
+	byAddr       map[string]*Backend      // by host:port, the one that was listed there last
 	cordoned     map[string]bool          // by an operator, listed or not; at most upgrade.MaxCordoned
 	seen         map[string]bool          // ids that were ever listed, up to maxSeenIDs
 	config       *sharedconfig.Config     // nil: no shared configuration
@@ -25,6 +26,7 @@
 		names:        membership.NewNames(zones, machineTypes),
 		byID:         map[string]*Backend{},
 		byPolicyAddr: map[policy.Addr]*Backend{},
+		byAddr:       map[string]*Backend{},
 		cordoned:     map[string]bool{},
 		seen:         map[string]bool{},
 	}
@@ -70,24 +72,25 @@
 	endpoints []policy.Endpoint // for the balancer
 	closeIdle []*Backend        // their idle connections must be closed
 	removed   []*Backend
+	named     map[string]bool // the ids of the list
 }
 
 // apply applies an endpoint list. Backends that are missing from a complete list are removed.
 func (t *endpointTable) apply(l *membership.List, complete bool) (changes endpointChanges) {
-	named := make(map[string]bool, len(l.Entries))
+	changes.named = make(map[string]bool, len(l.Entries))
 	for i := range l.Entries {
-		entry := &l.Entries[i]
-		if entry.ID == "" {
-			continue
+		changes.named[l.Entries[i].ID] = true
+	}
+	for i := range l.Entries {
+		if entry := &l.Entries[i]; entry.ID != "" {
+			t.applyEntry(entry, &changes)
 		}
-		named[entry.ID] = true
-		t.applyEntry(entry, &changes)
 	}
 	if !complete {
 		return changes
 	}
 	for id, b := range t.byID {
-		if !named[id] {
+		if !changes.named[id] {
 			b.unavailable.Store(true)
 			b.removed = true
 			changes.closeIdle = append(changes.closeIdle, b)
@@ -99,12 +102,23 @@
 
 func (t *endpointTable) applyEntry(entry *membership.Entry, changes *endpointChanges) {
 	b := t.getOrCreate(entry.ID)
+	restarted := b.removed || entry.StartedMs > b.entry.StartedMs || entry.Addr != "" && b.addr != entry.Addr
 	b.entry = *entry
-	e := t.endpoint(b)
-	if entry.Addr != "" && b.addr != entry.Addr {
+	if entry.Addr != "" {
+		t.setAddr(b, entry.Addr)
+	}
+	if restarted {
+		b.incarnation.Add(1)
 		changes.closeIdle = append(changes.closeIdle, b)
-		b.addr = entry.Addr
+		b.superseded = false
+		t.resolveAddr(b, changes)
 	}
+	t.report(b, changes)
+}
+
+// report derives the state of a backend from its entry, and adds it to the changes.
+func (t *endpointTable) report(b *Backend, changes *endpointChanges) {
+	e := t.endpoint(b)
 	unavailable := isUnavailable(&e)
 	b.unavailable.Store(unavailable)
 	if unavailable {
@@ -117,11 +131,44 @@
 	changes.endpoints = append(changes.endpoints, e)
 }
 
+func (t *endpointTable) setAddr(b *Backend, addr string) {
+	if b.addr != addr && t.byAddr[b.addr] == b {
+		delete(t.byAddr, b.addr)
+	}
+	b.addr = addr
+}
+
+// resolveAddr makes a backend the one at its address. An address has one process: another backend that is still listed
+// there has gone, though no list has said so yet, unless it started later or the same list names both.
+func (t *endpointTable) resolveAddr(b *Backend, changes *endpointChanges) {
+	other := t.byAddr[b.addr]
+	if b.addr == "" || other == b {
+		return
+	}
+	if other == nil || other.removed || other.addr != b.addr || b.entry.State == membership.Removed {
+		t.byAddr[b.addr] = b
+		return
+	}
+	switch {
+	case other.entry.StartedMs > b.entry.StartedMs:
+		b.superseded = true
+		return
+	case other.entry.StartedMs == b.entry.StartedMs && changes.named[other.id]:
+		return // which one is there can't be told
+	}
+	t.byAddr[b.addr] = b
+	other.superseded = true
+	t.report(other, changes)
+}
+
 // endpoint returns the description of a backend that is passed to the balancer.
 func (t *endpointTable) endpoint(b *Backend) policy.Endpoint {
 	e := t.names.Policy(&b.entry)
 	e.Server = b.policyAddr
 	e.Cordoned = t.cordoned[b.id]
+	if b.superseded && e.Health == policy.Ready {
+		e.Health = policy.Draining
+	}
 	if t.config != nil {
 		e.Cordoned = e.Cordoned || !t.config.Allows(b.id)
 		if w := t.config.Servers[b.id].Weight; w > 0 {
@@ -161,6 +208,9 @@
 	if b.removed && b.inFlight == 0 && t.byID[b.id] == b {
 		delete(t.byID, b.id)
 		delete(t.byPolicyAddr, b.policyAddr)
+		if t.byAddr[b.addr] == b {
+			delete(t.byAddr, b.addr)
+		}
 	}
 }
 
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -43,6 +43,9 @@
 	// after it the servers may no longer know its idempotency key, or the lease on the shared configuration
 	// has expired. The loop sets it before each attempt; the attempt's upstream reads it.
 	RetryBefore time.Time
+	// Incarnation is that of the backend for which the attempt in flight was decided. The attempt must not start at
+	// another one. The loop sets it before each attempt; the attempt's upstream reads it.
+	Incarnation uint64
 	// Superseded reports that the attempt in flight was decided by rules that no longer apply. If the
 	// attempt has not written anything yet, it must not start to. The loop sets it; the attempt's upstream
 	// reads it.
@@ -147,17 +150,26 @@
 	CloseExpired()
 }
 
-// Backend is a listed server. Its fields are accessed by the loop only, except for the atomic unavailable.
+// Backend is a listed server. Its fields are accessed by the loop only, except for the atomic ones.
 type Backend struct {
 	id          string
 	policyAddr  policy.Addr      // by which the balancer identifies it
 	addr        string           // host:port, as listed last
 	entry       membership.Entry // as listed last
 	removed     bool
-	inFlight    int // attempts and health checks
+	superseded  bool // another server is listed at its address since
+	inFlight    int  // attempts and health checks
 	unavailable atomic.Bool
+	incarnation atomic.Uint64
 }
 
+// Incarnation tells the processes of a backend apart: it changes when the backend is listed with a later start or another
+// address, or again after it was removed. It is safe for concurrent use.
+func (b *Backend) Incarnation() uint64 { return b.incarnation.Load() }
+
+// Restart makes Incarnation return another value, for tests of upstreams.
+func (b *Backend) Restart() { b.incarnation.Add(1) }
+
 // Unavailable reports whether the backend is draining, removed or cordoned. An upstream checks it right
 // before writing. It is safe for concurrent use.
 func (b *Backend) Unavailable() bool { return b.unavailable.Load() }
--- a/internal/upstream/conns/conn.go
+++ b/internal/upstream/conns/conn.go
@@ -19,6 +19,7 @@
 	id           uint64 // unique in the pool, for the log
 	key          Key
 	addr         string
+	incarnation  uint64 // of the backend when the connection was opened
 	opened       time.Time
 	carried      int           // requests that were written to it completely
 	written      time.Time     // when the last of them was written
@@ -36,6 +37,9 @@
 	cancelled bool // all further reads and writes fail
 }
 
+// isOutdated reports whether the connection leads to an earlier process of its backend.
+func (c *Conn) isOutdated() bool { return c.incarnation != c.key.Backend.Incarnation() }
+
 // cancel ends reads and writes, including those in progress, permanently: a deadline that is set later does
 // not undo it.
 func (c *Conn) cancel() {
--- a/internal/upstream/conns/exchange.go
+++ b/internal/upstream/conns/exchange.go
@@ -49,6 +49,9 @@
 	StartBefore time.Time
 	// Superseded, if not nil and true, says that the attempt must not start any more.
 	Superseded *atomic.Bool
+	// Incarnation, if it is not that of the backend any longer, says that the attempt must not start: it was decided for
+	// an earlier process.
+	Incarnation uint64
 	// Disconnected, if not nil, says whether the client has disconnected. It is the last check, immediately
 	// before the first byte is written.
 	Disconnected func() bool
@@ -197,7 +200,7 @@
 // to drain meanwhile gets no new request, and the idempotency window of a retry may have passed.
 func (x *Exchange) mayStart() bool {
 	switch {
-	case x.Key.Backend.Unavailable():
+	case x.Key.Backend.Unavailable() || !x.HealthCheck && x.Incarnation != x.Key.Backend.Incarnation():
 		return false
 	case !x.StartBefore.IsZero() && time.Now().After(x.StartBefore):
 		return false
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -244,6 +244,8 @@
 		key:    key,
 		addr:   addr,
 		opened: time.Now(),
+
+		incarnation: key.Backend.Incarnation(),
 	}
 }
 
@@ -274,12 +276,12 @@
 	return true
 }
 
-// Put returns a connection to the pool. It is closed if its backend is unavailable, or if bytes arrived after
+// Put returns a connection to the pool. It is closed if its backend is unavailable or has restarted, or if bytes arrived after
 // its response: they would be read as the next response.
 func (p *Pool) Put(cn *Conn) {
 	cn.SetDeadline(time.Time{})
 	cn.idleSince = time.Now()
-	if cn.key.Backend.Unavailable() || !p.isSilent(cn, BehindResponse) {
+	if cn.key.Backend.Unavailable() || cn.isOutdated() || !p.isSilent(cn, BehindResponse) {
 		p.Close(cn)
 		return
 	}
--- a/internal/upstream/conns/pool_test.go
+++ b/internal/upstream/conns/pool_test.go
@@ -186,3 +186,26 @@
 		}
 	}
 }
+
+// A connection to an earlier process of a backend is not used for its successor: an idle one is not taken, and one that was
+// in use is not put back. An attempt that was decided for the earlier process does not start.
+func TestConnectionsOfAnEarlierProcessAreNotUsed(t *testing.T) {
+	addr := startPeer(t, nil)
+	p, key := New(waitTimeout, time.Minute, 8), newKey()
+	idle, used := getConn(t, p, key, addr), getConn(t, p, key, addr)
+	p.Put(idle)
+	key.Backend.Restart()
+	p.Put(used)
+	if fresh := getConn(t, p, key, addr); fresh == idle || fresh == used {
+		t.Error("a connection to the earlier process is used")
+	}
+	if p.Open() != 1 || p.Idle(key) != 0 {
+		t.Errorf("%d connections are open, %d idle, want the new one", p.Open(), p.Idle(key))
+	}
+	if x := (&Exchange{Key: key}); x.mayStart() {
+		t.Error("an attempt for the earlier process may start")
+	}
+	if x := (&Exchange{Key: key, Incarnation: key.Backend.Incarnation()}); !x.mayStart() {
+		t.Error("an attempt for the present process may not start")
+	}
+}
--- a/internal/upstream/conns/unsolicited.go
+++ b/internal/upstream/conns/unsolicited.go
@@ -42,7 +42,7 @@
 func (p *Pool) isUsable(cn *Conn, addr string) bool {
 	age := time.Since(cn.idleSince)
 	cn.ageBucket = ageBucket(age)
-	return cn.addr == addr && age < p.keepalive && p.idleAges.usable(age) && p.isSilent(cn, WhileIdle)
+	return cn.addr == addr && !cn.isOutdated() && age < p.keepalive && p.idleAges.usable(age) && p.isSilent(cn, WhileIdle)
 }
 
 // rest waits for the time in which nothing may arrive on a connection before a request, at most for a part of
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -75,6 +75,7 @@
 		Deadline:      deadline,
 		StartBefore:   cc.RetryBefore,
 		Superseded:    &cc.Superseded,
+		Incarnation:   cc.Incarnation,
 		Disconnected:  cc.Disconnected,
 		Budget:        u.Budget,
 		EncodeRequest: func() net.Buffers { return net.Buffers{c.Head(time.Until(deadline)), c.Body} },
--- a/internal/upstream/thrift/upstream.go
+++ b/internal/upstream/thrift/upstream.go
@@ -74,6 +74,7 @@
 		Deadline:      deadline,
 		StartBefore:   cc.RetryBefore,
 		Superseded:    &cc.Superseded,
+		Incarnation:   cc.Incarnation,
 		Disconnected:  cc.Disconnected,
 		Budget:        u.Budget,
 		MatchedByID:   true,
