downstream http: unread requests no longer hide that their client has closed

Cause: the end of a connection comes behind what is unread. The agent read 16 KiB ahead of an open request, so that the end of a client that had sent more than that and its socket's 64 KiB was not seen, and its queued request was forwarded 300 ms after the close and later. Up to 512 KiB are read ahead if the share of requests in the memory for bodies has room; what can't be used is read and dropped, up to 8 MiB.

--- a/internal/agent/disconnect_test.go
+++ b/internal/agent/disconnect_test.go
@@ -56,6 +56,12 @@
 		{"FIN after a partial request", "Content-Length: 1\r\n", "b", 6, after(3000, fin)},
 		{"half-closed after a partial request", "Content-Length: 0\r\n", "", 6, after(300, half)},
 		{"FIN after more than the agent reads", "Content-Length: 0\r\n", "", 2, after(moreThanReadAhead, fin)},
+		{"FIN after more than the agent's socket holds", "Content-Length: 0\r\n", "", 2, after(moreThanSocketHolds, fin)},
+		{"FIN after requests that the agent's socket can't hold", "Content-Length: 0\r\n", "", 2, func(c net.Conn) {
+			request := rawOrder("/api/a1", "behind", "Content-Length: 0\r\n", "")
+			io.WriteString(c, strings.Repeat(request, moreThanSocketHolds/len(request)))
+			c.Close()
+		}},
 		{"FIN within a long body", long, partialBody, 1, fin},
 		{"RST within a long body", long, partialBody, 1, rst},
 	} {
@@ -77,8 +83,8 @@
 				waitUntil(t, "the capacity is not used up", func() bool { mu.Lock(); defer mu.Unlock(); return len(sent) == i+1 })
 			}
 			n := disconnecting
-			if way.head == long {
-				n = 4 // each buffers 1 MiB
+			if way.head == long || strings.Contains(way.name, "agent's socket") {
+				n = 4 // each buffers 1 MiB, or less
 			}
 			for range n {
 				send("disconnects", way.head, way.body)
@@ -127,6 +133,9 @@
 // moreThanReadAhead is more than the downstream reads after an open request.
 const moreThanReadAhead = 40 << 10
 
+// moreThanSocketHolds is more than that and a socket's buffer together, which hides the end of the connection.
+const moreThanSocketHolds = 300 << 10
+
 // waitUntil waits for a condition.
 func waitUntil(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- a/internal/downstream/http/disconnect.go
+++ b/internal/downstream/http/disconnect.go
@@ -7,16 +7,23 @@
 	"sync"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/downstream/pace"
 	"ringtrack.example/ringtrack/internal/socket"
 )
 
 const (
-	// maxReadAheadBytes bounds what is read ahead while a request is open. Clients usually do not pipeline,
-	// so that little arrives, and net/http reads none of it before the answer.
+	// maxReadAheadBytes is read ahead while a request is open without a reservation. Clients usually do not
+	// pipeline, so that little arrives, and net/http reads none of it before the answer.
 	maxReadAheadBytes = 16 << 10
+	// maxReservedReadAhead is read ahead if there is memory: what sockets hold may hide that the client has closed.
+	maxReservedReadAhead = 512 << 10
+	// maxDroppedBytes bounds what is read and dropped behind a message that can't be used.
+	maxDroppedBytes = 8 << 20
+	// readAheadStep is how much memory is reserved at once.
+	readAheadStep = 32 << 10
 	// readAheadBufferBytes is the size of the buffer of one read.
 	readAheadBufferBytes = 4 << 10
-	// disconnectPollInterval is how often the socket is polled once maxReadAheadBytes have been read.
+	// disconnectPollInterval is how often the socket is polled once maxReservedReadAhead have been read.
 	disconnectPollInterval = 25 * time.Millisecond
 )
 
@@ -25,7 +32,7 @@
 
 // disconnectDetector detects that a client disconnects while its request is open, in the cases in which
 // net/http does not: net/http's own check ends with the first byte that arrives after the request, and does
-// not begin before the body has arrived completely. The detector then reads ahead, up to maxReadAheadBytes,
+// not begin before the body has arrived completely. The detector then reads ahead, up to maxReservedReadAhead,
 // and passes the bytes to the next read. It controls the read deadline of the connection, which it needs to
 // interrupt its own read, and restores the deadline that net/http set.
 type disconnectDetector struct {
@@ -35,6 +42,8 @@
 	once         sync.Once                   // closes disconnected: both a poll and the end of the bytes may show it
 
 	mu           sync.Mutex
+	buffers      *pace.Buffers // memory for reading ahead; nil: there is none
+	reserved     int64         // bytes of it
 	readAhead    []byte
 	err          error         // of reading ahead; it follows the bytes of readAhead
 	readDeadline time.Time     // the one that net/http set
@@ -71,21 +80,24 @@
 	go d.run(d.stop, d.stopped)
 }
 
-// run reads ahead until stop or an error. From maxReadAheadBytes on, or once nothing more is passed on, it polls the
-// socket instead.
+// run reads ahead until stop or an error. What can't be used is read and dropped, as the end of the connection may follow
+// it. Once there is no capacity it polls the socket instead.
 func (d *disconnectDetector) run(stop, stopped chan struct{}) {
 	defer close(stopped)
 	buf := make([]byte, readAheadBufferBytes)
+	dropped := 0
 	for {
-		d.mu.Lock()
-		capacity := maxReadAheadBytes - len(d.readAhead)
-		d.mu.Unlock()
-		if capacity <= 0 {
+		capacity := len(buf)
+		if dropped == 0 {
+			capacity = d.capacity()
+		}
+		if capacity <= 0 || dropped > maxDroppedBytes {
 			d.poll(stop)
 			return
 		}
 		n, err := d.conn.Read(buf[:min(capacity, len(buf))])
 		usable := d.onRead(buf[:n])
+		dropped += n - usable
 		d.mu.Lock()
 		d.readAhead = append(d.readAhead, buf[:usable]...)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -96,13 +108,46 @@
 		if err != nil {
 			return
 		}
-		if usable < n {
-			d.poll(stop)
-			return
-		}
 	}
 }
 
+// capacity returns how many more bytes may be read ahead.
+func (d *disconnectDetector) capacity() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	limit := maxReadAheadBytes + int(d.reserved)
+	if len(d.readAhead) >= limit && limit < maxReservedReadAhead && d.buffers != nil && d.buffers.TryAcquire(readAheadStep) {
+		d.reserved += readAheadStep
+		limit += readAheadStep
+	}
+	return limit - len(d.readAhead)
+}
+
+// useMemory sets the memory for reading ahead.
+func (d *disconnectDetector) useMemory(buffers *pace.Buffers) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.buffers = buffers
+}
+
+// release releases the memory for reading ahead. The lock is held.
+func (d *disconnectDetector) release() {
+	if d.reserved > 0 {
+		d.buffers.Release(d.reserved)
+		d.reserved = 0
+	}
+}
+
+// close drops what was read ahead, and reports whether there was anything.
+func (d *disconnectDetector) close() (dropped bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dropped = len(d.readAhead) > 0
+	d.readAhead = nil
+	d.release()
+	return dropped
+}
+
 // poll polls the socket until stop or until the client has disconnected.
 func (d *disconnectDetector) poll(stop chan struct{}) {
 	ticker := time.NewTicker(disconnectPollInterval)
@@ -137,6 +182,7 @@
 	d.readAhead = d.readAhead[n:]
 	if len(d.readAhead) == 0 {
 		d.readAhead = nil
+		d.release()
 	}
 	if n > 0 {
 		return n, nil
--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -158,10 +158,7 @@
 // Close closes the connection without a reset, which could destroy the last answer, even if the client has
 // sent bytes that were not read.
 func (c *framedConn) Close() error {
-	c.disconnect.mu.Lock()
-	readAhead := len(c.disconnect.readAhead) > 0
-	c.disconnect.mu.Unlock()
-	return socket.LingeringClose(c.Conn, readAhead)
+	return socket.LingeringClose(c.Conn, c.disconnect.close())
 }
 
 // abort closes the connection at once, without regard to an answer.
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -82,6 +82,7 @@
 func (s *Server) awaitPace(conn *framedConn) {
 	if conn.pace == nil {
 		conn.pace = s.answers.NewConn()
+		conn.disconnect.useMemory(s.buffers)
 	}
 	if !s.draining.Load() {
 		conn.pace.Wait()
