downstream thrift: unread calls no longer hide that their client has closed

Cause: as over HTTP; 16 calls were read ahead. More are read ahead now while there is memory for them, at most 2,048. The tests of retries after a disconnect have one more way, with 128 KiB of calls behind an open one.

--- a/internal/downstream/disconnect_test.go
+++ b/internal/downstream/disconnect_test.go
@@ -72,7 +72,16 @@
 }
 
 // disconnectWays are ways to disconnect that the downstream does not detect immediately.
-var disconnectWays = []string{"at once", "after pipelined calls", "after more than is read ahead", "reset after more than is read ahead"}
+var disconnectWays = []string{
+	"at once",
+	"after pipelined calls",
+	"after more than is read ahead",
+	"after calls that a socket can't hold",
+	"reset after more than is read ahead",
+}
+
+// moreThanSocketHolds is more than the buffer of a socket holds at first, so that the FIN stays behind it.
+const moreThanSocketHolds = 128 << 10
 
 // disconnect disconnects a client, and returns once the agent's kernel has received the FIN or the reset.
 func disconnect(t *testing.T, w *world.World, c *world.Client, way string) {
@@ -80,6 +89,12 @@
 	switch p := w.Protocol; way {
 	case "after pipelined calls":
 		c.Write(p.Encode(w.Request("read", callTimeout)))
+	case "after calls that a socket can't hold":
+		for sent := 0; sent < moreThanSocketHolds; {
+			call := p.Encode(w.Request("read", callTimeout))
+			c.Write(call)
+			sent += len(call)
+		}
 	case "after more than is read ahead", "reset after more than is read ahead":
 		if p.Thrift() {
 			for range 40 { // 16 of them are read ahead
--- a/internal/downstream/thrift/call.go
+++ b/internal/downstream/thrift/call.go
@@ -17,6 +17,11 @@
 const (
 	// maxQueuedCalls is how many calls of a connection are read ahead while one is open.
 	maxQueuedCalls = 16
+	// maxReservedCalls is the same if there is memory for them: calls that stay unread may hide that the client has
+	// closed.
+	maxReservedCalls = 2048
+	// queuedCallBytes is what a call that is read ahead takes beside its message.
+	queuedCallBytes = 512
 	// disconnectPollInterval is how often the socket is polled once no more calls are read ahead.
 	disconnectPollInterval = 25 * time.Millisecond
 )
@@ -86,7 +91,7 @@
 func (s *Server) await(c *clientConn, call *core.Call, oneWay bool, messages <-chan message) (core.Answer, bool) {
 	var poll <-chan time.Time
 	for {
-		if c.queueFull() {
+		if s.queueFull(c) {
 			messages = nil // further messages stay unread
 		}
 		if messages == nil && poll == nil && !oneWay {
@@ -130,10 +135,27 @@
 	errReadingStopped, errOverBudget, os.ErrDeadlineExceeded, panics.ErrRecovered, thriftwire.ErrHTTP, thriftwire.ErrTHeader,
 }
 
-// queueFull reports whether reading ahead ends: maxQueuedCalls are queued, or the last message is an error.
-func (c *clientConn) queueFull() bool {
+// queueFull reports whether reading ahead ends: the last message is an error, or there are maxQueuedCalls and no memory
+// for the last of them.
+func (s *Server) queueFull(c *clientConn) bool {
 	n := len(c.queued)
-	return n >= maxQueuedCalls || n > 0 && c.queued[n-1].err != nil
+	if n == 0 {
+		return false
+	}
+	last := &c.queued[n-1]
+	if last.err != nil || n >= maxReservedCalls {
+		return true
+	}
+	if n < maxQueuedCalls || last.queueReserved {
+		return false
+	}
+	bytes := int64(len(last.bytes) + queuedCallBytes)
+	if !s.buffers.TryAcquire(bytes) {
+		return true
+	}
+	last.reserved += bytes
+	last.queueReserved = true
+	return false
 }
 
 // affinityKey returns the affinity key for the value of a field. The same text has the same key in all
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -30,7 +30,7 @@
 	net.Conn
 	reader    *bufio.Reader
 	transport thriftwire.Transport // 0: not detected yet
-	// queued are messages that arrived while an earlier call was open, at most maxQueuedCalls. They are read
+	// queued are messages that arrived while an earlier call was open, at most maxReservedCalls. They are read
 	// ahead so that a disconnect that follows them is detected.
 	queued []message
 
@@ -54,6 +54,8 @@
 	receivedAt time.Time
 	reserved   int64 // bytes reserved from the budget
 	err        error
+	// queueReserved says that reserved includes what the message takes in the queue.
+	queueReserved bool
 }
 
 // serve handles the calls of a connection one at a time, in order of arrival.
