upstream http: a response head of more than 256 lines is malformed

A head was bounded by its 16 KiB alone, and a line of four bytes takes over a hundred once it is parsed, twice for the framing check: the same multiplication as in heads of clients, here for each connection to a backend.

--- a/internal/upstream/http/response.go
+++ b/internal/upstream/http/response.go
@@ -15,6 +15,8 @@
 const (
 	// maxHeadBytes bounds the status line and header of a response.
 	maxHeadBytes = 16 << 10
+	// maxHeaderLines bounds its lines, as each takes many times its bytes once parsed.
+	maxHeaderLines = 256
 	// maxInterimResponses bounds the 1xx responses before the final one.
 	maxInterimResponses = 8
 	// versionPrefix is the beginning of every status line.
@@ -84,11 +86,11 @@
 		}
 	}
 	var head []byte
-	for {
+	for lines := 0; ; lines++ {
 		line, err := br.ReadSlice('\n')
 		head = append(head, line...)
 		switch {
-		case len(head) > maxHeadBytes || err == bufio.ErrBufferFull:
+		case len(head) > maxHeadBytes || lines > maxHeaderLines || err == bufio.ErrBufferFull:
 			return nil, conns.MalformedResponse("response header too large")
 		case err != nil:
 			return nil, err
--- a/internal/upstream/http/upstream_test.go
+++ b/internal/upstream/http/upstream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -230,3 +231,14 @@
 		}
 	}
 }
+
+// A response with very many header lines is malformed, though its header is short enough.
+func TestResponseOfManyHeaderLinesIsMalformed(t *testing.T) {
+	for lines, malformed := range map[int]bool{maxHeaderLines - 2: false, maxHeaderLines + 1: true} {
+		text := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + strings.Repeat("a:\r\n", lines) + "\r\n"
+		_, _, err := readHead(bufio.NewReader(strings.NewReader(text)))
+		if malformed != errors.Is(err, conns.ErrMalformedResponse) {
+			t.Errorf("%d lines: %v", lines, err)
+		}
+	}
+}
