admin: a request of more than 64 lines ends its connection

4 KiB of short header lines, and the 4 KiB that net/http adds to its limit, took some 200 KiB on each of up to 48 connections: more than half of the least memory. Counted before net/http keeps them; the new test reads one line more.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -77,7 +77,7 @@
 
 // Serve serves on a listener until Close; then it returns nil.
 func (s *Server) Serve(ln net.Listener) error {
-	if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(lineLimitedListener{ln}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("admin: %w", err)
 	}
 	return nil
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -163,3 +163,29 @@
 	var n net.Error
 	return errors.As(err, &n) && n.Timeout()
 }
+
+// A request of very many lines ends its connection before they are kept.
+func TestRequestOfManyLinesIsEnded(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := lineLimitedListener{ln}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	for _, lines := range []int{maxRequestLines, 1} {
+		io.WriteString(client, strings.Repeat("\n", lines))
+		n, err := io.ReadAtLeast(nc, make([]byte, lines), lines)
+		if tooMany := lines == 1; tooMany != errors.Is(err, errTooManyLines) || !tooMany && n != lines {
+			t.Errorf("%d lines: read %d bytes, error %v", lines, n, err)
+		}
+	}
+}
