--- a/internal/downstream/thrift/reply.go
+++ b/internal/downstream/thrift/reply.go
@@ -46,7 +46,9 @@
 		c.SetWriteDeadline(time.Now().Add(writeTimeout))
 		io.WriteString(c, httpAnswer)
 	case errors.Is(m.err, thriftwire.ErrTHeader):
-		slog.Warn("Thrift connection closed", "peer", c.RemoteAddr().String(), "err", m.err)
+		if s.closedLog.Allow() {
+			slog.Warn("Thrift connection closed", "peer", c.RemoteAddr().String(), "err", m.err)
+		}
 	case m.head.Name == nil || m.head.Kind == thriftwire.Oneway:
 		// A reply needs the name of the method, and a one-way call has none.
 	case errors.Is(m.err, errOverBudget):
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/downstream/pace"
@@ -34,6 +35,8 @@
 	maxBusyFraction = 7.0 / 8
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
+	// closedLogRate and closedLogBurst bound the lines of closedLog, per second and at once.
+	closedLogRate, closedLogBurst = 1, 10
 )
 
 // Server serves clients on one listener. Its fields are set before Serve.
@@ -51,6 +54,8 @@
 	lastID  atomic.Uint64 // of a call
 	buffers *pace.Buffers // for messages of clients, from the budget
 	answers *pace.Answers
+	// closedLog bounds the log lines about connections that are closed for what clients sent.
+	closedLog *rate.Limiter
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{}
@@ -72,6 +77,7 @@
 	s.mu.Unlock()
 	s.buffers = pace.NewBuffers(s.Budget, s.BudgetBytes)
 	s.answers = pace.NewAnswers()
+	s.closedLog = rate.NewLimiter(closedLogRate, closedLogBurst)
 	ln = pace.NewListener(ln)
 	for {
 		nc, err := ln.Accept()
