--- a/internal/lab/pressure/pressure_test.go
+++ b/internal/lab/pressure/pressure_test.go
@@ -152,3 +152,28 @@
 	t.Cleanup(w.agent.stop)
 	return w.agent.addr
 }
+
+// The random crowds: by default a few, for a long run -args -crowds 50.
+var (
+	randomCrowds = flag.Int("crowds", 2, "number of runs with random crowds")
+	firstSeed    = flag.Uint64("seed", 1, "seed of the first of them")
+)
+
+// Crowds of several kinds at once, drawn at random, cost no more than one.
+func TestRandomCrowds(t *testing.T) {
+	for n := range *randomCrowds {
+		s := RandomScenario(*firstSeed + uint64(n))
+		t.Run(fmt.Sprintf("seed %d", s.Seed), func(t *testing.T) {
+			s.Program = program
+			s.Duration = crowdDuration
+			result, err := Run(t.Context(), s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%v, %d kills, crowds of %v", result, s.Kills, s.Sizes())
+			for _, violation := range result.Violations() {
+				t.Error(violation)
+			}
+		})
+	}
+}
