agent: two processes of an upgrade share the memory for clients' connections

Each had the whole of it, a quarter of memory_mb, while the runtime's limit was halved. A process now follows the number of processes, and evicts what exceeds its part.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -99,7 +99,7 @@
 	p.serveFor, p.answerWithin = cfg.shutdownPlan()
 	upstream := &httpup.Upstream{Pool: p.pool, Budget: p.bodyBudget, ReportFields: cfg.loadReportNames()}
 	p.http = httpdown.New(&cfg.Settings, p.bodyBudget, upstream, cfg.maxIdleClients(), cfg.maxClientConnections())
-	p.http.ConnMemory = cfg.clientConnMemory()
+	p.http.SetConnMemory(cfg.clientConnMemory())
 	p.http.BodyMemory = cfg.requestBudget()
 	upstreams := []core.Upstream{upstream}
 	if err := p.newThrift(); err != nil {
@@ -131,9 +131,10 @@
 	return p, nil
 }
 
-// divideLimits gives each of the agent's processes an equal part of the memory and of the connections to
-// backends.
+// divideLimits gives each of the agent's processes an equal part of the memory, that of clients' connections included,
+// and of the connections to backends.
 func (p *process) divideLimits(processes int) {
+	p.http.SetConnMemory(p.cfg.clientConnMemory() / processes)
 	debug.SetMemoryLimit(p.cfg.MemoryLimit() / int64(processes))
 	p.pool.SetMax(p.cfg.maxBackendConnections() / processes)
 }
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -33,8 +33,6 @@
 type Server struct {
 	EventLoop *core.EventLoop // set before Serve
 	Linger    time.Duration   // how long Shutdown keeps serving as before; 0: defaultLinger
-	// ConnMemory bounds the memory that the connections of clients take, in bytes; 0: it is not bounded.
-	ConnMemory int
 	// BodyMemory is the size of the budget for bodies, which bounds how fast they are buffered; 0: that is not bounded.
 	BodyMemory int64
 
@@ -91,6 +89,10 @@
 	return s
 }
 
+// SetConnMemory bounds the memory that the connections of clients take, in bytes; 0: it is not bounded. It may be changed
+// while the server serves.
+func (s *Server) SetConnMemory(bytes int) { s.clientConns.setMemoryLimit(bytes) }
+
 // Ready makes the readiness endpoint answer 200.
 func (s *Server) Ready() { s.ready.Store(true) }
 
@@ -98,7 +100,6 @@
 func (s *Server) Serve(ln net.Listener) error {
 	defer close(s.served)
 	s.ln.Store(&ln)
-	s.clientConns.memoryLimit = s.ConnMemory
 	s.buffers = pace.NewBuffers(s.budget, s.BodyMemory)
 	if err := s.httpServer.Serve(framedListener{pace.NewListener(ln)}); !s.draining.Load() {
 		return fmt.Errorf("downstream http: %w", err)
--- a/internal/downstream/http/weight.go
+++ b/internal/downstream/http/weight.go
@@ -23,6 +23,14 @@
 	progressInterval = 20 * time.Millisecond
 )
 
+// setMemoryLimit sets memoryLimit, and evicts connections that exceed it.
+func (c *clientConns) setMemoryLimit(bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memoryLimit = bytes
+	c.evictExcess()
+}
+
 // setWeight records the memory that a connection takes. The lock is held.
 func (c *clientConns) setWeight(nc net.Conn, bytes int) {
 	conn := c.conns[nc]
