downstream http: a body that is rejected for want of connections is not read to its end

Cause: behind a rejection the rest of the body was read for clients that read the answer last, in pieces of 4 KiB. Such an answer now ends its connection, whose close still reads 256 KiB; what is read and dropped elsewhere has pooled buffers of 8 KiB.

--- a/internal/downstream/http/body.go
+++ b/internal/downstream/http/body.go
@@ -23,7 +23,7 @@
 	// bufferGrowth is the factor by which the buffer of a body grows, as its bytes arrive.
 	bufferGrowth = 4
 	// discardBufferBytes is the size of the buffer for a body that is discarded.
-	discardBufferBytes = 4 << 10
+	discardBufferBytes = 8 << 10
 
 	// A body may be waited for bodyGracePeriod, and longer by the time of its bytes at minBodyBytesPerSecond, but not
 	// over maxBodyPause ahead: bytes that came fast allow no longer silence.
@@ -32,6 +32,9 @@
 	maxBodyPause          = 2500 * time.Millisecond
 )
 
+// discardBuffers are the buffers for bodies that are discarded. What they hold is not used.
+var discardBuffers = sync.Pool{New: func() any { return new([discardBufferBytes]byte) }}
+
 // errBodyTooLong is the error of a body that exceeds MaxBodyBytes.
 var errBodyTooLong = errors.New("body too long")
 
@@ -130,9 +133,10 @@
 		return b.complete
 	}
 	_ = http.NewResponseController(w).Flush()
-	buf := make([]byte, discardBufferBytes)
+	buf := discardBuffers.Get().(*[discardBufferBytes]byte)
+	defer discardBuffers.Put(buf)
 	for {
-		if _, err := b.readLocked(buf); err != nil {
+		if _, err := b.readLocked(buf[:]); err != nil {
 			return b.complete
 		}
 	}
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -7,6 +7,7 @@
 
 	"ringtrack.example/ringtrack/internal/core"
 	upstream "ringtrack.example/ringtrack/internal/upstream/http"
+	"ringtrack.example/ringtrack/policy"
 )
 
 // readyPath is the readiness endpoint.
@@ -142,7 +143,11 @@
 	if a.Outcome == core.Rejected {
 		charge(conn)
 	}
-	if body != nil && !body.discard(w) && a.Outcome != core.Served {
+	switch {
+	case body == nil:
+	case a.Rule == policy.ReasonConnections:
+		endUnread(w) // reading bodies that are not forwarded would take the time of other clients
+	case !body.discard(w) && a.Outcome != core.Served:
 		endUnread(w)
 	}
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -6,8 +6,8 @@
 
 import (
 	"errors"
-	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -140,13 +140,27 @@
 	if cw, ok := nc.(interface{ CloseWrite() error }); ok && (readAhead || ReadState(nc) == Unread) {
 		if cw.CloseWrite() == nil {
 			nc.SetReadDeadline(time.Now().Add(lingerTimeout))
-			_, _ = io.CopyN(discardWriter{}, nc, lingerMaxBytes)
+			discard(nc)
 		}
 	}
 	return nc.Close()
 }
 
-// discardWriter discards what is written. It has no ReadFrom, so io.CopyN uses plain reads and not splice.
-type discardWriter struct{}
+// discardBufferBytes is the size of the buffer for what is discarded.
+const discardBufferBytes = 8 << 10
 
-func (discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+// discardBuffers are the buffers for what is discarded.
+var discardBuffers = sync.Pool{New: func() any { return new([discardBufferBytes]byte) }}
+
+// discard reads and drops at most lingerMaxBytes. It uses plain reads and not splice.
+func discard(nc net.Conn) {
+	buf := discardBuffers.Get().(*[discardBufferBytes]byte)
+	defer discardBuffers.Put(buf)
+	for dropped := 0; dropped < lingerMaxBytes; {
+		n, err := nc.Read(buf[:])
+		if err != nil {
+			return
+		}
+		dropped += n
+	}
+}
