--- a/internal/lab/pressure/behaviors.go
+++ b/internal/lab/pressure/behaviors.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -111,7 +112,8 @@
 	headOfShortFields    = shortFields(headBytes)
 	endlessShortFields   = shortFields(endlessHeadBytes)
 	headOfLongFields     = longFields(headBytes)
-	largePiece           = strings.Repeat("x", 900<<10)
+	largePiece           = bytes.Repeat([]byte("x"), 900<<10)
+	slowBody             = string(largePiece)
 	declaredLength       = fmt.Sprintf("Content-Length: %d\r\n", longBodyBytes)
 	readyRequest         = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 	trailersOfShortField = "1\r\nx\r\n0\r\n" + endlessShortFields
@@ -167,7 +169,10 @@
 		return err
 	}
 	sent := largePiece[:len(largePiece)>>c.rng.IntN(6)]
-	if _, err := io.WriteString(c, requestHead("POST", "/api/1", "order", declaredLength)+"\r\n"+sent); err != nil {
+	if _, err := io.WriteString(c, requestHead("POST", "/api/1", "order", declaredLength)+"\r\n"); err != nil {
+		return err
+	}
+	if _, err := c.Write(sent); err != nil {
 		return err
 	}
 	return c.hold()
@@ -181,7 +186,7 @@
 	if _, err := io.WriteString(c, requestHead("POST", "/api/1", "order", declaredLength)+"\r\n"); err != nil {
 		return err
 	}
-	return c.writeSlowly(largePiece)
+	return c.writeSlowly(slowBody)
 }
 
 // SlowTrailers sends a chunked body with trailer fields that never end.
@@ -362,7 +367,10 @@
 	if c.rng.IntN(2) == 0 {
 		message = message[4:] // not framed
 	}
-	if _, err := c.Write(append(message, largePiece...)); err != nil {
+	if _, err := c.Write(message); err != nil {
+		return err
+	}
+	if _, err := c.Write(largePiece); err != nil {
 		return err
 	}
 	return c.hold()
--- a/internal/lab/pressure/pressure_test.go
+++ b/internal/lab/pressure/pressure_test.go
@@ -72,6 +72,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			s := test.scenario
 			s.Program = program
 			s.Sockets = 1024
@@ -164,6 +165,7 @@
 	for n := range *randomCrowds {
 		s := RandomScenario(*firstSeed + uint64(n))
 		t.Run(fmt.Sprintf("seed %d", s.Seed), func(t *testing.T) {
+			t.Parallel()
 			s.Program = program
 			s.Duration = crowdDuration
 			result, err := Run(t.Context(), s)
