An accept for which the kernel has no memory does not end the process

Cause: net/http repeats only accepts whose error says that it is temporary, and ENOBUFS and ENOMEM do not: the HTTP listener ended, and with it the agent and all requests in flight. Thrift's repeats them itself. The paced listener says so.

--- a/internal/downstream/pace/listener.go
+++ b/internal/downstream/pace/listener.go
@@ -3,7 +3,9 @@
 package pace
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -30,5 +32,22 @@
 // Accept implements net.Listener. It is called by one goroutine.
 func (l *Listener) Accept() (net.Conn, error) {
 	time.Sleep(l.limiter.Reserve().Delay())
-	return l.Listener.Accept()
+	nc, err := l.Listener.Accept()
+	if errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM) {
+		return nc, noMemoryError{err}
+	}
+	return nc, err
 }
+
+// noMemoryError is the error of an accept for which the kernel has no memory. net/http repeats only accepts whose error
+// says that it is temporary, and would end the listener.
+type noMemoryError struct{ error }
+
+// Temporary implements net.Error.
+func (noMemoryError) Temporary() bool { return true }
+
+// Timeout implements net.Error.
+func (noMemoryError) Timeout() bool { return false }
+
+// Unwrap returns the error of the accept.
+func (e noMemoryError) Unwrap() error { return e.error }
