Listeners that end accept what is in their queue without a pace

Found by reading: at 500 a second a queue of 400 would hold an end up by 0.8 s of the 1.0 to 3.7 it has.

--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -51,6 +51,7 @@
 	// readDeadline is until when a shutdown reads requests that have not arrived completely; nil: no shutdown.
 	readDeadline atomic.Pointer[time.Time]
 	ln           atomic.Pointer[net.Listener]
+	paced        atomic.Pointer[pace.Listener]
 	served       chan struct{} // closed once the listener is closed and clientConns has all accepted connections
 }
 
@@ -101,7 +102,12 @@
 	defer close(s.served)
 	s.ln.Store(&ln)
 	s.buffers = pace.NewBuffers(s.budget, s.BodyMemory)
-	if err := s.httpServer.Serve(framedListener{pace.NewListener(ln)}); !s.draining.Load() {
+	paced := pace.NewListener(ln)
+	s.paced.Store(paced)
+	if s.draining.Load() {
+		paced.End()
+	}
+	if err := s.httpServer.Serve(framedListener{paced}); !s.draining.Load() {
 		return fmt.Errorf("downstream http: %w", err)
 	}
 	return nil
--- a/internal/downstream/http/shutdown.go
+++ b/internal/downstream/http/shutdown.go
@@ -44,7 +44,7 @@
 	deadline := earlier(drainStart, start.Add(s.Linger)).Add(drainTimeout) // a late poll does not extend it
 	readDeadline := drainStart.Add(min(drainTimeout/2, shutdownReadTime))
 	s.readDeadline.Store(&readDeadline)
-	s.draining.Store(true)
+	s.beginDrain()
 	s.clientConns.closeIdle()
 	for {
 		<-poll.C // a client whose connection was closed may still connect again
@@ -63,6 +63,14 @@
 	}
 }
 
+// beginDrain makes each connection end with its next answer, and the listener accept without a pace.
+func (s *Server) beginDrain() {
+	s.draining.Store(true)
+	if paced := s.paced.Load(); paced != nil {
+		paced.End()
+	}
+}
+
 // drained reports whether the listener is closed and no client is connected.
 func (s *Server) drained() bool {
 	select {
@@ -118,6 +126,6 @@
 // once, and each connection with its next answer. Connections without a request stay open until Shutdown
 // closes them, as a request may be on its way.
 func (s *Server) HandOver(ln net.Listener) {
-	s.draining.Store(true)
+	s.beginDrain()
 	ln.Close()
 }
--- a/internal/downstream/pace/listener.go
+++ b/internal/downstream/pace/listener.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,7 @@
 type Listener struct {
 	net.Listener
 	limiter *rate.Limiter
+	ending  atomic.Bool
 }
 
 // NewListener returns a listener that accepts the connections of another one.
@@ -31,7 +33,9 @@
 
 // Accept implements net.Listener. It is called by one goroutine.
 func (l *Listener) Accept() (net.Conn, error) {
-	time.Sleep(l.limiter.Reserve().Delay())
+	if !l.ending.Load() {
+		time.Sleep(l.limiter.Reserve().Delay())
+	}
 	nc, err := l.Listener.Accept()
 	if errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM) {
 		return nc, noMemoryError{err}
@@ -39,6 +43,9 @@
 	return nc, err
 }
 
+// End ends the pace: a listener that is about to close accepts at once what is in its queue.
+func (l *Listener) End() { l.ending.Store(true) }
+
 // noMemoryError is the error of an accept for which the kernel has no memory. net/http repeats only accepts whose error
 // says that it is temporary, and would end the listener.
 type noMemoryError struct{ error }
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -54,6 +54,7 @@
 	lastID  atomic.Uint64 // of a call
 	buffers *pace.Buffers // for messages of clients, from the budget
 	answers *pace.Answers
+	paced   atomic.Pointer[pace.Listener]
 	// closedLog bounds the log lines about connections that are closed for what clients sent.
 	closedLog *rate.Limiter
 
@@ -78,9 +79,10 @@
 	s.buffers = pace.NewBuffers(s.Budget, s.BudgetBytes)
 	s.answers = pace.NewAnswers()
 	s.closedLog = rate.NewLimiter(closedLogRate, closedLogBurst)
-	ln = pace.NewListener(ln)
+	paced := pace.NewListener(ln)
+	s.paced.Store(paced)
 	for {
-		nc, err := ln.Accept()
+		nc, err := paced.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
@@ -187,6 +189,9 @@
 	s.readDeadline = time.Now().Add(readTime)
 	served := s.served
 	s.mu.Unlock()
+	if paced := s.paced.Load(); paced != nil {
+		paced.End()
+	}
 	ln.Close()
 	if served != nil {
 		<-served // from here on conns has all connections that were accepted
--- a/internal/lab/pressure/agent.go
+++ b/internal/lab/pressure/agent.go
@@ -151,6 +151,21 @@
 	<-ended
 }
 
+// terminate sends SIGTERM, and returns how long the process then takes to end. After timeout it is killed.
+func (a *agentProcess) terminate(timeout time.Duration) (took time.Duration, ended bool) {
+	cmd := a.process()
+	a.stopped.Store(true)
+	begin := time.Now()
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-a.ended:
+		return time.Since(begin), true
+	case <-time.After(timeout):
+		a.stop()
+		return timeout, false
+	}
+}
+
 func (a *agentProcess) endedByItself() bool { return a.crashed.Load() }
 
 func (a *agentProcess) peakMemoryKB() int64 { return a.peak.Load() }
--- a/internal/lab/pressure/pressure_test.go
+++ b/internal/lab/pressure/pressure_test.go
@@ -1,6 +1,7 @@
 package pressure
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"net/http"
@@ -138,8 +139,35 @@
 	}
 }
 
+// killAfter is when SIGKILL may follow SIGTERM: the longest deadline of the settings, and 0.7 s.
+const killAfter = time.Second + 700*time.Millisecond
+
+// A process ends in time though hundreds of clients connect again as soon as their connections are closed.
+func TestEndBesideClientsThatConnectAgain(t *testing.T) {
+	a := startProcess(t, &Scenario{MemoryMB: 64, Sockets: 1024, Thrift: true})
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	for n := range 400 {
+		target := Target{HTTP: a.addr, Thrift: a.thriftAddr}
+		behavior := []Behavior{ShortFieldsWithoutBody, ReadyOnNewConnections, PartOfThriftMessage}[n%3]
+		go misbehave(ctx, behavior, target, newRand(1, uint64(n)))
+	}
+	time.Sleep(time.Second)
+	if took, ended := a.terminate(killAfter); !ended {
+		t.Errorf("still running %v after SIGTERM", took)
+	} else {
+		t.Logf("ended %v after SIGTERM", took)
+	}
+}
+
 // startAgent starts an agent without a crowd, until the test ends, and returns its address.
 func startAgent(t *testing.T, s *Scenario) string {
+	t.Helper()
+	return startProcess(t, s).addr
+}
+
+// startProcess starts an agent without a crowd, until the test ends.
+func startProcess(t *testing.T, s *Scenario) *agentProcess {
 	t.Helper()
 	s.Program = program
 	w, err := newWorld(s)
@@ -151,7 +179,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(w.agent.stop)
-	return w.agent.addr
+	return w.agent
 }
 
 // The random crowds: by default a few, for a long run -args -crowds 50.
