Connections are accepted as there is room for them, and unread ones give way last

And an upload could be evicted whose own server did not read. Connections with unread bytes give way only if there are no others, a listener waits up to 0.1 s while there is nothing else, its burst follows the memory for connections (32 to 256), and an upload with unread bytes keeps its place.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -165,6 +165,7 @@
 		Table:        table,
 		Limits:       limits,
 		MaxConns:     p.cfg.maxThriftConnections(),
+		ConnMemory:   p.cfg.clientConnMemory(),
 		RetryAfterMs: p.cfg.Settings.Limits.MaxRetryAfterMs,
 	}
 	return nil
--- a/internal/downstream/http/evict.go
+++ b/internal/downstream/http/evict.go
@@ -26,9 +26,17 @@
 }
 
 // nextVictim returns the connection to evict next; nil: there is none, or there are only new ones and the
-// hard limit is not exceeded. The lock is held.
+// hard limit is not exceeded. One with unread bytes is evicted only if there is no other. The lock is held.
 func (c *clientConns) nextVictim() net.Conn {
 	overHardLimit := c.overHardLimit()
+	if victim := c.victim(overHardLimit, false); victim != nil || !overHardLimit {
+		return victim
+	}
+	return c.victim(true, true)
+}
+
+// victim is nextVictim, with or without the connections that have unread bytes. The lock is held.
+func (c *clientConns) victim(overHardLimit, unread bool) net.Conn {
 	if e := c.evictable[slowAnswer].Front(); e != nil && overHardLimit {
 		return e.Value.(net.Conn)
 	}
@@ -36,22 +44,22 @@
 	burst := false
 	var oldest net.Conn
 	for _, kind := range []connKind{noRequest, readingBody, forwardingBody} {
-		e := c.candidate(kind, overHardLimit)
+		many := c.evictable[kind].Len() > burstSize
+		burst = burst || many
+		e := c.candidate(kind, unread)
 		if e == nil {
 			continue
 		}
 		nc := e.Value.(net.Conn)
-		many := c.evictable[kind].Len() > burstSize
 		if many && overHardLimit || time.Since(c.conns[nc].since) > newConnGracePeriod {
 			return nc
 		}
-		burst = burst || many
 		if oldest == nil || c.conns[nc].since.Before(c.conns[oldest].since) {
 			oldest = nc
 		}
 	}
 	// The connections of a burst evict only each other.
-	if e := c.candidate(idle, overHardLimit); e != nil && !burst {
+	if e := c.candidate(idle, unread); e != nil && !burst {
 		return e.Value.(net.Conn)
 	}
 	if !overHardLimit {
@@ -60,9 +68,30 @@
 	return oldest
 }
 
-// candidate returns the oldest connection of a kind that may be evicted, if possible one without unread bytes. One
-// with unread bytes may be evicted only above the hard limit. The lock is held.
-func (c *clientConns) candidate(kind connKind, overHardLimit bool) *list.Element {
+const (
+	// roomPollInterval is how often a listener without room checks for it, maxRoomWait for how long altogether.
+	roomPollInterval = time.Millisecond
+	maxRoomWait      = 100 * time.Millisecond
+)
+
+// awaitRoom waits until another connection can be accepted without the eviction of one whose bytes are unread: it may
+// just not have been read yet.
+func (c *clientConns) awaitRoom() {
+	for end := time.Now().Add(maxRoomWait); !c.hasRoom() && time.Now().Before(end); {
+		time.Sleep(roomPollInterval)
+	}
+}
+
+func (c *clientConns) hasRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	full := len(c.conns)-c.closing >= c.hardLimit || c.memoryLimit > 0 && c.weight+connBytes > c.memoryLimit
+	return !full || c.victim(true, false) != nil
+}
+
+// candidate returns the oldest connection of a kind that may be evicted, if possible one without unread bytes, and one
+// with unread bytes only if unread is set. The lock is held.
+func (c *clientConns) candidate(kind connKind, unread bool) *list.Element {
 	oldest := c.evictable[kind].Front()
 	e := oldest
 	for range maxUnreadSkipped {
@@ -71,7 +100,7 @@
 		}
 		e = e.Next()
 	}
-	if overHardLimit {
+	if unread {
 		return oldest
 	}
 	return nil
--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -24,6 +24,18 @@
 	return newFramedConn(nc), nil
 }
 
+// roomyListener accepts connections as long as there is room for them.
+type roomyListener struct {
+	framedListener
+	conns *clientConns
+}
+
+// Accept implements net.Listener.
+func (l roomyListener) Accept() (net.Conn, error) {
+	l.conns.awaitRoom()
+	return l.framedListener.Accept()
+}
+
 // errFramingEnded is the error of reading behind a message that can't be used.
 var errFramingEnded = errors.New("http: nothing is read behind a message that can't be used")
 
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -102,12 +102,12 @@
 	defer close(s.served)
 	s.ln.Store(&ln)
 	s.buffers = pace.NewBuffers(s.budget, s.BodyMemory)
-	paced := pace.NewListener(ln)
+	paced := pace.NewListener(ln, s.clientConns.memory())
 	s.paced.Store(paced)
 	if s.draining.Load() {
 		paced.End()
 	}
-	if err := s.httpServer.Serve(framedListener{paced}); !s.draining.Load() {
+	if err := s.httpServer.Serve(roomyListener{framedListener{paced}, s.clientConns}); !s.draining.Load() {
 		return fmt.Errorf("downstream http: %w", err)
 	}
 	return nil
--- a/internal/downstream/http/weight.go
+++ b/internal/downstream/http/weight.go
@@ -31,6 +31,13 @@
 	c.evictExcess()
 }
 
+// memory returns memoryLimit.
+func (c *clientConns) memory() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.memoryLimit
+}
+
 // setWeight records the memory that a connection takes. The lock is held.
 func (c *clientConns) setWeight(nc net.Conn, bytes int) {
 	conn := c.conns[nc]
@@ -78,13 +85,8 @@
 	if conn := c.conns[nc]; conn == nil || conn.closing {
 		return false
 	}
-	uploads := &c.evictable[forwardingBody]
-	if oldest := uploads.Front(); oldest != nil && uploads.Len() >= max(c.hardLimit/uploadDivisor, 1) {
-		slowest := oldest.Value.(net.Conn)
-		if time.Since(c.conns[slowest].since) < newConnGracePeriod {
-			return false
-		}
-		c.evict(slowest)
+	if c.evictable[forwardingBody].Len() >= max(c.hardLimit/uploadDivisor, 1) && !c.evictSlowUpload() {
+		return false
 	}
 	c.setEvictable(nc, forwardingBody)
 	c.addStream(nc)
@@ -92,6 +94,21 @@
 	return true
 }
 
+// evictSlowUpload evicts the upload whose client has sent nothing for the longest time, and returns false if there is none:
+// one with unread bytes waits for its server. The lock is held.
+func (c *clientConns) evictSlowUpload() bool {
+	e := c.candidate(forwardingBody, false)
+	if e == nil {
+		return false
+	}
+	slowest := e.Value.(net.Conn)
+	if time.Since(c.conns[slowest].since) < newConnGracePeriod {
+		return false
+	}
+	c.evict(slowest)
+	return true
+}
+
 // bodyProgresses records that bytes of a body have arrived.
 func (c *clientConns) bodyProgresses(nc net.Conn) {
 	c.mu.Lock()
--- a/internal/downstream/pace/listener.go
+++ b/internal/downstream/pace/listener.go
@@ -15,8 +15,11 @@
 const (
 	// acceptsPerSecond bounds the connections that a listener accepts. Those beyond it wait in the accept queue.
 	acceptsPerSecond = 500
-	// acceptBurst is how many connections are accepted at once, as after a restart.
-	acceptBurst = 64
+	// minAcceptBurst and maxAcceptBurst bound how many connections are accepted at once, as after a restart.
+	minAcceptBurst, maxAcceptBurst = 32, 256
+	// burstConnBytes is the memory of connections for which one more is accepted at once: it is taken before any of them
+	// is read.
+	burstConnBytes = 128 << 10
 )
 
 // Listener is a listener that accepts no more than acceptsPerSecond.
@@ -26,9 +29,14 @@
 	ending  atomic.Bool
 }
 
-// NewListener returns a listener that accepts the connections of another one.
-func NewListener(ln net.Listener) *Listener {
-	return &Listener{Listener: ln, limiter: rate.NewLimiter(acceptsPerSecond, acceptBurst)}
+// NewListener returns a listener that accepts the connections of another one, with an amount of memory for them, in bytes;
+// 0: that is not bounded.
+func NewListener(ln net.Listener, connMemory int) *Listener {
+	burst := maxAcceptBurst
+	if connMemory > 0 {
+		burst = min(max(connMemory/burstConnBytes, minAcceptBurst), maxAcceptBurst)
+	}
+	return &Listener{Listener: ln, limiter: rate.NewLimiter(acceptsPerSecond, burst)}
 }
 
 // Accept implements net.Listener. It is called by one goroutine.
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -48,6 +48,7 @@
 	Table        *Table
 	Limits       thriftwire.Limits
 	MaxConns     int
+	ConnMemory   int           // for the connections of clients, in bytes; 0: not bounded
 	Linger       time.Duration // how long Shutdown keeps serving as before; 0: defaultLinger
 	RetryAfterMs float64       // of a rejection for which the core gives no time
 
@@ -79,7 +80,7 @@
 	s.buffers = pace.NewBuffers(s.Budget, s.BudgetBytes)
 	s.answers = pace.NewAnswers()
 	s.closedLog = rate.NewLimiter(closedLogRate, closedLogBurst)
-	paced := pace.NewListener(ln)
+	paced := pace.NewListener(ln, s.ConnMemory)
 	s.paced.Store(paced)
 	for {
 		nc, err := paced.Accept()
