--- a/internal/lab/pressure/pressure_test.go
+++ b/internal/lab/pressure/pressure_test.go
@@ -73,7 +73,6 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			t.Parallel()
 			s := test.scenario
 			s.Program = program
 			s.Sockets = 1024
@@ -193,7 +192,6 @@
 	for n := range *randomCrowds {
 		s := RandomScenario(*firstSeed + uint64(n))
 		t.Run(fmt.Sprintf("seed %d", s.Seed), func(t *testing.T) {
-			t.Parallel()
 			s.Program = program
 			s.Duration = crowdDuration
 			result, err := Run(t.Context(), s)
