--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -86,6 +87,14 @@
 		os.Exit(cantRun)
 	})
 	defer watchdog.Stop()
+	go func() { // a case that is ended from outside leaves nothing behind
+		ended := make(chan os.Signal, 1)
+		signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+		<-ended
+		r.endAll()
+		os.RemoveAll(tmp)
+		os.Exit(cantRun)
+	}()
 	r.log("case %s, trouble %v", name, r.trouble)
 	return cases[name](r)
 }
