downstream http: a length is read from a whole line only

Cause: framingChecker stores the first 256 bytes of a line and read the length from that prefix, so it took 0 for what net/http reads as 49. From there on it looked for heads in another place than net/http, took the body for a head and skipped the next request as its body.

Change: a line is typed as whole or cut. A Content-Length line that is cut makes its head unusable (400), as an unsound number does; a chunk size is read from a cut line only if its extension begins within the stored part. The handler rejects any head that the checker does not trust before anything else, not only chunked ones.

--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -225,13 +225,12 @@
 	return c.holdsRequest(handling)
 }
 
-// checkNextRequest counts a request. It reports whether its framing can be trusted, and whether its head was cut off
-// as it is too large.
-func (c *framedConn) checkNextRequest() (trusted, tooLarge bool) {
+// checkNextRequest counts a request. It returns a *requestError if its head can't be used.
+func (c *framedConn) checkNextRequest() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
-	return c.framing.firstUntrusted == 0 || c.requests < c.framing.firstUntrusted, c.requests == c.framing.tooLarge
+	return c.framing.checkHead(c.requests)
 }
 
 // Close closes the connection without a reset, which could destroy the last answer, even if the client has
--- a/internal/downstream/http/framing.go
+++ b/internal/downstream/http/framing.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 	"strings"
 )
@@ -17,6 +18,7 @@
 type framingChecker struct {
 	state            framingState
 	line             []byte // the current line, as far as it has arrived, truncated to maxLine
+	lineBytes        int    // bytes of the current line that have arrived, stored or not
 	contentLength    int64  // of the current head; -1: there is none
 	transferEncoding bool   // the current head has this field
 	headBegun        bool   // a line of the current head has arrived
@@ -30,6 +32,15 @@
 	tooLarge         int    // number of the head that exceeds maxHeadBytes or maxHeaderFields; 0: there is none
 }
 
+// framingLine is a line without its end. No number is read from one that is cut: what was dropped may continue it.
+type framingLine struct {
+	text string
+	cut  bool // text is only the beginning, of maxLine bytes
+}
+
+// isEmpty reports whether the line is an empty one.
+func (l framingLine) isEmpty() bool { return l.text == "" && !l.cut }
+
 type framingState uint8
 
 const (
@@ -44,8 +55,7 @@
 )
 
 const (
-	// maxLine bounds the part of a line that is stored. A length is far shorter, and of all other fields only
-	// the name matters.
+	// maxLine bounds the part of a line that is stored. Of fields other than lengths only the name matters.
 	maxLine = 256
 	// maxLengthBits bounds the lengths of bodies and chunks that are accepted.
 	maxLengthBits = 62
@@ -80,19 +90,30 @@
 		}
 		f.headBytes += len(rest) - len(behind)
 		f.line = append(f.line, part[:min(len(part), maxLine-len(f.line))]...)
+		f.lineBytes += len(part)
 		if !ended {
 			return len(p)
 		}
 		rest = behind
-		f.endLine(strings.TrimSuffix(string(f.line), "\r"))
-		f.line = f.line[:0]
+		f.endLine(f.takeLine())
 	}
 	return len(p) - len(rest)
 }
 
+// takeLine returns the current line, which has ended, and prepares for the next one.
+func (f *framingChecker) takeLine() framingLine {
+	line := framingLine{text: string(f.line), cut: f.lineBytes > len(f.line)}
+	if !line.cut {
+		line.text = strings.TrimSuffix(line.text, "\r")
+	}
+	f.line = f.line[:0]
+	f.lineBytes = 0
+	return line
+}
+
 // limitFields ends a head or trailer section if next begins one field too many.
 func (f *framingChecker) limitFields(next byte) {
-	if len(f.line) > 0 || next == '\r' || next == '\n' {
+	if f.lineBytes > 0 || next == '\r' || next == '\n' {
 		return
 	}
 	switch {
@@ -112,6 +133,20 @@
 	f.state = inUntrustedHead
 }
 
+// checkHead returns a *requestError if a head, counted from 1, can't be used: it was cut off as it is too large, or its
+// length is ambiguous or can't be read.
+func (f *framingChecker) checkHead(number int) error {
+	switch {
+	case number == f.tooLarge:
+		return statusError(http.StatusRequestHeaderFieldsTooLarge)
+	case f.firstUntrusted == 0 || number < f.firstUntrusted:
+		return nil
+	case number <= f.heads:
+		return errAmbiguousLength
+	}
+	return errUnusableLength
+}
+
 // heldHeadBytes returns the bytes of the current head, or of the last one while none has begun since.
 func (f *framingChecker) heldHeadBytes() int { return max(f.headBytes, f.lastHeadBytes) }
 
@@ -155,7 +190,7 @@
 }
 
 // endLine processes a complete line.
-func (f *framingChecker) endLine(line string) {
+func (f *framingChecker) endLine(line framingLine) {
 	switch f.state {
 	case inHead:
 		f.headLine(line)
@@ -163,23 +198,23 @@
 		f.chunkSizeLine(line)
 	case inChunkEnd:
 		f.state = inChunkSize
-		if line != "" {
+		if !line.isEmpty() {
 			f.markUntrusted(f.heads + 1)
 		}
 	case inTrailer:
 		f.lines++
-		if line == "" {
+		if line.isEmpty() {
 			f.endMessage()
 		}
 	}
 }
 
 // chunkSizeLine processes the line before the data of a chunk.
-func (f *framingChecker) chunkSizeLine(line string) {
-	text, _, _ := strings.Cut(line, ";")
+func (f *framingChecker) chunkSizeLine(line framingLine) {
+	text, _, hasExtension := strings.Cut(line.text, ";")
 	size, err := strconv.ParseUint(strings.TrimRight(text, " \t"), 16, maxLengthBits)
 	switch {
-	case err != nil:
+	case err != nil || line.cut && !hasExtension:
 		f.markUntrusted(f.heads + 1) // net/http rejects it too, and closes the connection
 	case size == 0:
 		f.state = inTrailer
@@ -191,21 +226,21 @@
 }
 
 // headLine processes a line of a head.
-func (f *framingChecker) headLine(line string) {
-	if line == "" {
+func (f *framingChecker) headLine(line framingLine) {
+	if line.isEmpty() {
 		f.endHead()
 		return
 	}
 	f.headBegun = true
 	f.lastHeadBytes = 0
 	f.lines++
-	name, value, _ := strings.Cut(line, ":")
+	name, value, _ := strings.Cut(line.text, ":")
 	switch strings.ToLower(strings.TrimRight(name, " \t")) {
 	case "content-length":
 		n, err := strconv.ParseUint(strings.Trim(value, " \t"), 10, maxLengthBits)
-		if err != nil || f.contentLength >= 0 && f.contentLength != int64(n) {
+		if err != nil || line.cut || f.contentLength >= 0 && f.contentLength != int64(n) {
 			f.firstUntrusted = f.heads + 1
-			f.state = inUntrustedHead // net/http rejects it too
+			f.state = inUntrustedHead
 			return
 		}
 		f.contentLength = int64(n)
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -16,12 +16,12 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	receivedAt := time.Now()
-	framingTrusted, headTooLarge := false, false
+	var framingErr error
 	var disconnected <-chan struct{} // closed if the client disconnects and net/http does not detect that
 	conn, framed := req.Context().Value(connKey{}).(*framedConn)
 	if framed {
 		receivedAt = conn.lastReceipt()
-		framingTrusted, headTooLarge = conn.checkNextRequest()
+		framingErr = conn.checkNextRequest()
 		disconnected = conn.disconnect.disconnected
 		s.awaitPace(conn)
 		select {
@@ -30,8 +30,8 @@
 		default:
 		}
 	}
-	if headTooLarge {
-		reject(w, statusError(http.StatusRequestHeaderFieldsTooLarge))
+	if framingErr != nil {
+		reject(w, framingErr)
 	}
 	if framed && conn.rejecting {
 		s.rejectBehindLastAnswer(w, conn)
@@ -43,7 +43,7 @@
 		charge(conn)
 		return
 	}
-	c, err := s.parseCall(req, receivedAt, framingTrusted)
+	c, err := s.parseCall(req, receivedAt, framed)
 	if err != nil {
 		reject(w, err)
 	}
--- a/internal/downstream/http/request.go
+++ b/internal/downstream/http/request.go
@@ -75,6 +75,12 @@
 	return requestErrorf(http.StatusBadRequest, format, args...)
 }
 
+// Errors of heads that framingChecker rejects. The bytes that follow may be a smuggled request, and are not read.
+var (
+	errAmbiguousLength = requestErrorf(http.StatusLengthRequired, "a body needs one length: Content-Length, or Transfer-Encoding: chunked")
+	errUnusableLength  = badRequestf("Content-Length can't be read")
+)
+
 // parseCall parses the head of a request into a call. It accepts only what common clients send: for anything
 // else a backend might return an error or close the connection, and be ejected as an outlier. framingTrusted
 // reports that the framing of a chunked body is unambiguous. An error is a *requestError.
@@ -132,8 +138,7 @@
 	case req.ProtoMajor != 1 || req.ProtoMinor != 1:
 		return requestErrorf(http.StatusHTTPVersionNotSupported, "the protocol version is not spoken here")
 	case chunked && !framingTrusted || len(req.Header["Transfer-Encoding"]) > 0:
-		// The bytes that follow may be a smuggled request, and are not read.
-		return requestErrorf(http.StatusLengthRequired, "a body needs one length: Content-Length, or Transfer-Encoding: chunked")
+		return errAmbiguousLength
 	case req.ContentLength > MaxBodyBytes:
 		return requestErrorf(http.StatusRequestEntityTooLarge, "body over %d bytes", MaxBodyBytes)
 	case req.Method != http.MethodGet && req.Method != http.MethodPost:
