downstream http: a request that two readers read differently is rejected

Cause: the check of a client's framing and net/http read the same bytes, and nothing said when they disagreed.

Change: for each head the check keeps its request line (a hash) and its body length. The handler compares them with what net/http says of the request. If they differ, or no head was seen, the request gets 400, nothing behind it is read, app.framing_disagreements counts it, and a bounded log line names the peer. Heads without a handler are bounded (4,096, then nothing more is read ahead).

Measured: TestDisagreementOnAHeadIsRejectedAndCounted (HTTP/1.0 with a coding, of which net/http knows nothing) fails before: 200, and the connection goes on.

The exact text of the metrics in the admin endpoint's test has one line more.

--- a/cmd/ringtrack/framing_test.go
+++ b/cmd/ringtrack/framing_test.go
@@ -120,7 +120,7 @@
 	return string(text), err
 }
 
-var statusLine = regexp.MustCompile(`HTTP/1\.1 (\d+)`)
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] \d+`)
 
 // framingForm is what a client sends ahead of a request that hides another one.
 type framingForm struct{ name, ahead string }
@@ -188,3 +188,20 @@
 func TestLongLengthsHideNoRequest(t *testing.T) {
 	checkHidesNothing(t, longLengths())
 }
+
+// Guards against a disagreement of the two readers of a head that nobody sees: HTTP/1.0 has no codings.
+func TestDisagreementOnAHeadIsRejectedAndCounted(t *testing.T) {
+	backend := newRecordingBackend(t)
+	addr, admin := startServing(t, backend.Listener.Addr().String())
+	text, err := exchange(addr, "GET /-/ready HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n",
+		framedHead("behind", "Content-Length: 2\r\n")+"ab")
+	if found := statusLine.FindAllString(text, -1); err != nil || len(found) != 1 || !strings.HasSuffix(found[0], "400") {
+		t.Errorf("answered %q, %v; want one answer of status 400, and the end", text, err)
+	}
+	if ids := backend.withPrefix(""); len(ids) > 0 {
+		t.Errorf("requests %v ran", ids)
+	}
+	if _, stats := adminCall(admin, "GET", "/admin/stats"); !strings.Contains(stats, "app.framing_disagreements=1\n") {
+		t.Errorf("not counted: %s", stats)
+	}
+}
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -128,7 +128,7 @@
 	}
 	want := "app.fulfilled.read=812\napp.throttled.read=3\napp.faulted.read=2\n" +
 		"app.fulfilled.order=1\napp.throttled.order=0\napp.faulted.order=0\n" +
-		"app.relayed=900\napp.open_requests=14\napp.registry_entries=12\napp.out_of_rotation=1\napp.recovered_panics=0\n"
+		"app.relayed=900\napp.open_requests=14\napp.registry_entries=12\napp.out_of_rotation=1\napp.recovered_panics=0\napp.framing_disagreements=0\n"
 	if status, body := call(t, addr, "GET", "/admin/stats"); status != 200 || body != want {
 		t.Errorf("stats: status %d, body %q", status, body)
 	}
--- a/internal/admin/stats.go
+++ b/internal/admin/stats.go
@@ -7,15 +7,16 @@
 
 // Stats holds the agent's metrics.
 type Stats struct {
-	Classes      []Class       // in the order of the settings
-	Written      int64         // attempts completely written to backends
-	Open         int64         // requests not yet answered
-	Listed       int           // backends in the endpoint list
-	Unavailable  int           // listed backends that get no requests
-	Panics       int64         // panics that the process has recovered from
-	Unserved     []RuleCount   // requests not served, by the rule that ended them
-	Unsolicited  []PlaceCount  // bytes of backends that answer no request
-	SharedConfig *SharedConfig // nil: no shared configuration is used
+	Classes       []Class       // in the order of the settings
+	Written       int64         // attempts completely written to backends
+	Open          int64         // requests not yet answered
+	Listed        int           // backends in the endpoint list
+	Unavailable   int           // listed backends that get no requests
+	Panics        int64         // panics that the process has recovered from
+	Disagreements int64         // requests rejected as two readers of their head disagree
+	Unserved      []RuleCount   // requests not served, by the rule that ended them
+	Unsolicited   []PlaceCount  // bytes of backends that answer no request
+	SharedConfig  *SharedConfig // nil: no shared configuration is used
 }
 
 // RuleCount counts the requests that one admission, queue or retry rule has ended.
@@ -64,6 +65,7 @@
 	writeMetric(&out, "registry_entries", int64(s.Listed))
 	writeMetric(&out, "out_of_rotation", int64(s.Unavailable))
 	writeMetric(&out, "recovered_panics", s.Panics)
+	writeMetric(&out, "framing_disagreements", s.Disagreements)
 	for _, r := range s.Unserved {
 		writeMetric(&out, "unserved."+r.Rule, r.Count)
 	}
--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -50,11 +50,12 @@
 	rotation := s.loop.Rotation()
 	counters := s.loop.Counters()
 	stats := admin.Stats{
-		Written:     counters.Written.Load(),
-		Open:        counters.Open.Load(),
-		Listed:      rotation.Listed,
-		Unavailable: rotation.Unavailable,
-		Panics:      panics.Recovered(),
+		Written:       counters.Written.Load(),
+		Open:          counters.Open.Load(),
+		Listed:        rotation.Listed,
+		Unavailable:   rotation.Unavailable,
+		Panics:        panics.Recovered(),
+		Disagreements: s.framingDisagreements(),
 	}
 	for i := range counters.Classes {
 		c := &counters.Classes[i]
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -134,6 +134,7 @@
 	p.pool.AttemptsWritten = &p.loop.Counters().Written
 	p.state.loop = p.loop
 	p.state.pool = p.pool
+	p.state.framingDisagreements = p.http.FramingDisagreements
 	p.state.useLimits = p.divideLimits
 	return p, nil
 }
--- a/internal/agent/sharedstate.go
+++ b/internal/agent/sharedstate.go
@@ -27,11 +27,13 @@
 // sharedState is the state that this process shares with operators, with another process of the agent, and
 // with the configuration store.
 type sharedState struct {
-	dir     *upgrade.Dir // nil: there is only this process
-	loop    *core.EventLoop
-	pool    *conns.Pool
-	renewer *client.Renewer // renews the lease on the shared configuration; nil: there is none
-	serving atomic.Bool
+	dir  *upgrade.Dir // nil: there is only this process
+	loop *core.EventLoop
+	pool *conns.Pool
+	// framingDisagreements returns how many requests were rejected as two readers of their head disagree.
+	framingDisagreements func() int64
+	renewer              *client.Renewer // renews the lease on the shared configuration; nil: there is none
+	serving              atomic.Bool
 
 	endpointsChanged chan struct{} // capacity 1; a value: the endpoint list has changed since it was saved
 	stale            atomic.Bool   // the last value passed to core.Config.DiscoveryStale
--- a/internal/downstream/http/disconnect.go
+++ b/internal/downstream/http/disconnect.go
@@ -38,6 +38,7 @@
 type disconnectDetector struct {
 	conn         net.Conn
 	receive      func(p []byte) (n, usable int, err error) // reads from conn; usable bytes may be passed on
+	readsEnough  func() bool                               // nothing more is to be read ahead; nil: only the bytes count
 	disconnected chan struct{}                             // closed once the client has disconnected
 	once         sync.Once                                 // closes disconnected: both a poll and the end of the bytes may show it
 
@@ -91,7 +92,7 @@
 		if dropped == 0 {
 			capacity = d.capacity()
 		}
-		if capacity <= 0 || dropped > maxDroppedBytes {
+		if capacity <= 0 || dropped > maxDroppedBytes || d.readsEnough != nil && d.readsEnough() {
 			d.poll(stop)
 			return
 		}
--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -95,6 +96,7 @@
 	c.raw, _ = c.SyscallConn()
 	c.disconnect.conn = nc
 	c.disconnect.receive = c.receive
+	c.disconnect.readsEnough = c.readsEnoughAhead
 	c.disconnect.disconnected = make(chan struct{})
 	return c
 }
@@ -225,12 +227,26 @@
 	return c.holdsRequest(handling)
 }
 
-// checkNextRequest counts a request. It returns a *requestError if its head can't be used.
-func (c *framedConn) checkNextRequest() error {
+// checkNextRequest counts a request. It returns a *requestError if its head can't be used, errFramingDisagreement if
+// net/http has read something else than was checked.
+func (c *framedConn) checkNextRequest(req *http.Request) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
-	return c.framing.checkHead(c.requests)
+	if err := c.framing.checkHead(c.requests); err != nil {
+		return err
+	}
+	if head, ok := c.framing.received.take(); !ok || !head.matches(req) {
+		return errFramingDisagreement
+	}
+	return nil
+}
+
+// readsEnoughAhead reports whether maxReceivedHeads have been received.
+func (c *framedConn) readsEnoughAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.framing.received.heads) >= maxReceivedHeads
 }
 
 // Close closes the connection without a reset, which could destroy the last answer, even if the client has
--- a/internal/downstream/http/framing.go
+++ b/internal/downstream/http/framing.go
@@ -22,6 +22,7 @@
 	contentLength    int64  // of the current head; -1: there is none
 	transferEncoding bool   // the current head has this field
 	headBegun        bool   // a line of the current head has arrived
+	requestLine      uint64 // of the current head, see hashRequestLine
 	lines            int    // number of complete lines of the current head or trailer section
 	headBytes        int    // of the current head
 	lastHeadBytes    int    // of the last complete head, until the next one begins
@@ -30,6 +31,7 @@
 	messages         int    // number of complete messages, and of heads that can't be used and are answered
 	firstUntrusted   int    // number of the first head that is not trusted, counted from 1; 0: there is none
 	tooLarge         int    // number of the head that exceeds maxHeadBytes or maxHeaderFields; 0: there is none
+	received         receivedHeads
 }
 
 // framingLine is a line without its end. No number is read from one that is cut: what was dropped may continue it.
@@ -231,9 +233,13 @@
 		f.endHead()
 		return
 	}
-	f.headBegun = true
 	f.lastHeadBytes = 0
 	f.lines++
+	if !f.headBegun {
+		f.headBegun = true
+		f.requestLine = hashRequestLine(line.text)
+		return
+	}
 	name, value, _ := strings.Cut(line.text, ":")
 	switch strings.ToLower(strings.TrimRight(name, " \t")) {
 	case "content-length":
@@ -256,6 +262,11 @@
 	}
 	f.heads++
 	f.lastHeadBytes = f.headBytes
+	head := receivedHead{requestLine: f.requestLine, bodyLength: max(f.contentLength, 0)}
+	if f.transferEncoding {
+		head.bodyLength = chunkedBody
+	}
+	f.received.add(head)
 	switch {
 	case f.transferEncoding && f.contentLength >= 0:
 		f.messages = f.heads
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -21,7 +21,7 @@
 	conn, framed := req.Context().Value(connKey{}).(*framedConn)
 	if framed {
 		receivedAt = conn.lastReceipt()
-		framingErr = conn.checkNextRequest()
+		framingErr = conn.checkNextRequest(req)
 		disconnected = conn.disconnect.disconnected
 		s.awaitPace(conn)
 		select {
@@ -30,6 +30,9 @@
 		default:
 		}
 	}
+	if framingErr == errFramingDisagreement {
+		s.disagreements.record(req)
+	}
 	if framingErr != nil {
 		reject(w, framingErr)
 	}
--- a/internal/downstream/http/request.go
+++ b/internal/downstream/http/request.go
@@ -79,6 +79,8 @@
 var (
 	errAmbiguousLength = requestErrorf(http.StatusLengthRequired, "a body needs one length: Content-Length, or Transfer-Encoding: chunked")
 	errUnusableLength  = badRequestf("Content-Length can't be read")
+	// errFramingDisagreement is the error of a request of which net/http has read another head than framingChecker.
+	errFramingDisagreement = badRequestf("the length of the request is ambiguous")
 )
 
 // parseCall parses the head of a request into a call. It accepts only what common clients send: for anything
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -39,11 +39,14 @@
 	// BodyMemory is the size of the budget for bodies, which bounds how fast they are buffered; 0: that is not bounded.
 	BodyMemory int64
 
-	settings    *policy.Settings
-	upstream    core.Upstream
-	budget      *semaphore.Weighted // memory for the bytes of bodies after unreservedBytes
-	buffers     *pace.Buffers       // for bodies of requests, from the budget
-	answers     *pace.Answers
+	settings *policy.Settings
+	upstream core.Upstream
+	budget   *semaphore.Weighted // memory for the bytes of bodies after unreservedBytes
+	buffers  *pace.Buffers       // for bodies of requests, from the budget
+	answers  *pace.Answers
+
+	disagreements *disagreements
+
 	classes     map[string]int
 	tenants     map[string]int
 	httpServer  *http.Server
@@ -63,15 +66,16 @@
 // hardLimit are the numbers of connections above which idle ones and new ones are evicted.
 func New(settings *policy.Settings, budget *semaphore.Weighted, upstream core.Upstream, softLimit, hardLimit int) *Server {
 	s := &Server{
-		settings:    settings,
-		upstream:    upstream,
-		budget:      budget,
-		buffers:     pace.NewBuffers(budget, 0),
-		answers:     pace.NewAnswers(),
-		classes:     map[string]int{},
-		tenants:     map[string]int{},
-		clientConns: newClientConns(softLimit, hardLimit),
-		served:      make(chan struct{}),
+		settings:      settings,
+		upstream:      upstream,
+		budget:        budget,
+		buffers:       pace.NewBuffers(budget, 0),
+		answers:       pace.NewAnswers(),
+		disagreements: newDisagreements(),
+		classes:       map[string]int{},
+		tenants:       map[string]int{},
+		clientConns:   newClientConns(softLimit, hardLimit),
+		served:        make(chan struct{}),
 	}
 	for i, class := range settings.Classes {
 		s.classes[class.Name] = i
