downstream http: empty lines between requests are read as net/http reads them

Callers saw: an agent that was told to end waited for a client that had sent CR CR LF LF behind a POST, and was there at 4.67 s, where SIGKILL may come at 3.7 s.

Cause: net/http ignores up to four CR and LF bytes in front of a request, and only behind a POST. The check ignored any number of empty lines, and took a line of one CR for the first line of a head, which the empty line behind it ended. It counted one head more than net/http from there on, and a connection with more heads than handled requests is neither closed as idle nor evicted.

Change: the check ignores what net/http ignores. An empty line anywhere else is a head that can't be used, and nothing behind it is read.

--- a/cmd/ringtrack/framing_test.go
+++ b/cmd/ringtrack/framing_test.go
@@ -1,15 +1,18 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os/exec"
 	"regexp"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +26,8 @@
 	secondWriteDelay = 30 * time.Millisecond
 	// framingAnswerTime is how long a client waits for the end of its connection.
 	framingAnswerTime = 3 * time.Second
+	// killTime is when SIGKILL may come after SIGTERM: 0.7 s and the longest deadline, 3 s here.
+	killTime = 3700 * time.Millisecond
 )
 
 // recordingBackend is a server that records the ids of the requests it runs.
@@ -59,8 +64,8 @@
 	return found
 }
 
-// startServing starts an agent with one backend, and returns the addresses of its clients and operators.
-func startServing(t *testing.T, backend string) (addr, admin string) {
+// startServing starts an agent with one backend, and returns its process and the addresses of its clients and operators.
+func startServing(t *testing.T, backend string) (cmd *exec.Cmd, addr, admin string) {
 	t.Helper()
 	discovery := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	t.Cleanup(discovery.Close)
@@ -71,7 +76,7 @@
 	}
 	addr = ln.Addr().String()
 	ln.Close()
-	_, admin = startProcess(t, map[string]any{
+	cmd, admin = startProcess(t, map[string]any{
 		"name": "n1", "listen": addr, "discovery": discovery.Listener.Addr().String(), "seed": "1",
 		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
 		"known": map[string]any{"version": 1, "full": true, "servers": []any{
@@ -82,7 +87,7 @@
 		status, _ := adminCall(admin, "GET", "/admin/health")
 		return status == http.StatusOK
 	})
-	return addr, admin
+	return cmd, addr, admin
 }
 
 // framedHead returns the head of a request, with further lines.
@@ -152,7 +157,7 @@
 func checkHidesNothing(t *testing.T, forms []framingForm) {
 	t.Helper()
 	backend := newRecordingBackend(t)
-	addr, _ := startServing(t, backend.Listener.Addr().String())
+	_, addr, _ := startServing(t, backend.Listener.Addr().String())
 	var clients errgroup.Group
 	clients.SetLimit(framingClients)
 	for _, form := range forms {
@@ -192,7 +197,7 @@
 // Guards against a disagreement of the two readers of a head that nobody sees: HTTP/1.0 has no codings.
 func TestDisagreementOnAHeadIsRejectedAndCounted(t *testing.T) {
 	backend := newRecordingBackend(t)
-	addr, admin := startServing(t, backend.Listener.Addr().String())
+	_, addr, admin := startServing(t, backend.Listener.Addr().String())
 	text, err := exchange(addr, "GET /-/ready HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n",
 		framedHead("behind", "Content-Length: 2\r\n")+"ab")
 	if found := statusLine.FindAllString(text, -1); err != nil || len(found) != 1 || !strings.HasSuffix(found[0], "400") {
@@ -205,3 +210,45 @@
 		t.Errorf("not counted: %s", stats)
 	}
 }
+
+// Guards against empty lines that the agent takes for a head: it would owe that an answer, and not close the connection at
+// its end.
+func TestEmptyLinesDoNotDelayTheEnd(t *testing.T) {
+	for _, between := range []string{"\r\r\n\n", "\r\n\r\n", "\n\n\n\n", ""} {
+		t.Run(fmt.Sprintf("%q", between), func(t *testing.T) {
+			t.Parallel()
+			backend := newRecordingBackend(t)
+			cmd, addr, _ := startServing(t, backend.Listener.Addr().String())
+			signaled := time.Now()
+			if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			for n := 0; ; n++ {
+				conn, err := net.Dial("tcp", addr)
+				if err != nil {
+					break // the agent does not listen any longer
+				}
+				defer conn.Close()
+				_, err = io.WriteString(conn, framedHead(fmt.Sprintf("end-%d", n), "Content-Length: 2\r\n")+"ab"+between)
+				_, readErr := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil || readErr != nil {
+					break
+				}
+				time.Sleep(secondWriteDelay)
+			}
+			if err := cmd.Wait(); err != nil || time.Since(signaled) > killTime {
+				t.Errorf("ended %v after SIGTERM with %v, want %v at most", time.Since(signaled), err, killTime)
+			}
+		})
+	}
+}
+
+// Guards against empty lines that shift the count of heads, so that the next request counts as one of a trusted length.
+func TestEmptyLinesHideNoRequest(t *testing.T) {
+	var forms []framingForm
+	for i, between := range []string{"\r\r\n\n", "\r\r\n\r\n", "\r\n\r\n", "\n\n\n\n", "\r\n", "\n", "\r\r\r\r", "\n\r\r\n", "\r\r\r\n", "\r\n\r\n\r\n"} {
+		name := fmt.Sprintf("lines-%d", i)
+		forms = append(forms, framingForm{name, framedHead("first-"+name, "Content-Length: 2\r\n") + "ab" + between})
+	}
+	checkHidesNothing(t, forms)
+}
--- a/internal/downstream/http/framing.go
+++ b/internal/downstream/http/framing.go
@@ -22,6 +22,7 @@
 	contentLength    int64  // of the current head; -1: there is none
 	transferEncoding bool   // the current head has this field
 	headBegun        bool   // a line of the current head has arrived
+	lineEnds         int    // number of CR and LF bytes that may still be ignored before the next head
 	requestLine      uint64 // of the current head, see hashRequestLine
 	lines            int    // number of complete lines of the current head or trailer section
 	headBytes        int    // of the current head
@@ -61,6 +62,8 @@
 	maxLine = 256
 	// maxLengthBits bounds the lengths of bodies and chunks that are accepted.
 	maxLengthBits = 62
+	// maxIgnoredLineEnds is how many CR and LF bytes net/http ignores behind a POST (RFC 9112, section 2.2).
+	maxIgnoredLineEnds = 4
 	// maxHeaderFields bounds the fields of a head, and maxTrailerFields those of a trailer section.
 	maxHeaderFields  = 128
 	maxTrailerFields = 16
@@ -83,6 +86,11 @@
 		case inBody, inChunk:
 			rest = f.skip(rest)
 			continue
+		case inHead:
+			if f.ignoresLineEnd(rest[0]) {
+				rest = rest[1:]
+				continue
+			}
 		}
 		part, behind, ended := bytes.Cut(rest, []byte("\n"))
 		if room := max(maxHeadBytes-f.headBytes, 0); f.state == inHead && len(part) > room {
@@ -102,6 +110,19 @@
 	return len(p) - len(rest)
 }
 
+// ignoresLineEnd reports whether next is a CR or LF that net/http ignores, in front of a head.
+func (f *framingChecker) ignoresLineEnd(next byte) bool {
+	if f.headBegun || f.lineBytes > 0 {
+		return false
+	}
+	if f.lineEnds == 0 || next != '\r' && next != '\n' {
+		f.lineEnds = 0
+		return false
+	}
+	f.lineEnds--
+	return true
+}
+
 // takeLine returns the current line, which has ended, and prepares for the next one.
 func (f *framingChecker) takeLine() framingLine {
 	line := framingLine{text: string(f.line), cut: f.lineBytes > len(f.line)}
@@ -238,6 +259,9 @@
 	if !f.headBegun {
 		f.headBegun = true
 		f.requestLine = hashRequestLine(line.text)
+		if strings.HasPrefix(line.text, http.MethodPost+" ") {
+			f.lineEnds = maxIgnoredLineEnds
+		}
 		return
 	}
 	name, value, _ := strings.Cut(line.text, ":")
@@ -255,9 +279,10 @@
 	}
 }
 
-// endHead processes the empty line after a head. An empty line before a head is ignored.
+// endHead processes the empty line after a head. One in place of a request line can't be used, and net/http rejects it.
 func (f *framingChecker) endHead() {
 	if !f.headBegun {
+		f.markUntrusted(f.heads + 1)
 		return
 	}
 	f.heads++
