upstream http: chunk sizes are read as net/http reads them; offsets compared

Cause: the reader of chunked responses accepted a size of more than 16 digits (zeros in front) and a space in front of an extension, which net/http rejects. There is one reader of a response's bytes here, so that nothing was shifted; a client's own reader may find another end.

Change: a size line is accepted only if net/http accepts it.

--- a/internal/upstream/http/chunked.go
+++ b/internal/upstream/http/chunked.go
@@ -15,6 +15,9 @@
 // reader has the same limit.
 const maxTrailerBytes = 4 << 10
 
+// maxChunkSizeDigits bounds the digits of a chunk's size, with zeros in front. net/http's reader has the same limit.
+const maxChunkSizeDigits = 16
+
 var crlf = []byte("\r\n")
 
 // chunkedReader reads a chunked body (RFC 9112, section 7.1). Unlike net/http's reader it can continue after
@@ -77,11 +80,8 @@
 	if err != nil {
 		return err
 	}
-	text, hasCRLF := bytes.CutSuffix(line, crlf)
-	text, _, _ = bytes.Cut(text, []byte(";"))
-	text = bytes.TrimRight(text, " \t")
-	size, err := strconv.ParseUint(string(text), 16, 63)
-	if !hasCRLF || err != nil || c.total+int64(min(size, MaxResponseBodyBytes+1)) > MaxResponseBodyBytes {
+	size, ok := parseChunkSize(line)
+	if !ok || c.total+int64(min(size, MaxResponseBodyBytes+1)) > MaxResponseBodyBytes {
 		return conns.MalformedResponse("invalid chunk size %.20q", line)
 	}
 	c.br.Discard(len(line))
@@ -95,6 +95,21 @@
 	return nil
 }
 
+// parseChunkSize reads the number of a size line, and accepts what net/http's reader accepts: at most maxChunkSizeDigits,
+// and behind them spaces or an extension, but not both, and no CR but that of the line's end.
+func parseChunkSize(line []byte) (size uint64, ok bool) {
+	text, hasCRLF := bytes.CutSuffix(line, crlf)
+	if !hasCRLF || bytes.ContainsRune(text, '\r') {
+		return 0, false
+	}
+	text, _, _ = bytes.Cut(bytes.TrimRight(text, " \t"), []byte(";"))
+	if len(text) > maxChunkSizeDigits {
+		return 0, false
+	}
+	size, err := strconv.ParseUint(string(text), 16, 63)
+	return size, err == nil
+}
+
 // readTrailers reads the end of a chunked body: trailer fields, which are ignored, and an empty line, which
 // must be exactly CR LF (RFC 9112, section 7.1.2). An end that net/http's reader does not accept is
 // malformed: if two readers disagree on the end of a response, responses on a reused connection get mixed up.
--- a/internal/upstream/http/upstream_test.go
+++ b/internal/upstream/http/upstream_test.go
@@ -150,12 +150,16 @@
 func (f readFunc) Read(p []byte) (int, error) { return f(p) }
 
 // For any input the reader stays within its limits, and net/http parses every response that it accepts the
-// same way.
+// same way, up to the same end.
 func FuzzReadResponse(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 103 E\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokrest"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: x\r\n\r\nrest"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("0", maxChunkSizeDigits) + "2\r\nok\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
+		if err := compareResponseReaders(text); err != nil {
+			t.Fatalf("%v, in %q", err, text)
+		}
 		resp, body, err := readResponse(bufio.NewReader(bytes.NewReader(text)), func(int64) error { return nil }, nil)
 		if err != nil {
 			return
