--- a/internal/configstore/storage.go
+++ b/internal/configstore/storage.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"log/slog"
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -52,7 +53,7 @@
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, err
 	}
-	end, err := s.replay(log)
+	end, err := s.loadLog(log)
 	if err != nil {
 		return nil, err
 	}
@@ -62,7 +63,6 @@
 	}
 	s.file = &logFileHandle{f}
 	s.logBytes = int64(end)
-	s.truncatedBytes = int64(len(log) - end)
 	snapshot, _ := s.Snapshot()
 	s.snapshotIndex = snapshot.GetMetadata().GetIndex()
 	s.submittedState, _, _ = s.InitialState()
@@ -85,56 +85,35 @@
 	return s.ApplySnapshot(&snapshot)
 }
 
-// replay applies the records of the log and returns the offset at which the last valid one ends.
-func (s *storage) replay(log []byte) (end int, err error) {
+// loadLog applies the content of the log, and returns its length. A log that does not belong to the snapshot is replaced by
+// one that does.
+func (s *storage) loadLog(content []byte) (length int, err error) {
+	replayed, err := replayLog(content)
+	if err != nil {
+		return 0, err
+	}
+	s.truncatedBytes = int64(len(content) - replayed.end)
 	snapshot, _ := s.Snapshot()
-	snapshotIndex := snapshot.GetMetadata().GetIndex()
-	for {
-		r, ok := decodeRecord(log, end)
-		if !ok {
-			break
-		}
-		if err := s.replayRecord(r, snapshotIndex); err != nil {
-			return 0, fmt.Errorf("%w: log at byte %d: %w", ErrCorrupt, end, err)
-		}
-		end = r.end
+	changed, err := replayed.fitSnapshot(snapshot.GetMetadata().GetIndex(), snapshot.GetMetadata().GetTerm())
+	if err != nil {
+		return 0, err
 	}
-	// An invalid record may follow. If a valid record comes after it, the invalid one was complete once.
-	for at := end + 1; at < len(log) && at < end+maxTornTailBytes; at++ {
-		if _, ok := decodeRecord(log, at); ok {
-			return 0, fmt.Errorf("%w: log at byte %d: the checksum does not fit, and records follow", ErrCorrupt, end)
-		}
+	if err := s.Append(replayed.entries); err != nil {
+		return 0, err
 	}
+	s.SetHardState(&replayed.state)
 	// If the last record has its full length but is invalid, it was either torn by a crash or corrupted
 	// later. It was corrupted if its entry is known to be committed; otherwise the other replicas detect
 	// whether an acknowledged entry was lost (watermarks).
-	state, _, _ := s.InitialState()
-	if last, _ := s.LastIndex(); state.GetCommit() > last {
-		return 0, fmt.Errorf("%w: log: entry %d was committed, the last is %d", ErrCorrupt, state.GetCommit(), last)
+	if last, _ := s.LastIndex(); replayed.state.GetCommit() > last {
+		return 0, fmt.Errorf("%w: log: entry %d was committed, the last is %d", ErrCorrupt, replayed.state.GetCommit(), last)
 	}
-	return end, nil
-}
-
-func (s *storage) replayRecord(r logRecord, snapshotIndex uint64) error {
-	switch r.kind {
-	case recordHardState:
-		var state pb.HardState
-		if err := proto.Unmarshal(r.body, &state); err != nil {
-			return err
-		}
-		return s.SetHardState(&state)
-	case recordEntry:
-		var entry pb.Entry
-		if err := proto.Unmarshal(r.body, &entry); err != nil {
-			return err
-		}
-		if last, _ := s.LastIndex(); entry.GetIndex() > last+1 {
-			return fmt.Errorf("entry %d follows entry %d", entry.GetIndex(), last)
-		}
-		if entry.GetIndex() <= snapshotIndex {
-			return nil
-		}
-		return s.Append([]*pb.Entry{&entry})
+	if !changed {
+		return replayed.end, nil
+	}
+	slog.Warn("the log is of an earlier snapshot and is replaced", "snapshot_index", snapshot.GetMetadata().GetIndex())
+	if content, err = s.encodeLog(); err != nil {
+		return 0, err
 	}
-	return fmt.Errorf("unknown record kind %d", r.kind)
+	return len(content), s.dir.Replace(logFile, content)
 }
