--- a/internal/configstore/files.go
+++ b/internal/configstore/files.go
@@ -9,6 +9,8 @@
 	"io/fs"
 
 	"ringtrack.example/ringtrack/internal/disk"
+	"ringtrack.example/ringtrack/internal/sharedconfig"
+	"ringtrack.example/ringtrack/internal/sharedconfig/history"
 )
 
 // The files of a data directory. Each record of the log has its own checksum; each other file has one
@@ -20,10 +22,18 @@
 	watermarksFile = "seen"
 )
 
-// Bounds of the files that are read.
+// Bounds of the files that are read. What is written stays under them: snapshotIfDue keeps the log short, and the history
+// bounds what it retains.
 const (
-	maxLogBytes      = 256 << 20
-	maxSnapshotBytes = 64 << 20
+	maxLogBytes = 256 << 20
+	// maxSnapshotBytes is what the history retains, the versions that it retains beyond that because they are pending or
+	// in use, and the rest of the state.
+	maxSnapshotBytes = history.MaxRetainedBytes + maxExtraVersions*maxVersionBytes + maxOtherStateBytes
+	// maxExtraVersions are those that are pending, and those that two transitions may have skipped.
+	maxExtraVersions = 3*history.MaxPendingVersions + 2
+	// maxVersionBytes is a configuration as it is published, and the servers that are cordoned afterwards.
+	maxVersionBytes    = sharedconfig.MaxBytes + sharedconfig.MaxCordoned*sharedconfig.MaxNameBytes
+	maxOtherStateBytes = 4 << 20
 )
 
 // ErrCorrupt is returned for a file that does not have the content that was written. A replica with such a
--- a/internal/configstore/peer.go
+++ b/internal/configstore/peer.go
@@ -24,8 +24,9 @@
 	heartbeatQueueLength = 64
 	// maxMessagesPerCall bounds the messages that are sent in one call.
 	maxMessagesPerCall = 64
-	// peerCallTimeout bounds a call.
-	peerCallTimeout = time.Second
+	// peerCallTimeout bounds a call, snapshotCallTimeout one with a snapshot, which has up to maxSnapshotBytes.
+	peerCallTimeout     = time.Second
+	snapshotCallTimeout = serverTimeout
 )
 
 // peer sends messages to one other replica. Each of its two queues has a goroutine that makes one call at a
@@ -126,7 +127,11 @@
 		if !p.setSender(ctx, messages) {
 			return
 		}
-		attempt, cancel := context.WithTimeout(ctx, peerCallTimeout)
+		timeout := peerCallTimeout
+		if hasSnapshot {
+			timeout = snapshotCallTimeout
+		}
+		attempt, cancel := context.WithTimeout(ctx, timeout)
 		err := p.replica.caller.Call(attempt, p.addr, pathRaftMessages, http.Header{}, messages, nil)
 		cancel()
 		p.replica.post(ctx, func() { p.replica.sent(p, err, hasSnapshot) })
--- a/internal/configstore/storage.go
+++ b/internal/configstore/storage.go
@@ -17,6 +17,9 @@
 	// retainedEntries is the number of entries before a snapshot that stay in the log, so that followers with
 	// a small lag don't need the snapshot.
 	retainedEntries = 128
+	// maxRetainedLogBytes bounds the same in bytes. With more than maxLogBeforeSnapshotBytes each entry would cause a
+	// snapshot.
+	maxRetainedLogBytes = 8 << 20
 	// maxTornTailBytes bounds the search for a valid record after an invalid one.
 	maxTornTailBytes = 1 << 20
 )
--- a/internal/configstore/storage_write.go
+++ b/internal/configstore/storage_write.go
@@ -1,6 +1,8 @@
 package configstore
 
 import (
+	"math"
+
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -145,10 +147,8 @@
 		return nil, err
 	}
 	s.snapshotIndex = index
-	if first, _ := s.FirstIndex(); index > retainedEntries && index-retainedEntries > first {
-		if err := s.Compact(index - retainedEntries); err != nil {
-			return nil, err
-		}
+	if err := s.dropEntriesBefore(index); err != nil {
+		return nil, err
 	}
 	text, err := encodeSnapshot(snapshot)
 	if err != nil {
@@ -162,6 +162,31 @@
 	return &job{replace: func() error { return s.replaceFiles(text, log) }}, nil
 }
 
+// dropEntriesBefore removes the entries before an index from the memory storage, but for the last ones of them, as many as
+// retainedEntries and maxRetainedLogBytes permit.
+func (s *storage) dropEntriesBefore(index uint64) error {
+	first, _ := s.FirstIndex()
+	if index < first {
+		return nil
+	}
+	entries, err := s.Entries(first, index+1, math.MaxUint64)
+	if err != nil {
+		return err
+	}
+	retained, bytes := 0, 0
+	for retained < min(retainedEntries, len(entries)) {
+		bytes += proto.Size(entries[len(entries)-1-retained])
+		if bytes > maxRetainedLogBytes {
+			break
+		}
+		retained++
+	}
+	if last := index - uint64(retained); last > first {
+		return s.Compact(last)
+	}
+	return nil
+}
+
 // encodeLog encodes a new log: the durable entries and hard state, followed by the records that are not
 // durable yet.
 func (s *storage) encodeLog() (log []byte, err error) {
--- a/internal/lab/cluster/torn_test.go
+++ b/internal/lab/cluster/torn_test.go
@@ -18,6 +18,7 @@
 
 // Guards against a replica that panics at each start behind a kill between the replacement of its snapshot and of its log.
 func TestReplicaKilledBetweenSnapshotAndLogComesBack(t *testing.T) {
+	t.Parallel()
 	c, ctx := startReplicas(t, 3)
 	leader := c.awaitLeader(t, ctx)
 	c.awaitAllStarted(t, ctx)
--- a/internal/sharedconfig/history/history.go
+++ b/internal/sharedconfig/history/history.go
@@ -17,15 +17,23 @@
 const (
 	// MaxVersions bounds the versions that a History retains, unless an epoch in use needs more.
 	MaxVersions = 512
+	// MaxRetainedBytes bounds their configurations in the same way, as sharedconfig.Config.EncodedBytes counts them.
+	// 512 versions of 3,200 servers with ids of 100 bytes fit.
+	MaxRetainedBytes = 256 << 20
 	// MaxPendingVersions bounds the versions that are published but not yet in force.
 	MaxPendingVersions = 16
 )
 
+// maxRetainedBytes is MaxRetainedBytes, but for tests.
+var maxRetainedBytes = MaxRetainedBytes
+
 // History is the state produced by the commands of the log. It is not safe for concurrent use.
 type History struct {
 	Epoch    uint64                 `json:"stage"`
 	Versions []sharedconfig.Version `json:"versions"` // the retained ones, by number without gaps
 	Dropped  uint64                 `json:"dropped"`  // number of versions before Versions[0]
+
+	sizes map[uint64]int // EncodedBytes of the retained configurations, by number, as far as they were needed
 }
 
 // Last returns the number of the newest version; 0 if there is none.
@@ -157,10 +165,35 @@
 	return number
 }
 
-// trim drops the oldest versions beyond MaxVersions, except those that the current or a later epoch needs.
+// trim drops the oldest versions beyond MaxVersions and MaxRetainedBytes, except those that the current or a later epoch
+// needs.
 func (h *History) trim() {
-	for len(h.Versions) > MaxVersions && h.Versions[0].Number+1 < h.oldestInUse() {
+	retained := h.retainedBytes()
+	for (len(h.Versions) > MaxVersions || retained > maxRetainedBytes) && h.Versions[0].Number+1 < h.oldestInUse() {
+		retained -= h.sizeOf(&h.Versions[0])
+		delete(h.sizes, h.Versions[0].Number)
 		h.Versions = slices.Delete(h.Versions, 0, 1)
 		h.Dropped++
 	}
 }
+
+// retainedBytes returns the sum of sizeOf for all retained versions.
+func (h *History) retainedBytes() (total int) {
+	for i := range h.Versions {
+		total += h.sizeOf(&h.Versions[i])
+	}
+	return total
+}
+
+// sizeOf returns EncodedBytes of the configuration of a retained version.
+func (h *History) sizeOf(v *sharedconfig.Version) int {
+	size, known := h.sizes[v.Number]
+	if !known && v.Config != nil {
+		if h.sizes == nil {
+			h.sizes = map[uint64]int{}
+		}
+		size = v.Config.EncodedBytes()
+		h.sizes[v.Number] = size
+	}
+	return size
+}
--- a/internal/sharedconfig/history/history_test.go
+++ b/internal/sharedconfig/history/history_test.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -128,3 +129,39 @@
 		t.Errorf("epochs 3 and 4 have the source %+v", was)
 	}
 }
+
+// Guards against a history that grows beyond what a replica can read again: large configurations are bounded in bytes, and
+// those that an epoch needs are retained all the same.
+func TestRetainedVersionsAreBoundedInBytes(t *testing.T) {
+	const servers, limit = 100, 1 << 20
+	defer func(before int) { maxRetainedBytes = before }(maxRetainedBytes)
+	maxRetainedBytes = limit
+	config := func(n int) *sharedconfig.Config {
+		c := &sharedconfig.Config{Listed: true, Servers: map[string]sharedconfig.Server{}, Cordoned: []string{fmt.Sprint(n)}}
+		for i := range servers {
+			c.Servers[fmt.Sprintf("%0*d", sharedconfig.MaxNameBytes, i)] = sharedconfig.Server{Weight: 1.25}
+		}
+		return c
+	}
+	fit := limit / config(0).EncodedBytes()
+	h := &History{}
+	for n := range fit + 20 {
+		if _, err := h.Apply(publishCommand(fmt.Sprint(n), uint64(n), config(n))); err != nil {
+			t.Fatal(err)
+		}
+		if want := min(n+1, fit); n < MaxPendingVersions-1 && len(h.Versions) != n+1 || len(h.Versions) > want+2 {
+			t.Fatalf("%d of %d versions are retained, want %d", len(h.Versions), n+1, want)
+		}
+		for h.CanAdvance() {
+			at := h.Epoch
+			h.Apply(&Command{Advance: &at})
+		}
+	}
+	if len(h.Versions) < fit-1 || h.Transition() == nil || h.Transition().Config == nil {
+		t.Errorf("%d versions are retained, and %d fit; transition %v", len(h.Versions), fit, h.Transition() != nil)
+	}
+	text, err := json.Marshal(h)
+	if err != nil || len(text) > limit+limit/2 {
+		t.Errorf("the history has %d bytes: %v", len(text), err)
+	}
+}
