agent: the Thrift listener opens once the process can serve

Cause: the new process opened the Thrift listener on the shared address as the first thing of all, and accepted behind the wait for its lease, up to 4 s. The HTTP listener is opened behind that wait.

Change: both listeners are opened in one place behind the wait, Thrift first.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,10 +59,8 @@
 		return fmt.Errorf("agent: %w", err)
 	}
 	defer stopRenewer()
-	if ln == nil {
-		if ln, err = p.state.listenBesidePredecessor(stop, cfg.Listen, p.ready); err != nil {
-			return fmt.Errorf("agent: %w", err)
-		}
+	if ln, err = p.listen(stop, ln); err != nil {
+		return fmt.Errorf("agent: %w", err)
 	}
 	failed := p.serve(ln)
 	select {
@@ -88,7 +86,8 @@
 
 	http           *httpdown.Server
 	thrift         *thrift.Server // nil: there is none
-	thriftListener net.Listener
+	thriftAddr     string
+	thriftListener net.Listener // set by listen
 
 	stalls   *stall.Watcher
 	upstream *httpup.Upstream
@@ -147,7 +146,34 @@
 	p.pool.SetMax(p.cfg.maxBackendConnections() / processes)
 }
 
-// newThrift creates the Thrift downstream and its listener, where one is configured.
+// listen opens the listeners that are not open yet, and returns the one for HTTP. A nil ln means that another process of this
+// agent serves: until this one can serve, clients' connections must not go to it.
+func (p *process) listen(stop context.Context, ln net.Listener) (net.Listener, error) {
+	if ln == nil {
+		awaitReady(stop, p.ready)
+	}
+	if err := p.listenThrift(); err != nil {
+		return nil, err
+	}
+	if ln == nil {
+		return p.state.listenBesidePredecessor(p.cfg.Listen)
+	}
+	return ln, nil
+}
+
+// listenThrift opens the listener of the Thrift downstream, if there is one.
+func (p *process) listenThrift() (err error) {
+	if p.thrift == nil {
+		return nil
+	}
+	if p.thriftListener, err = p.cfg.UpgradeDir.Listen(p.thriftAddr); err != nil {
+		return fmt.Errorf("thrift: listen: %w", err)
+	}
+	slog.Info("listening for Thrift", "addr", p.thriftListener.Addr().String())
+	return nil
+}
+
+// newThrift creates the Thrift downstream, where one is configured.
 func (p *process) newThrift() error {
 	if p.cfg.ThriftFile == "" {
 		return nil
@@ -160,11 +186,7 @@
 	if err != nil {
 		return err
 	}
-	p.thriftListener, err = p.cfg.UpgradeDir.Listen(c.Listen)
-	if err != nil {
-		return fmt.Errorf("thrift: listen: %w", err)
-	}
-	slog.Info("listening for Thrift", "addr", p.thriftListener.Addr().String())
+	p.thriftAddr = c.Listen
 	limits := thriftwire.Limits{Size: c.FrameLimit, Depth: c.DepthLimit}
 	p.thrift = &thrift.Server{
 		Upstream:     &thriftup.Upstream{Pool: p.pool, Budget: p.bodyBudget, Limits: limits},
--- a/internal/agent/sharedstate.go
+++ b/internal/agent/sharedstate.go
@@ -182,15 +182,18 @@
 	}
 }
 
-// listenBesidePredecessor waits until this process can serve, but at most for readyTimeout, and then listens
-// on the address that the other process listens on.
-func (s *sharedState) listenBesidePredecessor(stop context.Context, addr string, ready <-chan struct{}) (net.Listener, error) {
+// awaitReady waits until this process can serve, but at most for readyTimeout.
+func awaitReady(stop context.Context, ready <-chan struct{}) {
 	select {
 	case <-ready:
 	case <-time.After(readyTimeout):
 		slog.Warn("no backend is known yet; serving anyway")
 	case <-stop.Done():
 	}
+}
+
+// listenBesidePredecessor listens on the address that the other process listens on.
+func (s *sharedState) listenBesidePredecessor(addr string) (net.Listener, error) {
 	ln, err := s.dir.Listen(addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen beside the other process: %w", err)
