lab: processes under test listen on loopback addresses of their own

Its log says why: "listen tcp 127.0.0.1:41811: bind: address already in use". The rig's fault: it picked a free port, closed it, and the kernel gave the port to an outgoing connection before the agent listened.

The rig of clusters has used loopback addresses of their own for that reason.

--- a/cmd/ringtrack/framing_test.go
+++ b/cmd/ringtrack/framing_test.go
@@ -70,12 +70,7 @@
 	discovery := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	t.Cleanup(discovery.Close)
 	t.Cleanup(discovery.CloseClientConnections)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr = ln.Addr().String()
-	ln.Close()
+	addr = unusedAddr(t)
 	cmd, admin = startProcess(t, map[string]any{
 		"name": "n1", "listen": addr, "discovery": discovery.Listener.Addr().String(), "seed": "1",
 		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
--- a/cmd/ringtrack/thriftupgrade_test.go
+++ b/cmd/ringtrack/thriftupgrade_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"ringtrack.example/ringtrack/internal/lab"
 	"ringtrack.example/ringtrack/internal/lab/thriftlab"
 )
 
@@ -26,12 +27,11 @@
 // unusedAddr returns a loopback address on which nobody listens.
 func unusedAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := lab.UnusedAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return addr
 }
 
 // writeFile writes a file of the test and returns its path.
--- a/cmd/ringtrack/upgrade_test.go
+++ b/cmd/ringtrack/upgrade_test.go
@@ -99,13 +99,7 @@
 	}))
 	defer discovery.Close()
 	defer discovery.CloseClientConnections()
-	// A free address that processes can share.
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
+	addr := unusedAddr(t) // processes can share it
 	config := map[string]any{"name": "n1", "listen": addr, "discovery": discovery.Listener.Addr().String(), "seed": "1",
 		"limits":   map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
 		"known":    map[string]any{"version": 1, "full": true, "servers": servers},
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -12,10 +12,10 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"ringtrack.example/ringtrack/internal/configstore/client"
+	"ringtrack.example/ringtrack/internal/lab"
 )
 
 // untilInterval is the time between two checks of Until.
@@ -48,7 +48,7 @@
 // New returns a cluster in a directory, without processes.
 func New(dir, bin string, leaseMs float64) *Cluster {
 	return &Cluster{
-		host:          uniqueLoopback(),
+		host:          lab.UniqueLoopback(),
 		Dir:           dir,
 		Bin:           bin,
 		LeaseMs:       leaseMs,
@@ -74,16 +74,6 @@
 	return addrs, nil
 }
 
-// clusterCount is the number of clusters created in this process.
-var clusterCount atomic.Uint32
-
-// uniqueLoopback returns a loopback address that no other cluster of this process uses, and that clusters of
-// other processes are unlikely to use.
-func uniqueLoopback() string {
-	n := uint32(os.Getpid())*31 + clusterCount.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 64+n>>14&127, n>>7&127+1, n&127+1)
-}
-
 // AddProcess adds a process without starting it. args are the name of a program in Bin and its arguments;
 // data says whether the process has a data directory.
 func (c *Cluster) AddProcess(name, addr string, data bool, env []string, args ...string) (*Process, error) {
--- a/internal/lab/pressure/agent.go
+++ b/internal/lab/pressure/agent.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"ringtrack.example/ringtrack/internal/lab"
 )
 
 const (
@@ -64,7 +65,7 @@
 
 // newAgent writes the configuration of an agent that no process runs yet.
 func newAgent(s *Scenario, dir string, config map[string]any) (*agentProcess, error) {
-	addr, err := freeAddr()
+	addr, err := lab.UnusedAddr()
 	if err != nil {
 		return nil, err
 	}
@@ -197,13 +198,3 @@
 	}
 	return kb
 }
-
-// freeAddr returns an address that nobody listens on.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
--- a/internal/lab/pressure/world.go
+++ b/internal/lab/pressure/world.go
@@ -90,7 +90,7 @@
 
 // configureThrift gives the agent a Thrift listener on which no methods but orders and those that hang are listed.
 func (w *world) configureThrift() error {
-	addr, err := freeAddr()
+	addr, err := lab.UnusedAddr()
 	if err != nil {
 		return err
 	}
