--- a/internal/core/dedup.go
+++ b/internal/core/dedup.go
@@ -11,9 +11,11 @@
 	// dedupWindow is the minimum time for which the id of a request that may have run is remembered: the
 	// longest deadline that a client may set.
 	dedupWindow = time.Minute
-	// maxRecentIDs bounds the ids in both generations. With more than maxRecentIDs/2 ids within dedupWindow
-	// the oldest are dropped earlier. An id takes about 20 bytes.
-	maxRecentIDs = 1 << 16
+	// maxRecentIDs bounds the ids in both generations. An id takes about 20 bytes.
+	maxRecentIDs = 1 << 19
+	// maxWindowIDs is the number of ids within dedupWindow, 3,276 a second, from which on requests are rejected: the ids of
+	// those that are open still fit, and none is dropped early.
+	maxWindowIDs = maxRecentIDs/2 - maxRecentIDs/8
 )
 
 // recentIDs remembers the ids of completed requests that may have run and must not run again. A client may
@@ -38,6 +40,9 @@
 
 func (r *recentIDs) add(now time.Time, id string) {
 	r.rotate(now)
+	if len(r.current) >= maxRecentIDs/2 {
+		r.beginGeneration(now)
+	}
 	r.current[maphash.String(r.seed, id)] = struct{}{}
 }
 
@@ -52,16 +57,26 @@
 	return inCurrent || inPrevious
 }
 
-// rotate starts a new generation once the current one is full or older than dedupWindow.
+// full reports whether the id of a further request could not be remembered for dedupWindow.
+func (r *recentIDs) full(now time.Time) bool {
+	r.rotate(now)
+	return len(r.current) >= maxWindowIDs
+}
+
+// rotate starts a new generation once the current one is older than dedupWindow.
 func (r *recentIDs) rotate(now time.Time) {
 	age := now.Sub(r.currentSince)
-	if age < dedupWindow && len(r.current) < maxRecentIDs/2 {
+	if age < dedupWindow {
 		return
 	}
-	r.previous = r.current
+	r.beginGeneration(now)
 	if age >= 2*dedupWindow {
 		r.previous = nil // its newest id is older than dedupWindow
 	}
+}
+
+func (r *recentIDs) beginGeneration(now time.Time) {
+	r.previous = r.current
 	r.current = map[uint64]struct{}{}
 	r.currentSince = now
 }
--- a/internal/core/dedup_test.go
+++ b/internal/core/dedup_test.go
@@ -68,3 +68,49 @@
 		t.Error("the ids of the last generation are not known")
 	}
 }
+
+// Guards against ids that are forgotten before their minute at the rates of the busiest days, across generations: their
+// requests would run twice.
+func TestRecentIDsAreKnownForAMinuteAtHighRates(t *testing.T) {
+	for _, perSecond := range []int{1280, 2000, 3000} {
+		o, start := newRecentIDs(), time.Now()
+		const seconds = 150
+		id := func(second, i int) string { return strconv.Itoa(second) + "-" + strconv.Itoa(i) }
+		for second := range seconds {
+			now := start.Add(time.Duration(second) * time.Second)
+			if o.full(now) {
+				t.Fatalf("%d a second: full after %d s", perSecond, second)
+			}
+			for i := range perSecond {
+				o.add(now, id(second, i))
+			}
+			for i := 0; i < perSecond && second >= 59; i += 100 {
+				if !o.contains(now, id(second-59, i)) {
+					t.Fatalf("%d a second: an id of 59 s ago is forgotten after %d s", perSecond, second)
+				}
+			}
+		}
+	}
+}
+
+// A request whose id could not be remembered is rejected: nothing of it may run. Others are not affected.
+func TestRequestsAreRejectedWithoutRoomForTheirIDs(t *testing.T) {
+	u := stub{func(context.Context, *Backend, *Call) Result {
+		return Result{Status: policy.OK, LatencyMs: 1, Reply: "reply"}
+	}}
+	l := startTestLoop(t, u)
+	filled := make(chan struct{})
+	l.Post(func() {
+		defer close(filled)
+		for i := range maxWindowIDs {
+			l.dedup.add(time.Now(), strconv.Itoa(i))
+		}
+	})
+	<-filled
+	if a := l.roundTrip(t, newCall(u, "next", 2)); a.Outcome != Rejected {
+		t.Errorf("a request that must not run twice: %+v, want it rejected", a)
+	}
+	if a := l.roundTrip(t, newCall(u, "read", 0)); a.Outcome != Served {
+		t.Errorf("an idempotent request: %+v, want it served", a)
+	}
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -54,7 +54,7 @@
 	if c.TimeAfterBody > 0 {
 		left = c.TimeAfterBody
 	}
-	if reason := l.rejectAtArrival(c, left); reason != policy.ReasonNone {
+	if reason := l.rejectAtArrival(r, left); reason != policy.ReasonNone {
 		l.releaseID(r)
 		l.reject(r, l.cfg.Settings.Limits.MaxRetryAfterMs, reason)
 		return r
@@ -86,13 +86,13 @@
 }
 
 // rejectAtArrival returns why a call is not passed to the balancer; ReasonNone: it is passed.
-func (l *EventLoop) rejectAtArrival(c *Call, left time.Duration) policy.RejectReason {
+func (l *EventLoop) rejectAtArrival(r *Request, left time.Duration) policy.RejectReason {
 	switch {
 	case left <= 0:
 		return policy.ReasonNoTime
-	case c.AtConnectionLimit:
+	case r.call.AtConnectionLimit:
 		return policy.ReasonConnections
-	case l.tooManyOpenRequests():
+	case l.tooManyOpenRequests(), l.tooManyRecentIDs(r):
 		return policy.ReasonOpenRequests
 	case l.shared.rejecting(time.Now()):
 		return policy.ReasonConfigExpired
@@ -105,6 +105,11 @@
 	return limit > 0 && l.openRequests > limit
 }
 
+// tooManyRecentIDs reports whether the id of a request would have to be remembered, and there is no room for it.
+func (l *EventLoop) tooManyRecentIDs(r *Request) bool {
+	return l.dedup.mustTrack(l.class(r), r.call) && l.dedup.full(time.Now())
+}
+
 // untilBodyDeadline returns the time until the deadline of a streamed call whose body is not complete.
 func (l *EventLoop) untilBodyDeadline(c *Call) time.Duration {
 	deadline := c.Deadline
--- a/internal/upgrade/ids_test.go
+++ b/internal/upgrade/ids_test.go
@@ -127,3 +127,53 @@
 		t.Errorf("a directory was mapped: %+v", ids)
 	}
 }
+
+// Guards against ids that are forgotten before their minute at the rates of the busiest days: their requests would run
+// twice. Another process sees them all.
+func TestIDsAreKeptForAMinuteAtHighRates(t *testing.T) {
+	for _, perSecond := range []int{1280, 2000} {
+		tmp := t.TempDir()
+		ids := mapTable(t, tmp)
+		start := ids.startSeconds
+		const seconds = 130
+		for second := range seconds {
+			ids.startSeconds, ids.startTime = start+uint64(second), time.Now()
+			for i := range perSecond {
+				if id := fmt.Sprint(second, "-", i); !ids.Claim(id) {
+					t.Fatalf("%d a second: id %s is not new", perSecond, id)
+				}
+			}
+		}
+		other := mapTable(t, tmp)
+		other.startSeconds, other.startTime = start+seconds-1, time.Now()
+		for second := seconds - 60; second < seconds; second++ {
+			for i := range perSecond {
+				if id := fmt.Sprint(second, "-", i); other.Claim(id) {
+					t.Fatalf("%d a second: id %s is forgotten after %d s", perSecond, id, seconds-1-second)
+				}
+			}
+		}
+	}
+}
+
+// An id for which its bucket has no room is not claimed: none that is younger than a minute is forgotten for it.
+func TestFullIDTableForgetsNothing(t *testing.T) {
+	ids := mapTable(t, t.TempDir())
+	var claimed []string
+	refused := 0
+	for i := range allSlotCount + allSlotCount/4 {
+		if id := fmt.Sprint("id-", i); ids.Claim(id) {
+			claimed = append(claimed, id)
+		} else {
+			refused++
+		}
+	}
+	if refused < allSlotCount/4 || len(claimed) < allSlotCount*9/10 {
+		t.Errorf("%d ids are claimed and %d refused, of a table for %d", len(claimed), refused, allSlotCount)
+	}
+	for _, id := range claimed {
+		if ids.Claim(id) {
+			t.Fatalf("id %s is forgotten", id)
+		}
+	}
+}
