--- a/internal/configstore/replica.go
+++ b/internal/configstore/replica.go
@@ -86,7 +86,9 @@
 	requests   requestQueues
 	proposals  map[string][]chan proposalResult // by the publisher's id
 
-	membersChanged    bool    // since the last snapshot; a joining replica needs one with itself as a member
+	membersChanged    bool // since the last snapshot; a joining replica needs one with itself as a member
+	encoding          bool // a goroutine encodes the state for a snapshot
+	encoded           chan encodedSnapshot
 	memberChangeUntil float64 // when a proposed membership change that was not applied is given up, ms
 
 	peers      map[uint64]*peer
@@ -173,6 +175,7 @@
 		proposals:         map[string][]chan proposalResult{},
 		peers:             map[uint64]*peer{},
 		advancing:         epochProposal{at: longAgo},
+		encoded:           make(chan encodedSnapshot, 1),
 		memberChangeUntil: longAgo,
 		delays:            newDelays(),
 	}
--- a/internal/configstore/snapshot.go
+++ b/internal/configstore/snapshot.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 
 	"go.etcd.io/raft/v3"
@@ -81,20 +82,62 @@
 	return nil
 }
 
-// snapshotIfDue takes a snapshot of the state and compacts the log, if that is due and the writer has
-// capacity.
+// encodedSnapshot is a state that was encoded for a snapshot.
+type encodedSnapshot struct {
+	index uint64 // of the last entry that was applied to it
+	conf  *pb.ConfState
+	data  []byte
+	err   error
+}
+
+// snapshotIfDue takes a snapshot of the state and compacts the log, if that is due and the writer has capacity. A large
+// state takes longer to encode than the others wait for a heartbeat, so a goroutine does that.
 func (r *Replica) snapshotIfDue() error {
+	select {
+	case encoded := <-r.encoded:
+		r.encoding = false
+		if err := r.storeSnapshot(&encoded); err != nil {
+			return err
+		}
+	default:
+	}
+	if !r.encoding && r.snapshotDue() {
+		r.encodeSnapshot()
+	}
+	return nil
+}
+
+func (r *Replica) snapshotDue() bool {
 	due := r.membersChanged || r.applied-r.storage.snapshotIndex >= snapshotEntries ||
 		r.storage.logBytes > maxLogBeforeSnapshotBytes
-	if !due || r.applied <= r.storage.snapshotIndex || r.storage.pendingSnapshots != 0 || r.disk.full() {
-		return nil
+	return due && r.applied > r.storage.snapshotIndex && r.storage.pendingSnapshots == 0 && !r.disk.full()
+}
+
+// encodeSnapshot begins to encode the present state.
+func (r *Replica) encodeSnapshot() {
+	r.encoding = true
+	r.membersChanged = false
+	present := state{History: r.state.History.Clone(), Members: maps.Clone(r.state.Members)}
+	encoded := encodedSnapshot{index: r.applied, conf: r.confState}
+	r.goroutines.Go(func() {
+		encoded.data, encoded.err = json.Marshal(&present)
+		r.encoded <- encoded
+	})
+}
+
+// storeSnapshot stores an encoded state, unless a snapshot of the leader has come meanwhile, or the writer has no capacity.
+func (r *Replica) storeSnapshot(encoded *encodedSnapshot) error {
+	if encoded.err != nil {
+		return encoded.err
 	}
-	data, err := json.Marshal(&r.state)
-	if err != nil {
-		return err
+	switch {
+	case encoded.index <= r.storage.snapshotIndex:
+		return nil
+	case r.storage.pendingSnapshots != 0 || r.disk.full():
+		r.membersChanged = true // it may have been due for that, and is taken again
+		return nil
 	}
-	r.membersChanged = false
-	j, err := r.storage.compact(r.applied, r.confState, data)
+	j, err := r.storage.compact(encoded.index, encoded.conf, encoded.data)
 	if err != nil {
 		return err
 	}
--- a/internal/sharedconfig/history/history.go
+++ b/internal/sharedconfig/history/history.go
@@ -36,6 +36,11 @@
 	sizes map[uint64]int // EncodedBytes of the retained configurations, by number, as far as they were needed
 }
 
+// Clone returns a copy that further commands do not change. It shares the configurations, which are never changed.
+func (h *History) Clone() History {
+	return History{Epoch: h.Epoch, Versions: slices.Clone(h.Versions), Dropped: h.Dropped}
+}
+
 // Last returns the number of the newest version; 0 if there is none.
 func (h *History) Last() uint64 { return h.Dropped + uint64(len(h.Versions)) }
 
