Log of an end: when its drain begins, what is open then and as answers are due, and stops

HTTP and Thrift now log "drain begins" and "answers are due" with the clients connected and the requests open, and the process logs each time in which it did not run during its end, as it goes on.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -224,6 +224,9 @@
 func (p *process) drain(ln net.Listener, signaledAt time.Time) {
 	deadline := signaledAt.Add(p.answerWithin)
 	slog.Info("ending", "serves_for", p.serveFor, "answers_within", p.answerWithin, "noticed_after", time.Since(signaledAt))
+	p.stalls.Report(func(length time.Duration) {
+		slog.Warn("process did not run", "for", length, "since_signal", time.Since(signaledAt))
+	})
 	p.upstream.WholeReplies.Store(true)
 	p.http.SignaledAt = signaledAt
 	p.loop.Post(func() { p.loop.ShutDownBy(deadline) })
--- a/internal/downstream/http/conns.go
+++ b/internal/downstream/http/conns.go
@@ -104,10 +104,7 @@
 func (c *clientConns) overloaded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	busy := len(c.conns) - c.closing
-	for kind := range c.evictable {
-		busy -= c.evictable[kind].Len()
-	}
+	_, busy := c.countsLocked()
 	if float64(busy) > maxBusyFraction*float64(c.hardLimit) {
 		return true
 	}
@@ -121,6 +118,23 @@
 	return len(c.conns) == 0
 }
 
+// counts returns how many clients are connected, and how many of them have an open request.
+func (c *clientConns) counts() (connected, busy int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.countsLocked()
+}
+
+// countsLocked is counts for callers that hold the lock.
+func (c *clientConns) countsLocked() (connected, busy int) {
+	connected = len(c.conns) - c.closing
+	busy = connected
+	for kind := range c.evictable {
+		busy -= c.evictable[kind].Len()
+	}
+	return connected, busy
+}
+
 // connContext adds the connection to the context of its requests.
 func (c *clientConns) connContext(ctx context.Context, nc net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, nc)
--- a/internal/downstream/http/shutdown.go
+++ b/internal/downstream/http/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -53,7 +54,10 @@
 	listenUntil := earlier(noticed.Add(min(s.Linger, defaultLinger)), deadline.Add(-drainTimeout/2))
 	s.readDeadline.Store(&readDeadline)
 	s.beginDrain()
+	s.logProgress("drain begins", start)
 	s.clientConns.closeIdle()
+	answersDue := time.AfterFunc(time.Until(deadline), func() { s.logProgress("answers are due", start) })
+	defer answersDue.Stop()
 	for {
 		<-poll.C // a client whose connection was closed may still connect again
 		if !time.Now().Before(listenUntil) {
@@ -76,6 +80,12 @@
 	}
 }
 
+// logProgress logs a step of a shutdown with the clients that are connected then.
+func (s *Server) logProgress(step string, signaledAt time.Time) {
+	connected, busy := s.clientConns.counts()
+	slog.Info(step, "listener", "HTTP", "connected", connected, "open_requests", busy, "since_signal", time.Since(signaledAt))
+}
+
 // beginDrain makes each connection end with its next answer, and the listener accept without a pace.
 func (s *Server) beginDrain() {
 	s.draining.Store(true)
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -250,6 +251,7 @@
 	if now.Before(start.Add(s.Linger)) {
 		deadline = now.Add(drainTimeout)
 	}
+	s.logProgress("drain begins", start)
 	served := s.beginDrain(now.Add(min(drainTimeout/2, shutdownReadTime)))
 	listenUntil := deadline.Add(-drainTimeout / 2)
 	if until := noticed.Add(min(s.Linger, defaultLinger)); until.Before(listenUntil) {
@@ -266,6 +268,9 @@
 	for time.Now().Before(deadline) && s.closeUnused() {
 		time.Sleep(shutdownPollInterval)
 	}
+	if s.owesAnswers() {
+		s.logProgress("answers are due", start)
+	}
 	for time.Since(deadline) < owedAnswerTime && s.owesAnswers() {
 		time.Sleep(shutdownPollInterval)
 	}
@@ -283,6 +288,14 @@
 	}
 }
 
+// logProgress logs a step of a shutdown with the clients that are connected then.
+func (s *Server) logProgress(step string, signaledAt time.Time) {
+	s.mu.Lock()
+	connected, busy := len(s.conns), s.busy
+	s.mu.Unlock()
+	slog.Info(step, "listener", "Thrift", "connected", connected, "open_requests", busy, "since_signal", time.Since(signaledAt))
+}
+
 // beginDrain makes each connection end behind its next answer. Calls that are arriving are read until readDeadline.
 func (s *Server) beginDrain(readDeadline time.Time) (served chan struct{}) {
 	s.mu.Lock()
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -23,6 +23,8 @@
 	lastNote  time.Time
 	stalledAt time.Time // the beginning and the end of the last stall; zero: there was none
 	endedAt   time.Time
+	report    func(length time.Duration) // see Report; nil: nobody wants to know
+	reported  time.Time                  // end of the last stall that was reported
 }
 
 // Watch returns a Watcher that watches until ctx ends.
@@ -41,10 +43,30 @@
 			return
 		case <-ticker.C:
 		}
-		w.mu.Lock()
-		w.note(time.Now())
-		w.mu.Unlock()
+		if length, report := w.tick(time.Now()); report != nil {
+			report(length)
+		}
+	}
+}
+
+// tick records that the process runs, and returns the function to report a stall to, and its length; nil: there is none.
+func (w *Watcher) tick(now time.Time) (length time.Duration, report func(time.Duration)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.note(now)
+	if w.report == nil || !w.endedAt.After(w.reported) {
+		return 0, nil
 	}
+	w.reported = w.endedAt
+	return w.endedAt.Sub(w.stalledAt), w.report
+}
+
+// Report makes the watcher call a function behind each stall that ends from now on, with the stall's length.
+func (w *Watcher) Report(report func(length time.Duration)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.report = report
+	w.reported = time.Now()
 }
 
 // note records that the process runs. The lock is held.
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -1,6 +1,7 @@
 package stall
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -36,3 +37,20 @@
 		t.Error("a nil Watcher knows of a stall")
 	}
 }
+
+// Each stall is reported once, with its length.
+func TestStallsAreReportedOnce(t *testing.T) {
+	begin := time.Now()
+	w := &Watcher{lastNote: begin}
+	var reported []time.Duration
+	w.Report(func(length time.Duration) { reported = append(reported, length) })
+	for _, ms := range []int{20, 40, 540, 560, 580, 880} {
+		if length, report := w.tick(begin.Add(time.Duration(ms) * time.Millisecond)); report != nil {
+			report(length)
+		}
+	}
+	want := []time.Duration{500 * time.Millisecond, 300 * time.Millisecond}
+	if !slices.Equal(reported, want) {
+		t.Errorf("reported %v, want %v", reported, want)
+	}
+}
