An end takes nothing on that a stop of the process could leave unanswered at SIGKILL

Cause: connections stayed open until half a second before the last answer was due, and requests that arrived behind that were forwarded too. What came later than 0.7 s after SIGTERM is owed, so each was a bet on running in time.

Now idle connections are closed at the signal and the others end with their next answer, so that from 0.4 s on, when clients open no new ones, nothing more can come; new ones are accepted for 0.5 s; requests are read for 0.65 s, and what arrives later, while the process was stopped, is rejected and not forwarded. What has arrived during a stop over a time of the plan is still read, over HTTP and Thrift. The times of a shutdown, which stood twice, are a package.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 
 	"ringtrack.example/ringtrack/internal/core"
 	httpdown "ringtrack.example/ringtrack/internal/downstream/http"
+	"ringtrack.example/ringtrack/internal/downstream/shutdown"
 	"ringtrack.example/ringtrack/internal/downstream/thrift"
 	"ringtrack.example/ringtrack/internal/stall"
 	"ringtrack.example/ringtrack/internal/thriftwire"
@@ -92,15 +93,14 @@
 	stalls   *stall.Watcher
 	upstream *httpup.Upstream
 
-	serveFor     time.Duration // see shutdownPlan
-	answerWithin time.Duration
+	shutdownPlan shutdown.Plan
 }
 
 // newProcess creates the components of a process without starting them.
 func newProcess(ctx context.Context, cfg *Config) (*process, error) {
 	p := &process{cfg: cfg, bodyBudget: semaphore.NewWeighted(cfg.bodyBudget()), pool: newPool(cfg), ready: make(chan struct{})}
 	p.stalls = stall.Watch(ctx)
-	p.serveFor, p.answerWithin = cfg.shutdownPlan()
+	p.shutdownPlan = cfg.shutdownPlan()
 	upstream := &httpup.Upstream{Pool: p.pool, Budget: p.bodyBudget, ReportFields: cfg.loadReportNames()}
 	p.upstream = upstream
 	p.http = httpdown.New(&cfg.Settings, p.bodyBudget, upstream, cfg.maxIdleClients(), cfg.maxClientConnections())
@@ -129,7 +129,6 @@
 		return nil, err
 	}
 	p.http.EventLoop = p.loop
-	p.http.Linger = p.serveFor
 	p.pool.AttemptsWritten = &p.loop.Counters().Written
 	p.state.loop = p.loop
 	p.state.pool = p.pool
@@ -209,7 +208,6 @@
 	p.state.markServing(p.ready)
 	if p.thrift != nil {
 		p.thrift.EventLoop = p.loop
-		p.thrift.Linger = p.serveFor
 		go func() {
 			if err := p.thrift.Serve(p.thriftListener); err != nil {
 				failed <- err
@@ -222,24 +220,22 @@
 // drain shuts down the downstreams according to shutdownPlan, and returns once every request is answered. The plan counts
 // from when the signal may have been sent.
 func (p *process) drain(ln net.Listener, signaledAt time.Time) {
-	deadline := signaledAt.Add(p.answerWithin)
-	slog.Info("ending", "serves_for", p.serveFor, "answers_within", p.answerWithin, "noticed_after", time.Since(signaledAt))
+	schedule := p.shutdownPlan.Schedule(signaledAt, time.Now())
+	slog.Info("ending", "serves_for", p.shutdownPlan.Serve, "accepts_for", p.shutdownPlan.Read,
+		"answers_within", p.shutdownPlan.Answer, "noticed_after", time.Since(signaledAt))
 	p.stalls.Report(func(length time.Duration) {
 		slog.Warn("process did not run", "for", length, "since_signal", time.Since(signaledAt))
 	})
 	p.upstream.WholeReplies.Store(true)
-	p.http.SignaledAt = signaledAt
-	p.loop.Post(func() { p.loop.ShutDownBy(deadline) })
-	timeout := p.answerWithin - p.serveFor + lateAnswerTime
+	p.loop.Post(func() { p.loop.ShutDown(schedule.ReadUntil, schedule.AnswerBy) })
 	if p.state.hasSuccessor() {
 		p.http.HandOver(ln)
 	}
 	var thriftDone sync.WaitGroup
 	if p.thrift != nil {
-		p.thrift.SignaledAt = signaledAt
-		thriftDone.Go(func() { p.thrift.Shutdown(p.thriftListener, timeout) })
+		thriftDone.Go(func() { p.thrift.Shutdown(p.thriftListener, schedule) })
 	}
-	if err := p.http.Shutdown(timeout); err != nil {
+	if err := p.http.Shutdown(schedule); err != nil {
 		// The connections never sent a request.
 		slog.Warn("HTTP downstream ended with open connections", "err", err)
 	}
--- a/internal/agent/shutdown.go
+++ b/internal/agent/shutdown.go
@@ -1,6 +1,10 @@
 package agent
 
-import "time"
+import (
+	"time"
+
+	"ringtrack.example/ringtrack/internal/downstream/shutdown"
+)
 
 const (
 	// killGrace and maxKillDelay determine when SIGKILL may follow SIGTERM: killGrace after the longest
@@ -11,27 +15,34 @@
 	// lateAnswerTime of it late answers may still be written; the rest is for the exit.
 	killMargin     = 200 * time.Millisecond
 	lateAnswerTime = 150 * time.Millisecond
-	// finalDivisor and maxFinal determine the time that the last accepted requests have: the time from
-	// SIGTERM to SIGKILL divided by finalDivisor, and at most maxFinal.
-	finalDivisor = 4
-	maxFinal     = 500 * time.Millisecond
-	// minServe is the minimum time for which new connections are accepted after SIGTERM.
-	minServe = 500 * time.Millisecond
+	// excusedTime is how long after SIGTERM the requests come of which SIGKILL may find some unanswered. The platform
+	// sets it. Nothing is taken on in the last acceptMargin of it, as clients and this process measure it differently.
+	excusedTime  = 700 * time.Millisecond
+	acceptMargin = 50 * time.Millisecond
+	// listenTime is how long new connections are accepted after SIGTERM: clients open some for up to 0.4 s, and they may
+	// wait in the accept queue for a while.
+	listenTime = 500 * time.Millisecond
 	// minClientTimeout is the minimum that longestClientTimeout returns.
 	minClientTimeout = 50 * time.Millisecond
 )
 
-// shutdownPlan returns the plan of a graceful shutdown, as durations from the signal: until when clients are
-// served as before, and by when every request accepted after the signal is answered. Connections stay open at
-// first, since the next process may not have started yet.
-func (c *Config) shutdownPlan() (serve, answer time.Duration) {
-	kill := min(c.longestClientTimeout(), maxKillDelay) + killGrace
-	answer = kill - killMargin
-	serve = max(answer-min(kill/finalDivisor, maxFinal), minServe)
+// shutdownPlan returns the plan of a graceful shutdown. Connections end with their next answer, and at once if they are
+// idle: a request that comes later than excusedTime is lost if the process is stopped until SIGKILL, and a client that has
+// no connection sends none. New connections are accepted for listenTime, since the next process may not have started yet.
+func (c *Config) shutdownPlan() shutdown.Plan {
+	answer := min(c.longestClientTimeout(), maxKillDelay) + killGrace - killMargin
+	plan := shutdown.Plan{
+		Listen: listenTime,
+		Read:   excusedTime - acceptMargin,
+		Answer: answer,
+		Abort:  answer + lateAnswerTime,
+	}
 	if c.serveAfterSignal > 0 {
-		serve = c.serveAfterSignal
+		plan.Serve = c.serveAfterSignal
+		plan.Listen = c.serveAfterSignal
+		plan.Read += c.serveAfterSignal
 	}
-	return serve, answer
+	return plan
 }
 
 // longestClientTimeout returns the longest client timeout of any class.
--- a/internal/core/eventloop.go
+++ b/internal/core/eventloop.go
@@ -52,6 +52,7 @@
 	openRequests       int                           // without an answer; bounded by Limits.MaxOpenRequests
 	dedup              *recentIDs                    // ids of completed requests that must not run again
 	shutdownDeadline   time.Time                     // by which every request is answered; zero: no shutdown
+	acceptUntil        time.Time                     // calls that were received later are rejected; zero: no shutdown
 	shared             *sharedConfigState            // nil: only the agent's own file applies
 
 	endpoints            *endpointTable
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -90,6 +90,8 @@
 	switch {
 	case left <= 0:
 		return policy.ReasonNoTime
+	case l.receivedTooLate(r.call):
+		return policy.ReasonShutdown
 	case r.call.AtConnectionLimit:
 		return policy.ReasonConnections
 	case l.tooManyOpenRequests(), l.tooManyRecentIDs(r):
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -19,6 +19,7 @@
 	HasHint           bool
 	Retry             bool // the client has marked the call as a retry
 	Deadline          time.Time
+	ReceivedAt        time.Time // when its last byte arrived; zero: it is forwarded until the end of a shutdown
 	Upstream          Upstream
 	Payload           any         // passed from the downstream to its upstream
 	Answer            chan Answer // capacity 1, so that the loop never blocks on a client
--- a/internal/downstream/http/conns.go
+++ b/internal/downstream/http/conns.go
@@ -214,12 +214,12 @@
 }
 
 // abortAll closes all connections at once. With spareOwed it spares those on which an answer is owed that has not begun,
-// and returns their number.
-func (c *clientConns) abortAll(spareOwed bool) (owed int) {
+// or may be, with unread set, as bytes are unread, and returns their number.
+func (c *clientConns) abortAll(spareOwed, unread bool) (owed int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for nc, conn := range c.conns {
-		if spareOwed && conn.owesAnswer(nc) {
+		if spareOwed && (conn.owesAnswer(nc) || unread && !conn.closing && socket.ReadState(nc) == socket.Unread) {
 			owed++
 			continue
 		}
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -127,7 +127,8 @@
 	if err != nil {
 		return nil, reserved, err
 	}
-	c.Deadline = receivedAt(req).Add(c.timeout)
+	c.ReceivedAt = receivedAt(req)
+	c.Deadline = c.ReceivedAt.Add(c.timeout)
 	if !more {
 		return nil, reserved, nil
 	}
--- a/internal/downstream/http/request.go
+++ b/internal/downstream/http/request.go
@@ -124,6 +124,7 @@
 		return nil, badRequestf("Request-Timeout-Ms is no whole number from 1 to %d", maxTimeoutMs)
 	}
 	c.timeout = time.Duration(timeoutMs) * time.Millisecond
+	c.ReceivedAt = now
 	c.Deadline = now.Add(c.timeout)
 	c.HintMs, c.HasHint = parseWorkHint(h.Get(workHintHeader))
 	c.Retry = s.settings.Clients.MarksRetry && h.Get(clientRetryHeader) == "1"
--- a/internal/downstream/http/server.go
+++ b/internal/downstream/http/server.go
@@ -15,6 +15,7 @@
 
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/downstream/pace"
+	"ringtrack.example/ringtrack/internal/downstream/shutdown"
 	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/stall"
 	"ringtrack.example/ringtrack/policy"
@@ -32,10 +33,8 @@
 
 // Server serves clients on one listener.
 type Server struct {
-	EventLoop  *core.EventLoop // set before Serve
-	Linger     time.Duration   // how long Shutdown keeps serving as before; 0: defaultLinger
-	SignaledAt time.Time       // when the shutdown was asked for, which Linger counts from; zero: when Shutdown is called
-	Stalls     *stall.Watcher
+	EventLoop *core.EventLoop // set before Serve
+	Stalls    *stall.Watcher
 	// BodyMemory is the size of the budget for bodies, which bounds how fast they are buffered; 0: that is not bounded.
 	BodyMemory int64
 
@@ -53,10 +52,9 @@
 	clientConns *clientConns
 
 	ready    atomic.Bool
-	draining atomic.Bool // each connection is closed with its next answer
-	// readDeadline is until when a shutdown reads requests that have not arrived completely; nil: no shutdown.
-	readDeadline atomic.Pointer[time.Time]
-	ln           atomic.Pointer[net.Listener]
+	draining atomic.Bool                       // each connection is closed with its next answer
+	schedule atomic.Pointer[shutdown.Schedule] // nil: no shutdown
+	ln       atomic.Pointer[net.Listener]
 	// firstRequests bounds how fast new connections' requests are parsed; nil before Serve.
 	firstRequests atomic.Pointer[pace.FirstRequests]
 	served        chan struct{} // closed once the listener is closed and clientConns has all accepted connections
--- /dev/null
+++ b/internal/downstream/shutdown/schedule.go
@@ -0,0 +1,48 @@
+// Package shutdown has the times of a graceful shutdown, which all downstreams of an agent share.
+package shutdown
+
+import "time"
+
+// PollInterval is how often a downstream that shuts down looks at its connections.
+const PollInterval = 10 * time.Millisecond
+
+// Plan has the steps of a shutdown, as durations from the signal that asks for it.
+type Plan struct {
+	// Serve is how long connections stay open between requests. From then on each ends with its next answer.
+	Serve time.Duration
+	// Listen is how long new connections are accepted, counted from when the signal is noticed.
+	Listen time.Duration
+	// Read is how long requests may take to arrive. What arrives later is rejected, and what is incomplete then is not
+	// read.
+	Read time.Duration
+	// Answer is by when every request has its answer.
+	Answer time.Duration
+	// Abort is when the connections are closed whose answers have begun, or are not owed.
+	Abort time.Duration
+}
+
+// Schedule has the times of a Plan.
+type Schedule struct {
+	SignaledAt  time.Time
+	ServeUntil  time.Time
+	ListenUntil time.Time
+	ReadUntil   time.Time
+	AnswerBy    time.Time
+	AbortAt     time.Time
+}
+
+// Schedule returns the times of a shutdown whose signal was sent at one time and noticed at another.
+func (p Plan) Schedule(signaledAt, noticedAt time.Time) Schedule {
+	s := Schedule{
+		SignaledAt:  signaledAt,
+		ServeUntil:  signaledAt.Add(p.Serve),
+		ListenUntil: noticedAt.Add(p.Listen),
+		ReadUntil:   signaledAt.Add(p.Read),
+		AnswerBy:    signaledAt.Add(p.Answer),
+		AbortAt:     signaledAt.Add(p.Abort),
+	}
+	if s.ReadUntil.Before(s.ListenUntil) {
+		s.ListenUntil = s.ReadUntil
+	}
+	return s
+}
--- a/internal/downstream/thrift/call.go
+++ b/internal/downstream/thrift/call.go
@@ -81,7 +81,8 @@
 	if method.key != noPath {
 		call.Key = affinityKey(m.bytes, &m.head.Fields[method.key])
 	}
-	if !oneWay {
+	if !oneWay { // a one-way call is forwarded whenever it comes, as its client is told of no rejection
+		call.ReceivedAt = m.receivedAt
 		call.Disconnected = func() bool { return socket.HungUp(c.Conn) }
 	}
 	return call
--- a/internal/downstream/thrift/read.go
+++ b/internal/downstream/thrift/read.go
@@ -81,13 +81,13 @@
 }
 
 // mayRead reports whether another call may be read, and removes the read deadline; serve has the idle timeout.
-// After a stop that is the case only for bytes that have been read from the socket, or have arrived before the
-// read deadline of a shutdown.
+// After a stop that is the case only for bytes that have been read from the socket, or have arrived before the end of a
+// shutdown.
 func (s *Server) mayRead(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.stopping && c.reader.Buffered() == 0 {
-		if s.draining && !time.Now().Before(s.readDeadline) || socket.ReadState(c.Conn) != socket.Unread {
+		if s.draining && !s.mayHoldUnread(time.Now()) || socket.ReadState(c.Conn) != socket.Unread {
 			return false
 		}
 	}
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"ringtrack.example/ringtrack/internal/core"
 	"ringtrack.example/ringtrack/internal/downstream/closelog"
 	"ringtrack.example/ringtrack/internal/downstream/pace"
+	"ringtrack.example/ringtrack/internal/downstream/shutdown"
 	"ringtrack.example/ringtrack/internal/panics"
 	"ringtrack.example/ringtrack/internal/socket"
 	"ringtrack.example/ringtrack/internal/stall"
@@ -24,15 +24,6 @@
 )
 
 const (
-	// defaultLinger is how long Shutdown keeps serving as before, as clients still connect for a while.
-	defaultLinger = 500 * time.Millisecond
-	// shutdownReadTime is how long a client whose call is incomplete when the drain begins may still take to
-	// send the rest.
-	shutdownReadTime = 400 * time.Millisecond
-	// owedAnswerTime is how long after drainTimeout calls are still waited for that were read and not answered.
-	owedAnswerTime = time.Second
-	// shutdownPollInterval is how often Shutdown checks the connections.
-	shutdownPollInterval = 10 * time.Millisecond
 	// acceptRetryDelay is the delay after a temporary error of an accept.
 	acceptRetryDelay = 5 * time.Millisecond
 	// maxBusyFraction is the part of MaxConns that may have an open call. The rest is for connections that
@@ -60,9 +51,7 @@
 	Table        *Table
 	Limits       thriftwire.Limits
 	MaxConns     int
-	ConnMemory   int           // for the connections of clients, in bytes; 0: not bounded
-	Linger       time.Duration // how long Shutdown keeps serving as before; 0: defaultLinger
-	SignaledAt   time.Time     // when the shutdown was asked for, which Linger counts from; zero: when Shutdown is called
+	ConnMemory   int // for the connections of clients, in bytes; 0: not bounded
 	Stalls       *stall.Watcher
 	RetryAfterMs float64 // of a rejection for which the core gives no time
 
@@ -79,10 +68,9 @@
 	conns    map[*clientConn]struct{}
 	busy     int // number of connections with an open call
 	draining bool
-	// readDeadline is until when a shutdown waits for calls to arrive completely.
-	readDeadline time.Time
-	served       chan struct{}  // closed when Serve returns; nil before Serve
-	handlers     sync.WaitGroup // goroutines of the connections
+	schedule shutdown.Schedule // with draining
+	served   chan struct{}     // closed when Serve returns; nil before Serve
+	handlers sync.WaitGroup    // goroutines of the connections
 }
 
 // Serve accepts connections until the listener is closed, and then returns nil.
@@ -228,121 +216,3 @@
 	}
 	return 0
 }
-
-// Shutdown shuts the server down without losing a call. It serves as before for Linger, or until no client is
-// connected. Then it closes the listener, waits up to drainTimeout for open calls, and closes each connection
-// after its reply.
-func (s *Server) Shutdown(ln net.Listener, drainTimeout time.Duration) {
-	if s.Linger == 0 {
-		s.Linger = defaultLinger
-	}
-	noticed := time.Now()
-	start := noticed
-	if !s.SignaledAt.IsZero() {
-		start = s.SignaledAt
-	}
-	for ; time.Since(start) < s.Linger; time.Sleep(shutdownPollInterval) {
-		if s.isEmpty() && time.Since(noticed) >= defaultLinger {
-			break
-		}
-	}
-	now := time.Now()
-	deadline := start.Add(s.Linger).Add(drainTimeout) // a late poll does not extend it
-	if now.Before(start.Add(s.Linger)) {
-		deadline = now.Add(drainTimeout)
-	}
-	s.logProgress("drain begins", start)
-	served := s.beginDrain(now.Add(min(drainTimeout/2, shutdownReadTime)))
-	listenUntil := deadline.Add(-drainTimeout / 2)
-	if until := noticed.Add(min(s.Linger, defaultLinger)); until.Before(listenUntil) {
-		listenUntil = until
-	}
-	for time.Now().Before(listenUntil) {
-		s.closeUnused()
-		time.Sleep(shutdownPollInterval)
-	}
-	ln.Close()
-	if served != nil {
-		<-served // from here on conns has all connections that were accepted
-	}
-	for time.Now().Before(deadline) && s.closeUnused() {
-		time.Sleep(shutdownPollInterval)
-	}
-	if s.owesAnswers() {
-		s.logProgress("answers are due", start)
-	}
-	for time.Since(deadline) < owedAnswerTime && s.owesAnswers() {
-		time.Sleep(shutdownPollInterval)
-	}
-	s.mu.Lock()
-	for c := range s.conns {
-		if c.unanswered > 0 {
-			s.closed.Record(closelog.ShutdownDeadline, c.RemoteAddr().String())
-		}
-		c.Close()
-	}
-	s.mu.Unlock()
-	s.handlers.Wait()
-	if s.closed != nil {
-		s.closed.LogTotals()
-	}
-}
-
-// logProgress logs a step of a shutdown with the clients that are connected then.
-func (s *Server) logProgress(step string, signaledAt time.Time) {
-	s.mu.Lock()
-	connected, busy := len(s.conns), s.busy
-	s.mu.Unlock()
-	slog.Info(step, "listener", "Thrift", "connected", connected, "open_requests", busy, "since_signal", time.Since(signaledAt))
-}
-
-// beginDrain makes each connection end behind its next answer. Calls that are arriving are read until readDeadline.
-func (s *Server) beginDrain(readDeadline time.Time) (served chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = true
-	s.readDeadline = readDeadline
-	return s.served
-}
-
-// owesAnswers reports whether any call was read and not answered.
-func (s *Server) owesAnswers() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		if c.unanswered > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Server) isEmpty() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns) == 0
-}
-
-// closeUnused makes connections end that have no call, and reports whether any connection remains. Until the read
-// deadline it spares those on which a call is arriving, and new ones, whose first call may be on its way: closing
-// them would lose the call.
-func (s *Server) closeUnused() (remain bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	readTimeLeft := time.Now().Before(s.readDeadline)
-	for c := range s.conns {
-		switch {
-		case c.unanswered > 0 || c.mayDeliverCall() && readTimeLeft:
-		case !c.readingCall:
-			c.stopReading()
-		case socket.ReadState(c.Conn) != socket.Unread:
-			c.endReading()
-		}
-	}
-	return len(s.conns) > 0
-}
-
-// mayDeliverCall reports whether a call is arriving or may be on its way. The server's lock is held.
-func (c *clientConn) mayDeliverCall() bool {
-	return c.readingCall || c.noCallYet || socket.ReadState(c.Conn) == socket.Unread
-}
--- a/internal/lab/pressure/agent.go
+++ b/internal/lab/pressure/agent.go
@@ -42,6 +42,17 @@
 	stopped atomic.Bool   // the current process is being killed by this package
 	ready   atomic.Bool   // the current process has been ready
 	crashed atomic.Bool   // a process has ended by itself
+
+	terminatedAt atomic.Pointer[time.Time] // when SIGTERM was sent; nil: it was not
+}
+
+// sinceTermination returns how long ago SIGTERM was sent at a time; 0: it was not.
+func (a *agentProcess) sinceTermination(at time.Time) time.Duration {
+	terminatedAt := a.terminatedAt.Load()
+	if terminatedAt == nil {
+		return 0
+	}
+	return max(at.Sub(*terminatedAt), 0)
 }
 
 // lockedBuffer is a bytes.Buffer that is safe for concurrent use.
--- /dev/null
+++ b/internal/lab/pressure/killstall_test.go
@@ -0,0 +1,67 @@
+package pressure
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// ordersUntilTheKill are the loads of an end whose clients open no connection after maxNewConnTime.
+func ordersUntilTheKill(timeout time.Duration) []Load {
+	load := Load{PerSecond: 200, Timeout: timeout, NewConnPercent: 10, HangPercent: 6, NewConnTime: maxNewConnTime}
+	thriftLoad := load
+	thriftLoad.Thrift = true
+	return []Load{load, thriftLoad}
+}
+
+// checkStall runs an end with one stall.
+func checkStall(t *testing.T, deadline time.Duration, stall Stall, change func(load *Load)) {
+	t.Helper()
+	t.Parallel()
+	loads := ordersUntilTheKill(deadline * 9 / 10)
+	for i := range loads {
+		change(&loads[i])
+	}
+	checkEnd(t, &End{
+		Scenario: Scenario{Seed: 1, LongestDeadline: deadline, Thrift: true},
+		Loads:    loads,
+		Stalls:   []Stall{stall},
+		Before:   beforeEnd,
+	})
+}
+
+// promptClients changes nothing about a load.
+func promptClients(*Load) {}
+
+// A process that is stopped from some moment of its end until SIGKILL leaves no request unanswered that came later than
+// excusedTime after SIGTERM.
+func TestStopUntilTheKillLosesNoRequest(t *testing.T) {
+	for _, deadline := range endDeadlines {
+		kill := deadline + killSlack
+		for _, from := range []time.Duration{
+			50 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, 700 * time.Millisecond,
+			kill * 7 / 10, kill * 8 / 10, kill - 250*time.Millisecond, kill - 120*time.Millisecond,
+		} {
+			t.Run(fmt.Sprintf("deadline %v/from %v", deadline, from), func(t *testing.T) {
+				checkStall(t, deadline, Stall{from, untilTheKill}, promptClients)
+			})
+		}
+	}
+}
+
+// A process that goes on before SIGKILL answers what came while it was stopped.
+func TestStopThatEndsBeforeTheKillLosesNoRequest(t *testing.T) {
+	const beforeKill = 100 * time.Millisecond
+	for _, deadline := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond} {
+		for _, from := range []time.Duration{-100 * time.Millisecond, 0, 100 * time.Millisecond, 400 * time.Millisecond, 650 * time.Millisecond} {
+			for _, length := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond} {
+				if from+length > deadline+killSlack-beforeKill {
+					continue
+				}
+				t.Run(fmt.Sprintf("deadline %v/from %v/for %v", deadline, from, length), func(t *testing.T) {
+					checkStall(t, deadline, Stall{from, length}, promptClients)
+				})
+			}
+		}
+	}
+}
--- a/policy/rejectreason.go
+++ b/policy/rejectreason.go
@@ -22,6 +22,7 @@
 	ReasonConfigExpired                     // the server rules of the shared configuration have expired
 	ReasonDuplicate                         // its id is that of a request that is open or may have run
 	ReasonDeadline                          // ended by the deadline timer, which indicates a bug or a stall
+	ReasonShutdown                          // it came after a process that shuts down accepts requests
 	NumRejectReasons                        // number of reasons
 )
 
@@ -43,6 +44,7 @@
 	ReasonConfigExpired: "config_expired",
 	ReasonDuplicate:     "duplicate",
 	ReasonDeadline:      "deadline",
+	ReasonShutdown:      "shutdown",
 }
 
 // String returns the reason's name in metrics and logs.
