Rejections to pipelining clients are not lost to a reset as their connection closes

A client that sends on without waiting lost its last 13 to 30 answers at an end: they had been written, and the close came over a request that had just arrived. Such a close resets the connection, and drops what the congestion window still holds back. LingeringClose looks for unread bytes once and closes then, which a client that goes on sending crosses.

Now a connection on which requests were rejected behind the last answer closes its sending side first, and reads on until its client has closed or 0.1 s have passed, over HTTP and Thrift.

--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -83,6 +83,7 @@
 	closing      bool      // nothing more is received
 	isLate       bool      // see late
 	receivedAt   time.Time // when the last bytes arrived
+	pipelined    bool      // requests have arrived behind the last answer but for rejections
 
 	// Only the handler uses these. rejecting says that the connection ends: requests that arrived behind the last
 	// answer are rejected.
@@ -242,6 +243,14 @@
 	return nil
 }
 
+// rejectMore makes the connection end behind the requests that have arrived, which are rejected.
+func (c *framedConn) rejectMore() {
+	c.rejecting = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pipelined = true
+}
+
 // readsEnoughAhead reports whether maxReceivedHeads have been received.
 func (c *framedConn) readsEnoughAhead() bool {
 	c.mu.Lock()
@@ -252,7 +261,11 @@
 // Close closes the connection without a reset, which could destroy the last answer, even if the client has
 // sent bytes that were not read.
 func (c *framedConn) Close() error {
-	return socket.LingeringClose(c.Conn, c.disconnect.close())
+	readAhead := c.disconnect.close()
+	c.mu.Lock()
+	readAhead = readAhead || c.pipelined
+	c.mu.Unlock()
+	return socket.LingeringClose(c.Conn, readAhead)
 }
 
 // abort closes the connection at once, without regard to an answer.
--- a/internal/downstream/http/shutdown.go
+++ b/internal/downstream/http/shutdown.go
@@ -113,7 +113,7 @@
 		return
 	}
 	if conn != nil && s.readsMore() && requestArrived(conn) {
-		conn.rejecting = true
+		conn.rejectMore()
 		return
 	}
 	w.Header().Set("Connection", "close")
--- a/internal/downstream/thrift/call.go
+++ b/internal/downstream/thrift/call.go
@@ -41,6 +41,7 @@
 		return oneWay || s.writeException(c, &m.head, CodeUnknownMethod, "the method is not listed here")
 	}
 	oneWay = oneWay || method.oneWay
+	c.pipelined = c.pipelined || c.rejecting
 	if c.rejecting && !oneWay {
 		c.pace.Charge()
 		return s.writeException(c, &m.head, CodeRejected, rejectionText(s.RetryAfterMs))
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -40,6 +40,7 @@
 	// rejecting says that the connection ends: of the calls that were read behind the last answer those that
 	// want a reply are rejected.
 	rejecting bool
+	pipelined bool // such calls were read; more may be arriving as the connection closes
 
 	// Guarded by the server's lock:
 	unanswered  int  // calls that were read and have not been answered, including the open one
@@ -68,7 +69,7 @@
 	unreadable := false // the client may still be sending the rest of a message
 	defer func() {
 		close(stop)
-		socket.LingeringClose(c.Conn, unreadable || len(c.queued) > 0)
+		socket.LingeringClose(c.Conn, unreadable || len(c.queued) > 0 || c.pipelined)
 		reader.Wait()
 		for i := range c.queued {
 			s.buffers.Release(c.queued[i].reserved)
--- a/internal/lab/pressure/ends.go
+++ b/internal/lab/pressure/ends.go
@@ -42,6 +42,8 @@
 	Before time.Duration
 	// Signals are further signals after SIGTERM.
 	Signals []SignalAfter
+	// Pipelining adds a client to each load that sends on one connection without waiting for answers.
+	Pipelining bool
 }
 
 // kill returns how long after SIGTERM SIGKILL comes.
@@ -152,6 +154,10 @@
 	var running sync.WaitGroup
 	loaders := w.startLoads(ctx, &running, e.Loads)
 	w.startCrowds(ctx, &running)
+	var pipeliners []*pipeliner
+	if e.Pipelining {
+		pipeliners = w.startPipeliners(ctx, &running, loaders)
+	}
 	result := &EndResult{end: e}
 	result.Took, result.Killed = w.agent.end(e)
 	stopLoads()
@@ -159,6 +165,9 @@
 	for _, l := range loaders {
 		result.Loads = append(result.Loads, l.total())
 	}
+	for i, p := range pipeliners {
+		result.Loads[i].Lost = append(result.Loads[i].Lost, p.lost()...)
+	}
 	if terminatedAt := w.agent.terminatedAt.Load(); terminatedAt != nil {
 		result.terminatedAt = *terminatedAt
 	}
--- a/internal/lab/pressure/exchange.go
+++ b/internal/lab/pressure/exchange.go
@@ -2,10 +2,8 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"io"
 	"net/http"
-	"time"
 )
 
 // answerStatus is how an answer ends its request.
@@ -35,17 +33,16 @@
 	return answerFailed, resp.Close, nil
 }
 
-// exchangeThrift calls a method, and reads the reply or the exception.
-func (c *loadConn) exchangeThrift(path string) (status answerStatus, end bool, err error) {
-	method := "order"
+// thriftMethod returns the method that is called in place of a path.
+func thriftMethod(path string) string {
 	if path == hangPath {
-		method = hangMethod
-	}
-	_, err = c.Write(thriftMessage(thriftCall, method))
-	c.sent = time.Now()
-	if err != nil {
-		return 0, true, fmt.Errorf("%w: %w", errConnAborted, err)
+		return hangMethod
 	}
+	return "order"
+}
+
+// readThrift reads the reply to a call, or the exception.
+func (c *loadConn) readThrift() (status answerStatus, end bool, err error) {
 	var length [4]byte
 	if _, err := io.ReadFull(c.reader, length[:]); err != nil {
 		return 0, true, err
--- a/internal/lab/pressure/killstall_test.go
+++ b/internal/lab/pressure/killstall_test.go
@@ -65,3 +65,26 @@
 		}
 	}
 }
+
+// Clients that send on without waiting for answers get one for each request, unless the end of their connection crosses it.
+// One end at a time, as a client that gets no core notices an end late.
+func TestEndBesidePipeliningClients(t *testing.T) {
+	const deadline = 1200 * time.Millisecond
+	for _, test := range []struct {
+		name   string
+		stalls []Stall
+	}{
+		{"no stop", nil},
+		{"a stop at the drain's begin", []Stall{{0, 300 * time.Millisecond}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			checkEnd(t, &End{
+				Scenario:   Scenario{Seed: 1, LongestDeadline: deadline, Thrift: true},
+				Loads:      ordersUntilTheKill(deadline * 9 / 10),
+				Stalls:     test.stalls,
+				Before:     beforeEnd,
+				Pipelining: true,
+			})
+		})
+	}
+}
--- a/internal/lab/pressure/load.go
+++ b/internal/lab/pressure/load.go
@@ -259,18 +259,32 @@
 // exchange sends a request and reads its answer. end says that the connection ends behind it.
 func (l *loader) exchange(c *loadConn, path string) (status answerStatus, end bool, err error) {
 	_ = c.SetDeadline(time.Now().Add(l.load.Timeout + unansweredAfter))
+	if err := l.send(c, path); err != nil {
+		return 0, true, err
+	}
+	return l.receive(c)
+}
+
+// send sends a request.
+func (l *loader) send(c *loadConn, path string) error {
+	var err error
 	if l.load.Thrift {
-		return c.exchangeThrift(path)
+		_, err = c.Write(thriftMessage(thriftCall, thriftMethod(path)))
+	} else {
+		err = l.write(c, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nRequest-Id: %x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+			path, nextRequestID(), l.load.Timeout.Milliseconds(), len(orderBody), orderBody))
 	}
-	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nRequest-Id: %x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		path, nextRequestID(), l.load.Timeout.Milliseconds(), len(orderBody), orderBody)
-	err = l.write(c, text)
 	c.sent = time.Now()
-	if errors.Is(err, errConnEnded) {
-		return 0, true, err
+	if err != nil && !errors.Is(err, errConnEnded) {
+		return fmt.Errorf("%w: %w", errConnAborted, err)
 	}
-	if err != nil {
-		return 0, true, fmt.Errorf("%w: %w", errConnAborted, err)
+	return err
+}
+
+// receive reads the next answer.
+func (l *loader) receive(c *loadConn) (status answerStatus, end bool, err error) {
+	if l.load.Thrift {
+		return c.readThrift()
 	}
 	return c.readHTTP()
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -166,7 +166,7 @@
 
 // LingeringClose closes a connection on which an answer has been written. Closing a socket with unread bytes
 // resets the connection, and the peer may lose the answer. If there are unread bytes, or bytes beyond the
-// request were already read (readAhead), it therefore closes the sending side first, then reads and discards
+// request were already read or may just be arriving (readAhead), it therefore closes the sending side first, then reads and discards
 // until the peer closes its side, for at most 0.1 s and 256 KiB.
 func LingeringClose(nc net.Conn, readAhead bool) error {
 	if cw, ok := nc.(interface{ CloseWrite() error }); ok && (readAhead || ReadState(nc) == Unread) {
