At an end open requests behind which more arrive are answered early

Clients that pipeline go on sending while a request is open. At an end what they sent behind one whose server hangs was read, or left unread, until the open one's time was over, up to 1.7 s after SIGTERM: a stop until SIGKILL from 0.7 s on lost each request that came later than that. And what a Thrift client sent behind the time for incomplete calls was never read.

From the time on that a shutdown reads requests (0.65 s) the time of an open request ends as soon as others have arrived behind it, over HTTP and Thrift: it fails or is rejected as at its deadline, what is behind it is rejected, and the connection closes. Requests of clients that send one at a time keep their time.

TestEndBesidePipeliningClients/a_stop_until_the_kill failed before, with some 50 requests over HTTP that came from 0.72 s on; its four rows hold.

--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -19,6 +19,14 @@
 	}
 }
 
+// EndNow ends the time of an open call, which is then answered as at its deadline. It has no effect on one that was
+// answered. It must be called in the loop.
+func (l *EventLoop) EndNow(c *Call) {
+	if r := l.requestsByClientID[c.ID]; r != nil && r.call == c {
+		l.shortenDeadline(r, time.Now())
+	}
+}
+
 // shortenDeadline gives an open request an earlier deadline.
 func (l *EventLoop) shortenDeadline(r *Request, deadline time.Time) {
 	if r.answered {
--- a/internal/downstream/http/conns.go
+++ b/internal/downstream/http/conns.go
@@ -213,6 +213,18 @@
 	}
 }
 
+// endPipelined ends the time of open requests behind which more have arrived: their client goes on sending until the
+// connection ends.
+func (c *clientConns) endPipelined() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for nc, conn := range c.conns {
+		if framed, ok := nc.(*framedConn); ok && conn.element == nil && !conn.closing && requestArrived(nc) {
+			framed.endOpenRequest()
+		}
+	}
+}
+
 // abortAll closes all connections at once. With spareOwed it spares those on which an answer is owed that has not begun,
 // or may be, with unread set, as bytes are unread, and returns their number.
 func (c *clientConns) abortAll(spareOwed, unread bool) (owed int) {
--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -84,6 +84,7 @@
 	isLate       bool      // see late
 	receivedAt   time.Time // when the last bytes arrived
 	pipelined    bool      // requests have arrived behind the last answer but for rejections
+	endOpen      func()    // ends the time of the open request; nil: there is none
 
 	// Only the handler uses these. rejecting says that the connection ends: requests that arrived behind the last
 	// answer are rejected.
@@ -251,6 +252,24 @@
 	c.pipelined = true
 }
 
+// setOpenRequest sets the function that ends the time of the open request; nil: there is none.
+func (c *framedConn) setOpenRequest(end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endOpen = end
+}
+
+// endOpenRequest ends the time of the open request.
+func (c *framedConn) endOpenRequest() {
+	c.mu.Lock()
+	end := c.endOpen
+	c.endOpen = nil
+	c.mu.Unlock()
+	if end != nil {
+		end()
+	}
+}
+
 // readsEnoughAhead reports whether maxReceivedHeads have been received.
 func (c *framedConn) readsEnoughAhead() bool {
 	c.mu.Lock()
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -71,6 +71,10 @@
 			conn.disconnect.start() // runs until the next read of the body
 		}
 	}
+	if framed {
+		conn.setOpenRequest(func() { s.EventLoop.Post(func() { s.EventLoop.EndNow(&c.Call) }) })
+		defer conn.setOpenRequest(nil)
+	}
 	submitted := make(chan *core.Request, 1)
 	s.EventLoop.Post(func() { submitted <- s.EventLoop.Submit(&c.Call) })
 	select {
--- a/internal/downstream/http/shutdown.go
+++ b/internal/downstream/http/shutdown.go
@@ -66,6 +66,9 @@
 	}
 	s.clientConns.limitReads(schedule.ReadUntil)
 	s.clientConns.closeIdle()
+	if !now.Before(schedule.ReadUntil) {
+		s.clientConns.endPipelined()
+	}
 }
 
 // mayHoldUnread reports whether requests may be unread that came before the end of the schedule, as the process did not run
--- a/internal/downstream/thrift/call.go
+++ b/internal/downstream/thrift/call.go
@@ -48,6 +48,9 @@
 	}
 	call := s.newCall(c, m, method, oneWay)
 	call.AtConnectionLimit = overloaded
+	if !oneWay {
+		s.setOpenCall(c, call)
+	}
 	submitted := make(chan *core.Request, 1)
 	s.EventLoop.Post(func() { submitted <- s.EventLoop.Submit(call) })
 	answer, ok := s.await(c, call, oneWay, messages)
@@ -61,6 +64,13 @@
 	return s.answer(c, m, answer, oneWay)
 }
 
+// setOpenCall lets a shutdown end the time of the open call.
+func (s *Server) setOpenCall(c *clientConn, call *core.Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.endOpen = func() { s.EventLoop.Post(func() { s.EventLoop.EndNow(call) }) }
+}
+
 // newCall returns the call of the core for a message.
 func (s *Server) newCall(c *clientConn, m *message, method *method, oneWay bool) *core.Call {
 	timeoutMs := method.timeoutMs(&m.head)
--- a/internal/downstream/thrift/shutdown.go
+++ b/internal/downstream/thrift/shutdown.go
@@ -110,14 +110,20 @@
 
 // closeUnused makes connections end that have no call, and reports whether any connection remains. Until the schedule's
 // ReadUntil it spares those on which a call is arriving, and new ones, whose first call may be on its way: closing
-// them would lose the call.
+// them would lose the call. From then on it ends the time of open calls behind which more have arrived, as their client
+// goes on sending until the connection ends.
 func (s *Server) closeUnused() (remain bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	readTimeLeft := time.Now().Before(s.schedule.ReadUntil)
 	for c := range s.conns {
 		switch {
-		case c.unanswered > 0, readTimeLeft && c.mayDeliverCall():
+		case c.unanswered > 0:
+			if !readTimeLeft && c.endOpen != nil && c.hasCallsBehind() {
+				c.endOpen()
+				c.endOpen = nil
+			}
+		case readTimeLeft && c.mayDeliverCall():
 		case !c.readingCall:
 			c.stopReading()
 		case socket.ReadState(c.Conn) != socket.Unread:
@@ -127,6 +133,11 @@
 	return len(s.conns) > 0
 }
 
+// hasCallsBehind reports whether calls, or bytes of one, have arrived behind the open call. The server's lock is held.
+func (c *clientConn) hasCallsBehind() bool {
+	return c.unanswered > 1 || c.readingCall || socket.ReadState(c.Conn) == socket.Unread
+}
+
 // mayDeliverCall reports whether a call is arriving or may be on its way. The server's lock is held.
 func (c *clientConn) mayDeliverCall() bool {
 	return c.readingCall || c.noCallYet || socket.ReadState(c.Conn) == socket.Unread
--- a/internal/lab/pressure/killstall_test.go
+++ b/internal/lab/pressure/killstall_test.go
@@ -76,6 +76,8 @@
 	}{
 		{"no stop", nil},
 		{"a stop at the drain's begin", []Stall{{0, 300 * time.Millisecond}}},
+		{"a stop until the kill", []Stall{{excusedTime, untilTheKill}}},
+		{"a late stop until the kill", []Stall{{deadline + killSlack - 250*time.Millisecond, untilTheKill}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			checkEnd(t, &End{
