An end closes no new connection over its first request

The signal was noticed 0.3 s late, so the listener was open until 0.65 s, when connections that had sent nothing were closed. Only a connection between requests may be closed.

A new connection has 0.25 s for its first bytes now, over HTTP and Thrift; what comes behind 0.65 s is rejected.

--- a/internal/downstream/http/conns.go
+++ b/internal/downstream/http/conns.go
@@ -11,6 +11,7 @@
 
 	"ringtrack.example/ringtrack/internal/downstream/closelog"
 	"ringtrack.example/ringtrack/internal/downstream/pace"
+	"ringtrack.example/ringtrack/internal/downstream/shutdown"
 	"ringtrack.example/ringtrack/internal/socket"
 )
 
@@ -189,18 +190,32 @@
 }
 
 // limitReads sets a read deadline for connections whose request is incomplete or which have sent none yet.
-func (c *clientConns) limitReads(deadline time.Time) {
+func (c *clientConns) limitReads(readUntil time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, kind := range []connKind{noRequest, readingBody} {
 		for e := c.evictable[kind].Front(); e != nil; e = e.Next() {
 			nc := e.Value.(net.Conn)
+			deadline := c.conns[nc].readUntil(nc, readUntil)
 			c.conns[nc].readDeadline = deadline
 			nc.SetReadDeadline(deadline)
 		}
 	}
 }
 
+// readUntil returns until when a connection is read by a shutdown that reads requests until a time. The lock of clientConns
+// is held.
+func (conn *clientConn) readUntil(nc net.Conn, until time.Time) time.Time {
+	framed, ok := nc.(*framedConn)
+	if !ok || conn.kind != noRequest || framed.headBytes() > 0 {
+		return until
+	}
+	if firstBytesUntil := conn.since.Add(shutdown.FirstBytesTime); firstBytesUntil.After(until) {
+		return firstBytesUntil
+	}
+	return until
+}
+
 // closeIdle closes idle connections, except those on which a request has arrived: closing one would lose the
 // request. Its answer closes the connection instead.
 func (c *clientConns) closeIdle() {
--- a/internal/downstream/shutdown/schedule.go
+++ b/internal/downstream/shutdown/schedule.go
@@ -3,8 +3,13 @@
 
 import "time"
 
-// PollInterval is how often a downstream that shuts down looks at its connections.
-const PollInterval = 10 * time.Millisecond
+const (
+	// PollInterval is how often a downstream that shuts down looks at its connections.
+	PollInterval = 10 * time.Millisecond
+	// FirstBytesTime is how long a new connection may be silent though its downstream shuts down: its client may just be
+	// sending a request, which a close would leave without an answer.
+	FirstBytesTime = 250 * time.Millisecond
+)
 
 // Plan has the steps of a shutdown, as durations from the signal that asks for it.
 type Plan struct {
@@ -13,7 +18,7 @@
 	// Listen is how long new connections are accepted, counted from when the signal is noticed.
 	Listen time.Duration
 	// Read is how long requests may take to arrive. What arrives later is rejected, and what is incomplete then is not
-	// read.
+	// read. A new connection has FirstBytesTime.
 	Read time.Duration
 	// Answer is by when every request has its answer.
 	Answer time.Duration
--- a/internal/downstream/thrift/shutdown.go
+++ b/internal/downstream/thrift/shutdown.go
@@ -123,7 +123,7 @@
 				c.endOpen()
 				c.endOpen = nil
 			}
-		case readTimeLeft && c.mayDeliverCall():
+		case readTimeLeft && c.mayDeliverCall(), c.noCallYet && time.Since(c.acceptedAt) < shutdown.FirstBytesTime:
 		case !c.readingCall:
 			c.stopReading()
 		case socket.ReadState(c.Conn) != socket.Unread:
