--- a/internal/lab/pressure/killstall_test.go
+++ b/internal/lab/pressure/killstall_test.go
@@ -90,3 +90,25 @@
 		})
 	}
 }
+
+// A Thrift client that has read the last reply of its connection sends nothing more on it, though the process is stopped right
+// behind the reply.
+func TestStopBehindTheLastReply(t *testing.T) {
+	const runs = 40
+	for i := range runs {
+		from := time.Duration(i) * 6 * time.Millisecond
+		t.Run(from.String(), func(t *testing.T) {
+			t.Parallel()
+			const deadline = 300 * time.Millisecond
+			load := ordersUntilTheKill(deadline * 9 / 10)[1]
+			load.PerSecond = 600
+			load.HangPercent = 1
+			checkEnd(t, &End{
+				Scenario: Scenario{Seed: uint64(i), LongestDeadline: deadline, Thrift: true},
+				Loads:    []Load{load},
+				Stalls:   []Stall{{from, 250 * time.Millisecond}},
+				Before:   beforeEnd,
+			})
+		})
+	}
+}
