A process that hands over closes its Thrift listener at once, as HTTP's

Beside a next process the leaving one kept its Thrift listener for 0.5 s, and took a part of the new connections. One that was stopped from 50 or 200 ms after SIGTERM until SIGKILL left all calls unanswered that came on these, up to the kill. HTTP's listener closes as the drain begins, and the kernel then gives new connections to the next process.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -229,6 +229,7 @@
 	p.upstream.WholeReplies.Store(true)
 	p.loop.Post(func() { p.loop.ShutDown(schedule.ReadUntil, schedule.AnswerBy) })
 	if p.state.hasSuccessor() {
+		schedule.ListenUntil = time.Now()
 		p.http.HandOver(ln)
 	}
 	var thriftDone sync.WaitGroup
--- a/internal/lab/pressure/agent.go
+++ b/internal/lab/pressure/agent.go
@@ -24,6 +24,10 @@
 	memoryPollInterval = 5 * time.Millisecond
 	// readyPollInterval is how often a process that starts is asked whether it is ready.
 	readyPollInterval = 10 * time.Millisecond
+	// listensBeside is what a second process logs once it listens.
+	listensBeside = "listening beside the other process"
+	// servingSavedTime is how long it then takes at most to let the first one know.
+	servingSavedTime = 200 * time.Millisecond
 )
 
 // agentProcess is an agent: its configuration, and its current process.
@@ -94,6 +98,22 @@
 	return a, os.WriteFile(path, text, 0o600)
 }
 
+// startSuccessor starts a second process of the agent and returns once it listens beside the first one.
+func (a *agentProcess) startSuccessor() (*agentProcess, error) {
+	successor := &agentProcess{program: a.program, dir: a.dir, addr: a.addr, thriftAddr: a.thriftAddr, env: a.env}
+	if err := successor.start(); err != nil {
+		return nil, err
+	}
+	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(readyPollInterval) {
+		if strings.Contains(successor.log.String(), listensBeside) {
+			time.Sleep(servingSavedTime)
+			return successor, nil
+		}
+	}
+	successor.stop()
+	return nil, fmt.Errorf("no second process within %v: %s", readyTimeout, successor.log.String())
+}
+
 // start starts a process and returns once it is ready.
 func (a *agentProcess) start() error {
 	cmd := exec.Command(a.program)
--- a/internal/lab/pressure/ends.go
+++ b/internal/lab/pressure/ends.go
@@ -42,6 +42,8 @@
 	Before time.Duration
 	// Signals are further signals after SIGTERM.
 	Signals []SignalAfter
+	// HandOver starts a second process of the agent before SIGTERM, which takes over.
+	HandOver bool
 	// Pipelining adds a client to each load that sends on one connection without waiting for answers.
 	Pipelining bool
 }
@@ -149,6 +151,13 @@
 		return nil, err
 	}
 	defer w.agent.stop()
+	if e.HandOver {
+		successor, err := w.agent.startSuccessor()
+		if err != nil {
+			return nil, err
+		}
+		defer successor.stop()
+	}
 	ctx, stopLoads := context.WithCancel(ctx)
 	defer stopLoads()
 	var running sync.WaitGroup
--- a/internal/lab/pressure/killstall_test.go
+++ b/internal/lab/pressure/killstall_test.go
@@ -112,3 +112,31 @@
 		})
 	}
 }
+
+// A process that hands over to another one loses no request either, though clients open connections all the time.
+func TestHandOverOfAStoppedProcess(t *testing.T) {
+	for _, deadline := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond} {
+		for _, stall := range []Stall{
+			{}, {-100 * time.Millisecond, 400 * time.Millisecond}, {50 * time.Millisecond, untilTheKill}, {200 * time.Millisecond, untilTheKill},
+			{400 * time.Millisecond, 300 * time.Millisecond}, {excusedTime, untilTheKill},
+		} {
+			t.Run(fmt.Sprintf("deadline %v/from %v for %v", deadline, stall.At, min(stall.For, deadline+killSlack)), func(t *testing.T) {
+				t.Parallel()
+				loads := ordersUntilTheKill(deadline * 9 / 10)
+				for i := range loads {
+					loads[i].NewConnTime = 0
+				}
+				e := &End{
+					Scenario: Scenario{Seed: 1, LongestDeadline: deadline, Thrift: true},
+					Loads:    loads,
+					Before:   beforeEnd,
+					HandOver: true,
+				}
+				if stall.For > 0 {
+					e.Stalls = []Stall{stall}
+				}
+				checkEnd(t, e)
+			})
+		}
+	}
+}
