At an end a request over HTTP that is incomplete is rejected soon, not met by a close

A client that had sent a part of a request as its agent began to end met the end of its connection: at once on a kept connection whose head was incomplete, at 0.65 s on a new one; a body that was incomplete then was answered 400. And while an end waits for the rest, a stop until SIGKILL loses the request if that comes later than 0.7 s after SIGTERM.

A partial head or body has 0.1 s now, from the drain's begin or its own, and is answered 503 then: nothing of it was forwarded. A connection with a partial head is not idle. A Thrift message that is incomplete is waited for until 0.65 s, as nothing can be answered to it.

--- a/internal/agent/shutdown.go
+++ b/internal/agent/shutdown.go
@@ -19,6 +19,9 @@
 	// sets it. Nothing is taken on in the last acceptMargin of it, as clients and this process measure it differently.
 	excusedTime  = 700 * time.Millisecond
 	acceptMargin = 50 * time.Millisecond
+	// partialTime is how long a request over HTTP may be incomplete during a shutdown: its client may end it after
+	// excusedTime.
+	partialTime = 100 * time.Millisecond
 	// listenTime is how long new connections are accepted after SIGTERM: clients open some for up to 0.4 s, and they may
 	// wait in the accept queue for a while.
 	listenTime = 500 * time.Millisecond
@@ -32,15 +35,17 @@
 func (c *Config) shutdownPlan() shutdown.Plan {
 	answer := min(c.longestClientTimeout(), maxKillDelay) + killGrace - killMargin
 	plan := shutdown.Plan{
-		Listen: listenTime,
-		Read:   excusedTime - acceptMargin,
-		Answer: answer,
-		Abort:  answer + lateAnswerTime,
+		Listen:  listenTime,
+		Read:    excusedTime - acceptMargin,
+		Partial: partialTime,
+		Answer:  answer,
+		Abort:   answer + lateAnswerTime,
 	}
 	if c.serveAfterSignal > 0 {
 		plan.Serve = c.serveAfterSignal
 		plan.Listen = c.serveAfterSignal
 		plan.Read += c.serveAfterSignal
+		plan.Partial = plan.Read
 	}
 	return plan
 }
--- a/internal/agent/shutdown_test.go
+++ b/internal/agent/shutdown_test.go
@@ -22,10 +22,11 @@
 		6000: 3500 * time.Millisecond,
 	} {
 		want := shutdown.Plan{
-			Listen: 500 * time.Millisecond,
-			Read:   650 * time.Millisecond,
-			Answer: answer,
-			Abort:  answer + 150*time.Millisecond,
+			Listen:  500 * time.Millisecond,
+			Read:    650 * time.Millisecond,
+			Partial: 100 * time.Millisecond,
+			Answer:  answer,
+			Abort:   answer + 150*time.Millisecond,
 		}
 		c := &Config{Settings: policy.Settings{Classes: []policy.Class{{ClientTimeoutMs: giveUpMs}, {ClientTimeoutMs: 10}}}}
 		if plan := c.shutdownPlan(); plan != want {
--- a/internal/downstream/http/conns.go
+++ b/internal/downstream/http/conns.go
@@ -190,41 +190,53 @@
 }
 
 // limitReads sets a read deadline for connections whose request is incomplete or which have sent none yet.
-func (c *clientConns) limitReads(readUntil time.Time) {
+func (c *clientConns) limitReads(schedule *shutdown.Schedule) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, kind := range []connKind{noRequest, readingBody} {
+	for _, kind := range []connKind{noRequest, readingBody, idle} {
 		for e := c.evictable[kind].Front(); e != nil; e = e.Next() {
 			nc := e.Value.(net.Conn)
-			deadline := c.conns[nc].readUntil(nc, readUntil)
+			if kind == idle && !hasPartialHead(nc) {
+				continue
+			}
+			if framed, ok := nc.(*framedConn); ok {
+				framed.drain()
+			}
+			deadline := c.conns[nc].readUntil(nc, schedule)
 			c.conns[nc].readDeadline = deadline
 			nc.SetReadDeadline(deadline)
 		}
 	}
 }
 
-// readUntil returns until when a connection is read by a shutdown that reads requests until a time. The lock of clientConns
-// is held.
-func (conn *clientConn) readUntil(nc net.Conn, until time.Time) time.Time {
+// hasPartialHead reports whether a connection has received a part of a request's head.
+func hasPartialHead(nc net.Conn) bool {
 	framed, ok := nc.(*framedConn)
-	if !ok || conn.kind != noRequest || framed.headBytes() > 0 {
-		return until
+	return ok && framed.hasPartialHead()
+}
+
+// readUntil returns until when a connection is read by a shutdown. The lock of clientConns is held.
+func (conn *clientConn) readUntil(nc net.Conn, schedule *shutdown.Schedule) time.Time {
+	if conn.kind != noRequest || hasPartialHead(nc) {
+		return schedule.PartialUntil(conn.since)
 	}
-	if firstBytesUntil := conn.since.Add(shutdown.FirstBytesTime); firstBytesUntil.After(until) {
+	if firstBytesUntil := conn.since.Add(shutdown.FirstBytesTime); firstBytesUntil.After(schedule.ReadUntil) {
 		return firstBytesUntil
 	}
-	return until
+	return schedule.ReadUntil
 }
 
-// closeIdle closes idle connections, except those on which a request has arrived: closing one would lose the
-// request. Its answer closes the connection instead.
+// closeIdle closes idle connections, except those on which a request has arrived, or a part of one: closing one would lose
+// the request. Its answer closes the connection instead.
 func (c *clientConns) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for e := c.evictable[idle].Front(); e != nil; {
 		nc := e.Value.(net.Conn)
 		e = e.Next()
-		c.evict(nc, false)
+		if !hasPartialHead(nc) {
+			c.evict(nc, false)
+		}
 	}
 }
 
--- a/internal/downstream/http/framedconn.go
+++ b/internal/downstream/http/framedconn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -83,7 +84,8 @@
 	closing      bool      // nothing more is received
 	isLate       bool      // see late
 	receivedAt   time.Time // when the last bytes arrived
-	pipelined    bool      // requests have arrived behind the last answer but for rejections
+	moreArrives  bool      // the client may be sending as the connection is closed
+	draining     bool      // a head that is incomplete at the read deadline is rejected
 	endOpen      func()    // ends the time of the open request; nil: there is none
 
 	// Only the handler uses these. rejecting says that the connection ends: requests that arrived behind the last
@@ -109,6 +111,9 @@
 	if n == 0 && err == nil {
 		n, err = c.read(p)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.rejectsPartialHead() {
+		c.rejectPartialHead()
+	}
 	if c.firstRequests != nil && c.hasCompleteHead() {
 		hungUp := func() bool { return socket.HungUp(c.Conn) }
 		if !c.firstRequests.Wait(c.headBytes(), hungUp) {
@@ -247,9 +252,14 @@
 // rejectMore makes the connection end behind the requests that have arrived, which are rejected.
 func (c *framedConn) rejectMore() {
 	c.rejecting = true
+	c.expectMore()
+}
+
+// expectMore makes Close read what the client goes on sending, for a short time.
+func (c *framedConn) expectMore() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pipelined = true
+	c.moreArrives = true
 }
 
 // setOpenRequest sets the function that ends the time of the open request; nil: there is none.
@@ -282,7 +292,7 @@
 func (c *framedConn) Close() error {
 	readAhead := c.disconnect.close()
 	c.mu.Lock()
-	readAhead = readAhead || c.pipelined
+	readAhead = readAhead || c.moreArrives
 	c.mu.Unlock()
 	return socket.LingeringClose(c.Conn, readAhead)
 }
--- a/internal/downstream/http/handler.go
+++ b/internal/downstream/http/handler.go
@@ -56,7 +56,7 @@
 		body, reserved, err = s.readBody(w, req, c)
 		defer func() { s.buffers.Release(reserved) }()
 		if err != nil {
-			reject(w, badRequestf("body can't be read"))
+			s.rejectPartialBody(w, conn)
 		}
 	}
 	c.AtConnectionLimit = s.clientConns.overloaded()
--- a/internal/downstream/http/shutdown.go
+++ b/internal/downstream/http/shutdown.go
@@ -64,7 +64,7 @@
 	if !now.Before(schedule.ListenUntil) {
 		s.closeListener()
 	}
-	s.clientConns.limitReads(schedule.ReadUntil)
+	s.clientConns.limitReads(schedule)
 	s.clientConns.closeIdle()
 	if !now.Before(schedule.ReadUntil) {
 		s.clientConns.endPipelined()
@@ -127,6 +127,21 @@
 	return s.schedule.Load() == nil || s.mayHoldUnread(time.Now())
 }
 
+// rejectPartialBody answers a request whose body can't be read completely, of which nothing was forwarded, and ends the
+// handler. While the server is draining that is no fault of the client. conn may be nil.
+func (s *Server) rejectPartialBody(w http.ResponseWriter, conn *framedConn) {
+	if !s.draining.Load() {
+		reject(w, badRequestf("body can't be read"))
+	}
+	if conn != nil {
+		conn.expectMore()
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.Header().Set("Connection", "close")
+	writeRejection(w, s.settings.Limits.MaxRetryAfterMs)
+	endUnread(w)
+}
+
 // rejectBehindLastAnswer rejects a request that arrived behind the last answer of its connection.
 func (s *Server) rejectBehindLastAnswer(w http.ResponseWriter, conn *framedConn) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/downstream/shutdown/schedule.go
+++ b/internal/downstream/shutdown/schedule.go
@@ -20,6 +20,9 @@
 	// Read is how long requests may take to arrive. What arrives later is rejected, and what is incomplete then is not
 	// read. A new connection has FirstBytesTime.
 	Read time.Duration
+	// Partial is how long a request over HTTP may be incomplete, counted from the drain's begin or from its own. It is
+	// rejected then.
+	Partial time.Duration
 	// Answer is by when every request has its answer.
 	Answer time.Duration
 	// Abort is when the connections are closed whose answers have begun, or are not owed.
@@ -32,6 +35,8 @@
 	ServeUntil  time.Time
 	ListenUntil time.Time
 	ReadUntil   time.Time
+	DrainFrom   time.Time
+	Partial     time.Duration
 	AnswerBy    time.Time
 	AbortAt     time.Time
 }
@@ -43,11 +48,28 @@
 		ServeUntil:  signaledAt.Add(p.Serve),
 		ListenUntil: noticedAt.Add(p.Listen),
 		ReadUntil:   signaledAt.Add(p.Read),
+		DrainFrom:   noticedAt,
+		Partial:     p.Partial,
 		AnswerBy:    signaledAt.Add(p.Answer),
 		AbortAt:     signaledAt.Add(p.Abort),
 	}
 	if s.ReadUntil.Before(s.ListenUntil) {
 		s.ListenUntil = s.ReadUntil
 	}
+	if s.DrainFrom.Before(s.ServeUntil) {
+		s.DrainFrom = s.ServeUntil
+	}
 	return s
 }
+
+// PartialUntil returns until when a request may be incomplete that began at a time.
+func (s *Schedule) PartialUntil(begun time.Time) time.Time {
+	if begun.Before(s.DrainFrom) {
+		begun = s.DrainFrom
+	}
+	until := begun.Add(s.Partial)
+	if until.After(s.ReadUntil) {
+		return s.ReadUntil
+	}
+	return until
+}
--- a/internal/lab/pressure/ends.go
+++ b/internal/lab/pressure/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"syscall"
@@ -93,6 +94,9 @@
 // excused reports whether a request had no answer, or a late one, for a reason that is allowed: what came until
 // excusedTime may be unanswered when a process is killed that was stopped, and a process that is stopped can't answer.
 func (r *EndResult) excused(request *LostRequest) bool {
+	if errors.Is(request.Err, errConnEnded) {
+		return r.Killed // it was not taken
+	}
 	if request.Err != nil {
 		return r.Killed && r.end.stoppedAtKill() && request.SinceTermination <= excusedTime
 	}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -157,11 +157,12 @@
 
 // shutdownPlan is that of the downstream server.
 var shutdownPlan = shutdown.Plan{
-	Serve:  10 * time.Millisecond,
-	Listen: 10 * time.Millisecond,
-	Read:   410 * time.Millisecond,
-	Answer: 3 * time.Second,
-	Abort:  3 * time.Second,
+	Serve:   10 * time.Millisecond,
+	Listen:  10 * time.Millisecond,
+	Read:    410 * time.Millisecond,
+	Partial: 400 * time.Millisecond,
+	Answer:  3 * time.Second,
+	Abort:   3 * time.Second,
 }
 
 // start starts the core and the downstream server.
