TestHandoverClosesConnectionsWithTheirNextResponse keeps its second process in the folder

The file by whose lock a process is known to run was closed by its finalizer: the test did not use the second process again. Without a successor the listener stays open, as it should.

--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -32,6 +32,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			defer next.Close() // until then the file is open that says that the process runs
 			if successor {
 				if err := next.MarkServing(); err != nil {
 					t.Fatal(err)
