The listener of a process that ends closes 0.45 s after SIGTERM, noticed late or not

The listener was open for 0.5 s from when the signal was noticed; connects of before 0.4 s came up as their SYN was sent again, while the process was stopped. It counts from the signal now, as all else, with at least 50 ms for the connections that wait, and is 0.45 s: clients open connections for 0.4 s at the most.

--- a/internal/agent/shutdown.go
+++ b/internal/agent/shutdown.go
@@ -24,7 +24,7 @@
 	partialTime = 100 * time.Millisecond
 	// listenTime is how long new connections are accepted after SIGTERM: clients open some for up to 0.4 s, and they may
 	// wait in the accept queue for a while.
-	listenTime = 500 * time.Millisecond
+	listenTime = 450 * time.Millisecond
 	// minClientTimeout is the minimum that longestClientTimeout returns.
 	minClientTimeout = 50 * time.Millisecond
 )
--- a/internal/downstream/shutdown/schedule.go
+++ b/internal/downstream/shutdown/schedule.go
@@ -9,13 +9,15 @@
 	// FirstBytesTime is how long a new connection may be silent though its downstream shuts down: its client may just be
 	// sending a request, which a close would leave without an answer.
 	FirstBytesTime = 250 * time.Millisecond
+	// minListen is how long new connections are accepted at least once the signal is noticed.
+	minListen = 50 * time.Millisecond
 )
 
 // Plan has the steps of a shutdown, as durations from the signal that asks for it.
 type Plan struct {
 	// Serve is how long connections stay open between requests. From then on each ends with its next answer.
 	Serve time.Duration
-	// Listen is how long new connections are accepted, counted from when the signal is noticed.
+	// Listen is how long new connections are accepted. A signal that is noticed late leaves minListen for those that wait.
 	Listen time.Duration
 	// Read is how long requests may take to arrive. What arrives later is rejected, and what is incomplete then is not
 	// read. A new connection has FirstBytesTime.
@@ -46,30 +48,29 @@
 	s := Schedule{
 		SignaledAt:  signaledAt,
 		ServeUntil:  signaledAt.Add(p.Serve),
-		ListenUntil: noticedAt.Add(p.Listen),
+		ListenUntil: later(signaledAt.Add(p.Listen), noticedAt.Add(min(p.Listen, minListen))),
 		ReadUntil:   signaledAt.Add(p.Read),
-		DrainFrom:   noticedAt,
+		DrainFrom:   later(noticedAt, signaledAt.Add(p.Serve)),
 		Partial:     p.Partial,
 		AnswerBy:    signaledAt.Add(p.Answer),
 		AbortAt:     signaledAt.Add(p.Abort),
 	}
-	if s.ReadUntil.Before(s.ListenUntil) {
-		s.ListenUntil = s.ReadUntil
-	}
-	if s.DrainFrom.Before(s.ServeUntil) {
-		s.DrainFrom = s.ServeUntil
-	}
 	return s
 }
 
 // PartialUntil returns until when a request may be incomplete that began at a time.
 func (s *Schedule) PartialUntil(begun time.Time) time.Time {
-	if begun.Before(s.DrainFrom) {
-		begun = s.DrainFrom
-	}
-	until := begun.Add(s.Partial)
+	until := later(begun, s.DrainFrom).Add(s.Partial)
 	if until.After(s.ReadUntil) {
 		return s.ReadUntil
 	}
 	return until
 }
+
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
