thrift: idle connections stop sending as the drain begins, not as their goroutines run

An idle connection was closed by its own goroutine behind the end of its reader, and each has to get a core first. The sending side of one on which nothing is unread is closed by the shutdown itself now, so that the client learns of the end in that moment.

--- a/internal/downstream/thrift/shutdown.go
+++ b/internal/downstream/thrift/shutdown.go
@@ -125,6 +125,7 @@
 			}
 		case readTimeLeft && c.mayDeliverCall(), c.noCallYet && time.Since(c.acceptedAt) < shutdown.FirstBytesTime:
 		case !c.readingCall:
+			c.endSendingIfSilent()
 			c.stopReading()
 		case socket.ReadState(c.Conn) != socket.Unread:
 			c.endReading()
@@ -139,10 +140,15 @@
 func (s *Server) endSendingIfLast(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.draining || c.hasCallsBehind() {
-		return
+	if s.draining && c.unanswered == 1 && !c.readingCall {
+		c.endSendingIfSilent()
 	}
-	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+}
+
+// endSendingIfSilent closes the sending side if nothing is unread, so that the client sends nothing more.
+func (c *clientConn) endSendingIfSilent() {
+	conn, ok := c.Conn.(interface{ CloseWrite() error })
+	if ok && socket.ReadState(c.Conn) == socket.Silent {
 		_ = conn.CloseWrite() // fails only if the client has disconnected
 	}
 }
