--- a/internal/downstream/thrift/read.go
+++ b/internal/downstream/thrift/read.go
@@ -88,6 +88,8 @@
 	defer s.mu.Unlock()
 	if c.stopping && c.reader.Buffered() == 0 {
 		if s.draining && !s.mayHoldUnread(time.Now()) || socket.ReadState(c.Conn) != socket.Unread {
+			c.readerStopped = true
+			c.endSendingIfDone()
 			return false
 		}
 	}
@@ -95,6 +97,16 @@
 	return true
 }
 
+// endSendingIfDone closes the sending side if nothing more is read and no answer is owed. A reply does not say that its
+// connection ends, and the client would send on until the connection is closed, for which another goroutine has to run. The
+// server's lock is held.
+func (c *clientConn) endSendingIfDone() {
+	conn, ok := c.Conn.(interface{ CloseWrite() error })
+	if ok && c.readerStopped && c.unanswered == 0 {
+		_ = conn.CloseWrite() // fails only if the client has disconnected
+	}
+}
+
 // stopReading ends the reader behind what has arrived. The server's lock is held.
 func (c *clientConn) stopReading() {
 	c.stopping = true
--- a/internal/downstream/thrift/reply.go
+++ b/internal/downstream/thrift/reply.go
@@ -110,9 +110,6 @@
 	c.replied = true
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	out := net.Buffers{head, rest}
-	if _, err := out.WriteTo(c.Conn); err != nil {
-		return false
-	}
-	s.endSendingIfLast(c)
-	return true
+	_, err := out.WriteTo(c.Conn)
+	return err == nil
 }
--- a/internal/downstream/thrift/shutdown.go
+++ b/internal/downstream/thrift/shutdown.go
@@ -125,7 +125,6 @@
 			}
 		case readTimeLeft && c.mayDeliverCall(), c.noCallYet && time.Since(c.acceptedAt) < shutdown.FirstBytesTime:
 		case !c.readingCall:
-			c.endSendingIfSilent()
 			c.stopReading()
 		case socket.ReadState(c.Conn) != socket.Unread:
 			c.endReading()
@@ -134,25 +133,6 @@
 	return len(s.conns) > 0
 }
 
-// endSendingIfLast closes the sending side of a connection on which the last answer of a drain was just written. A reply has
-// no field that says so, and the client would send on until the reader has stopped and the connection is closed, which may
-// take a while on a busy machine.
-func (s *Server) endSendingIfLast(c *clientConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining && c.unanswered == 1 && !c.readingCall {
-		c.endSendingIfSilent()
-	}
-}
-
-// endSendingIfSilent closes the sending side if nothing is unread, so that the client sends nothing more.
-func (c *clientConn) endSendingIfSilent() {
-	conn, ok := c.Conn.(interface{ CloseWrite() error })
-	if ok && socket.ReadState(c.Conn) == socket.Silent {
-		_ = conn.CloseWrite() // fails only if the client has disconnected
-	}
-}
-
 // hasCallsBehind reports whether calls, or bytes of one, have arrived behind the open call. The server's lock is held.
 func (c *clientConn) hasCallsBehind() bool {
 	return c.unanswered > 1 || c.readingCall || socket.ReadState(c.Conn) == socket.Unread
