lab/cluster: a backup of a running replica copies again when a file was renamed beside it

TestReplicaWithLostDataIsReplaced/wipe, /lie and /back failed at times with "open log.lasts.new: no such file or directory" (or seen.new).

Cause: Backup lists the directory of a replica that runs and then opens each file; a file that the replica renames between the two is missing. A copy that misses a file is now made again, 20 times at most; any other error is returned as before. No test or bound is changed.

--- a/internal/lab/cluster/processdisk.go
+++ b/internal/lab/cluster/processdisk.go
@@ -16,6 +16,9 @@
 	diskFaultFile    = "faults" // the faults to inject
 )
 
+// backupAttempts bounds the copies that a backup of a running process takes.
+const backupAttempts = 20
+
 // PowerCut kills the process and discards the data that was not synced to its disk. With rng, a random prefix
 // of a file's unsynced data may remain, as after a torn write.
 func (p *Process) PowerCut(rng *rand.Rand) error {
@@ -67,12 +70,19 @@
 	return os.MkdirAll(p.Data, 0o700)
 }
 
-// Backup replaces a directory by a copy of the data directory.
+// Backup replaces a directory by a copy of the data directory. The process may run: a copy that a renamed
+// file is missing from is made again.
 func (p *Process) Backup(to string) error {
-	if err := os.RemoveAll(to); err != nil {
-		return err
+	var err error
+	for range backupAttempts {
+		if err = os.RemoveAll(to); err != nil {
+			return err
+		}
+		if err = os.CopyFS(to, os.DirFS(p.Data)); !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
 	}
-	return os.CopyFS(to, os.DirFS(p.Data))
+	return err
 }
 
 // Restore replaces the data directory by a backup. The process must not run.
