lab/acceptance: the fleet's proof has traffic between ends, not only beside them

Both defects (a short deduplication window, wrong zones) show only where a keyed request goes again, so the proof needs requests.

Cause: the proof ended the next group of agents as soon as the last one was ready, so that most of its requests were those that agents served for 0.8 s after SIGTERM.

No judgement or bound is changed.

--- a/internal/lab/acceptance/wholefleet.go
+++ b/internal/lab/acceptance/wholefleet.go
@@ -38,6 +38,9 @@
 	sharedMachineScale, sharedMachineSlack = 0.15, 500 * time.Millisecond
 	// heldTimeout is the timeout of a request that has to be open at the signal.
 	heldTimeout = 20 * time.Second
+	// servedBetweenEnds is how many requests are served from one group's start to the next one's end, unless
+	// that takes longer than trafficWithin.
+	servedBetweenEnds, trafficWithin = 120, 5 * time.Second
 )
 
 // fleetDefect is a defect that the lab can seed, which the proof has to detect; the seed of the run selects
@@ -97,6 +100,15 @@
 	}
 }
 
+// awaitServed returns once n more requests have been served, or after trafficWithin.
+func (f *fleet) awaitServed(ctx context.Context, n int) {
+	ctx, cancel := context.WithTimeout(ctx, trafficWithin)
+	defer cancel()
+	for enough := f.ledger.ServedSoFar() + n; f.ledger.ServedSoFar() < enough && ctx.Err() == nil; {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // replace replaces a server: it drains, and returns at the same address with a new id or in another cell.
 func (f *fleet) replace(s *lab.Backend, newID bool) {
 	f.ledger.NotifiedDraining(s.ID, time.Now())
@@ -226,6 +238,7 @@
 				return nil, err
 			}
 		}
+		f.awaitServed(ctx, servedBetweenEnds)
 		force := rng.IntN(8) == 0
 		if err := all(group, func(a *fleetAgent) error {
 			if !force {
--- a/internal/lab/ledger.go
+++ b/internal/lab/ledger.go
@@ -131,6 +131,13 @@
 	l.Checker.Started(l.server(server), at, capacity)
 }
 
+// ServedSoFar returns how many attempts have been answered as served.
+func (l *Ledger) ServedSoFar() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int(l.Totals.Served)
+}
+
 // MaxOverload returns the maximum over all servers in slow start and all windows of the requests received
 // in a window, as a multiple of the server's capacity at that time.
 func (l *Ledger) MaxOverload() float64 {
