Thrift: a call that is incomplete at an end is rejected, its connection not just closed

Cause: the end waited for the rest of a call until 0.65 s, whatever had come of it, and then closed the connection: a reply needs the call's name and sequence id, which a framed call that was cut off did not yield. The rig had slow clients over HTTP alone, so that it was not seen.

Now the head of what has arrived is parsed, a call whose time passes has an exception that says it was rejected (nothing of it was forwarded), and at an end its time is that of a partial request over HTTP, 0.1 s. A call whose head is incomplete still ends with its connection. An eviction and the 2.5 s for a call's bytes answer in the same way, as does a framed call that finds no memory.

A lost request is printed with the time at which its client began with it.

--- a/internal/downstream/shutdown/schedule.go
+++ b/internal/downstream/shutdown/schedule.go
@@ -22,7 +22,7 @@
 	// Read is how long requests may take to arrive. What arrives later is rejected, and what is incomplete then is not
 	// read. A new connection has FirstBytesTime.
 	Read time.Duration
-	// Partial is how long a request over HTTP may be incomplete, counted from the drain's begin or from its own. It is
+	// Partial is how long a request may be incomplete, counted from the drain's begin or from its own. It is
 	// rejected then.
 	Partial time.Duration
 	// Answer is by when every request has its answer.
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -43,12 +43,13 @@
 	pipelined bool // such calls were read; more may be arriving as the connection closes
 
 	// Guarded by the server's lock:
-	unanswered    int    // calls that were read and have not been answered, including the open one
-	readingCall   bool   // a call has begun to arrive and was not read completely
-	noCallYet     bool   // no call has begun to arrive on this connection
-	stopping      bool   // the reader ends behind what has arrived
-	readerStopped bool   // it has ended
-	endOpen       func() // ends the time of the open call; nil: there is none that wants a reply, or it was ended
+	unanswered    int       // calls that were read and have not been answered, including the open one
+	readingCall   bool      // a call has begun to arrive and was not read completely
+	callBegunAt   time.Time // when the last call began to arrive, as far as the reader has seen
+	noCallYet     bool      // no call has begun to arrive on this connection
+	stopping      bool      // the reader ends behind what has arrived
+	readerStopped bool      // it has ended
+	endOpen       func()    // ends the time of the open call; nil: there is none that wants a reply, or it was ended
 }
 
 // message is a message that was read, or the error that ended reading.
--- a/internal/downstream/thrift/read.go
+++ b/internal/downstream/thrift/read.go
@@ -70,8 +70,9 @@
 		stopped := err != nil && c.stopping && errors.Is(err, os.ErrDeadlineExceeded)
 		if err == nil {
 			c.readingCall = true
+			c.callBegunAt = time.Now()
 			c.noCallYet = false
-			c.SetReadDeadline(time.Now().Add(readTimeout))
+			c.SetReadDeadline(c.callBegunAt.Add(readTimeout))
 		}
 		s.mu.Unlock()
 		if !stopped {
--- a/internal/downstream/thrift/reply.go
+++ b/internal/downstream/thrift/reply.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -51,7 +52,7 @@
 		}
 	case m.head.Name == nil || m.head.Kind == thriftwire.Oneway:
 		// A reply needs the name of the method, and a one-way call has none.
-	case errors.Is(m.err, errOverBudget):
+	case errors.Is(m.err, errOverBudget), errors.Is(m.err, os.ErrDeadlineExceeded) && m.head.Body > 0:
 		s.writeException(c, &m.head, CodeRejected, rejectionText(s.RetryAfterMs))
 	case upstream.IsUnreadable(m.err):
 		s.writeException(c, &m.head, CodeMalformed, "the call can't be read: "+m.err.Error())
--- a/internal/downstream/thrift/shutdown.go
+++ b/internal/downstream/thrift/shutdown.go
@@ -108,14 +108,15 @@
 	return len(s.conns) == 0
 }
 
-// closeUnused makes connections end that have no call, and reports whether any connection remains. Until the schedule's
-// ReadUntil it spares those on which a call is arriving, and new ones, whose first call may be on its way: closing
-// them would lose the call. From then on it ends the time of open calls behind which more have arrived, as their client
+// closeUnused makes connections end that have no call, and reports whether any connection remains. It spares new ones, whose
+// first call may be on its way, and until the schedule's PartialUntil those on which a call is arriving: closing them would
+// lose the call. From the schedule's ReadUntil on it ends the time of open calls behind which more have arrived, as their client
 // goes on sending until the connection ends.
 func (s *Server) closeUnused() (remain bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	readTimeLeft := time.Now().Before(s.schedule.ReadUntil)
+	now := time.Now()
+	readTimeLeft := now.Before(s.schedule.ReadUntil)
 	for c := range s.conns {
 		switch {
 		case c.unanswered > 0:
@@ -123,7 +124,9 @@
 				c.endOpen()
 				c.endOpen = nil
 			}
-		case readTimeLeft && c.mayDeliverCall(), c.noCallYet && time.Since(c.acceptedAt) < shutdown.FirstBytesTime:
+		case c.readingCall && now.Before(s.schedule.PartialUntil(c.callBegunAt)):
+		case c.noCallYet && (readTimeLeft || now.Sub(c.acceptedAt) < shutdown.FirstBytesTime):
+		case readTimeLeft && !c.readingCall && socket.ReadState(c.Conn) == socket.Unread:
 		case !c.readingCall:
 			c.stopReading()
 		case socket.ReadState(c.Conn) != socket.Unread:
@@ -137,8 +140,3 @@
 func (c *clientConn) hasCallsBehind() bool {
 	return c.unanswered > 1 || c.readingCall || socket.ReadState(c.Conn) == socket.Unread
 }
-
-// mayDeliverCall reports whether a call is arriving or may be on its way. The server's lock is held.
-func (c *clientConn) mayDeliverCall() bool {
-	return c.readingCall || c.noCallYet || socket.ReadState(c.Conn) == socket.Unread
-}
--- a/internal/lab/pressure/behaviors.go
+++ b/internal/lab/pressure/behaviors.go
@@ -313,6 +313,9 @@
 	thriftOneway = 4
 )
 
+// thriftBodyBytes is the length of the struct in a thriftMessage.
+const thriftBodyBytes = 1
+
 // thriftMessage returns a framed message in the binary protocol, with an empty struct.
 func thriftMessage(kind uint32, name string) []byte {
 	body := binary.BigEndian.AppendUint32(nil, 0x80010000|kind)
--- a/internal/lab/pressure/load.go
+++ b/internal/lab/pressure/load.go
@@ -35,7 +35,7 @@
 	NewConnPercent    int           // requests that open a new connection though others are idle
 	HangPercent       int           // requests that get no answer from their backend
 	SlowAnswerPercent int           // requests whose answers are written slowly
-	SlowSendPercent   int           // requests over HTTP whose last bytes follow up to SlowSendTime later than the first ones
+	SlowSendPercent   int           // requests whose last bytes follow up to SlowSendTime later than the first ones
 	SlowSendTime      time.Duration
 	// NewConnTime is how long after SIGTERM connections are opened; 0: until they are refused.
 	NewConnTime time.Duration
@@ -46,8 +46,10 @@
 // LostRequest is a request that got no answer, or one too late.
 type LostRequest struct {
 	Path string
-	Sent time.Time // its last byte
-	Due  time.Time // when its client had no time left
+	// Opened is how long before Sent its client began with it: to open a connection, or to write.
+	Opened time.Duration
+	Sent   time.Time // its last byte
+	Due    time.Time // when its client had no time left
 	// SinceTermination is how long after SIGTERM it was sent; 0: before.
 	SinceTermination time.Duration
 	Ended            time.Duration // after Sent
@@ -56,8 +58,8 @@
 }
 
 func (l *LostRequest) String() string {
-	return fmt.Sprintf("%s sent %s, %v after SIGTERM, ended %v later, kept %v: %v", l.Path, l.Sent.Format("05.000"),
-		l.SinceTermination.Round(time.Millisecond), l.Ended.Round(time.Millisecond), l.Kept, l.Err)
+	return fmt.Sprintf("%s begun %v before it was sent %s, %v after SIGTERM, ended %v later, kept %v: %v", l.Path,
+		l.Opened.Round(time.Millisecond), l.Sent.Format("05.000"), l.SinceTermination.Round(time.Millisecond), l.Ended.Round(time.Millisecond), l.Kept, l.Err)
 }
 
 // LoadCounts are the results of a load.
@@ -174,7 +176,7 @@
 			l.keep(c)
 		}
 		lost := LostRequest{
-			Path: path, Sent: sent, Due: first.Add(l.load.Timeout), SinceTermination: l.agent.sinceTermination(sent),
+			Path: path, Opened: sent.Sub(opened), Sent: sent, Due: first.Add(l.load.Timeout), SinceTermination: l.agent.sinceTermination(sent),
 			Ended: took, Err: err, Kept: kept,
 		}
 		switch {
@@ -289,7 +291,7 @@
 func (l *loader) send(c *loadConn, path string) error {
 	var err error
 	if l.load.Thrift {
-		_, err = c.Write(thriftMessage(thriftCall, thriftMethod(path)))
+		err = l.write(c, string(thriftMessage(thriftCall, thriftMethod(path))))
 	} else {
 		err = l.write(c, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nRequest-Id: %x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 			path, nextRequestID(), l.load.Timeout.Milliseconds(), len(orderBody), orderBody))
@@ -309,18 +311,14 @@
 	return c.readHTTP()
 }
 
-// write writes a request, or a part of it and the rest later: at the end of its head, or within it. It ends early if the
-// agent has answered meanwhile.
+// write writes a request, or a part of it and the rest later. It ends early if the agent has answered meanwhile.
 func (l *loader) write(c *loadConn, text string) error {
 	pause, withinHead := l.drawPause()
 	if pause == 0 {
 		_, err := io.WriteString(c, text)
 		return err
 	}
-	first := len(text) - len(orderBody)
-	if withinHead {
-		first /= 2
-	}
+	first := l.firstPart(text, withinHead)
 	if _, err := io.WriteString(c, text[:first]); err != nil {
 		return err
 	}
@@ -338,6 +336,18 @@
 	return err
 }
 
+// firstPart returns how many bytes of a request are written before its pause: its head, or a part of it over HTTP. A part of
+// the head of a Thrift call can't be answered.
+func (l *loader) firstPart(text string, withinHead bool) int {
+	switch {
+	case l.load.Thrift:
+		return len(text) - thriftBodyBytes
+	case withinHead:
+		return (len(text) - len(orderBody)) / 2
+	}
+	return len(text) - len(orderBody)
+}
+
 // drawPause returns how long a request waits for its last bytes, and whether these are more than its body.
 func (l *loader) drawPause() (pause time.Duration, withinHead bool) {
 	l.mu.Lock()
--- a/internal/upstream/thrift/read.go
+++ b/internal/upstream/thrift/read.go
@@ -37,7 +37,7 @@
 }
 
 // Read reads one message and extracts the fields of paths. For memory over unreservedBytes it calls reserve,
-// as the message grows, and returns its error.
+// as the message grows, and returns its error. Beside an error it returns what has arrived of the message's head.
 func Read(
 	br *bufio.Reader, t thriftwire.Transport, limits thriftwire.Limits, paths []thriftwire.Path, reserve func(n int64) error,
 ) ([]byte, thriftwire.Message, error) {
@@ -54,6 +54,7 @@
 func readFramed(br *bufio.Reader, r *thriftwire.Reader, limits thriftwire.Limits, reserve func(n int64) error) ([]byte, error) {
 	msg, err := readFrame(br, limits, reserve)
 	if err != nil {
+		_, _ = r.Read(msg) // for the head; the error is that of the connection
 		return nil, err
 	}
 	ok, err := r.Read(msg)
@@ -68,7 +69,7 @@
 	return msg, nil
 }
 
-// readFrame reads the content of a frame. Memory for a large frame is reserved only as its bytes arrive, so that a peer
+// readFrame reads the content of a frame, or the part before an error. Memory for a large frame is reserved only as its bytes arrive, so that a peer
 // can't occupy memory just by announcing one.
 func readFrame(br *bufio.Reader, limits thriftwire.Limits, reserve func(n int64) error) ([]byte, error) {
 	length, err := br.Peek(frameLengthBytes)
@@ -88,18 +89,18 @@
 	}
 	br.Discard(frameLengthBytes)
 	msg := make([]byte, min(size, unreservedBytes))
-	if _, err := io.ReadFull(br, msg); err != nil {
-		return nil, err
+	if n, err := io.ReadFull(br, msg); err != nil {
+		return msg[:n], err
 	}
 	for len(msg) < size {
 		grown := min(bufferGrowth*len(msg), size)
 		if err := reserve(int64(grown - len(msg))); err != nil {
-			return nil, err
+			return msg, err
 		}
 		arrived := len(msg)
 		msg = append(make([]byte, 0, grown), msg...)[:grown]
-		if _, err := io.ReadFull(br, msg[arrived:]); err != nil {
-			return nil, err
+		if n, err := io.ReadFull(br, msg[arrived:]); err != nil {
+			return msg[:arrived+n], err
 		}
 	}
 	return msg, nil
