Thrift: a call whose time passes while the process does not run is read

A call of which a part had been read, and whose rest arrived while the process did not run, was closed without an answer if its 2.5 s, or its time at an end, had passed when the process ran again: a read behind its deadline does not look for bytes.

Now a read of a call that has begun takes what has arrived when it finds its deadline passed. TestCallWhoseTimePassedWhileTheProcessDidNotRunIsRead failed before ("err" in place of the call).

--- a/internal/downstream/thrift/read.go
+++ b/internal/downstream/thrift/read.go
@@ -123,6 +123,19 @@
 	c.SetReadDeadline(expiredDeadline)
 }
 
+// Read implements net.Conn, for the reader. Of a call that has begun it reads what has arrived though the read deadline has
+// passed: the process may not have run when it came.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.readingCall || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if arrived := socket.ReadNow(c.Conn, p); arrived > 0 {
+		return arrived, nil
+	}
+	return n, err
+}
+
 // detectTransport detects the transport of a connection by its first bytes.
 func (c *clientConn) detectTransport() error {
 	for n := 1; ; n++ {
--- a/internal/downstream/thrift/read_test.go
+++ b/internal/downstream/thrift/read_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -134,6 +135,39 @@
 	}
 }
 
+// stalledConn is a connection whose process does not run while its second read waits: that finds the deadline passed.
+type stalledConn struct {
+	*net.TCPConn
+	reads  int
+	during func()
+}
+
+func (c *stalledConn) Read(p []byte) (int, error) {
+	if c.reads++; c.reads != 2 {
+		return c.TCPConn.Read(p)
+	}
+	c.during()
+	return 0, os.ErrDeadlineExceeded
+}
+
+// A call whose last bytes arrived while the process did not run is read, though its time has passed meanwhile.
+func TestCallWhoseTimePassedWhileTheProcessDidNotRunIsRead(t *testing.T) {
+	s := newTestServer()
+	c, client := newTestConn(t, s)
+	call := framedCall(1)
+	c.Conn = &stalledConn{TCPConn: c.Conn.(*net.TCPConn), during: func() {
+		client.Write(call[len(call)/2:])
+		for socket.ReadState(c.Conn) != socket.Unread {
+			time.Sleep(time.Millisecond)
+		}
+	}}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	client.Write(call[:len(call)/2])
+	if m := s.readMessage(c); m.err != nil || m.head.Seq != 1 {
+		t.Fatalf("read %+v, want the call 1", m)
+	}
+}
+
 // Connections are evicted in the order idle, new, with an incomplete call; one whose call was read and not answered
 // never is, as the call would be lost.
 func TestEvictionSparesCallsThatWereRead(t *testing.T) {
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -110,11 +110,11 @@
 func (s *Server) accept(nc net.Conn) {
 	c := &clientConn{
 		Conn:       nc,
-		reader:     bufio.NewReaderSize(nc, readBufferBytes),
 		acceptedAt: time.Now(),
 		noCallYet:  true,
 		pace:       s.answers.NewConn(),
 	}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	if !s.awaitRoom(c) {
 		s.closed.Record(closelog.NoRoom, nc.RemoteAddr().String())
 		nc.Close()
