agent: an end waits 20 ms for the rest of a request, in place of 100

A request that is partly sent when the process is stopped until SIGKILL, and complete over 0.7 s after SIGTERM, is lost if it began less than the wait for its rest before the stop.

What is rejected earlier has not been forwarded. TestShutdownPlan has the new time.

--- a/internal/agent/shutdown.go
+++ b/internal/agent/shutdown.go
@@ -21,7 +21,7 @@
 	acceptMargin = 50 * time.Millisecond
 	// partialTime is how long a request may be incomplete during a shutdown: its client may end it after
 	// excusedTime.
-	partialTime = 100 * time.Millisecond
+	partialTime = 20 * time.Millisecond
 	// listenTime is how long new connections are accepted after SIGTERM: clients open some for up to 0.4 s, and they may
 	// wait in the accept queue for a while.
 	listenTime = 450 * time.Millisecond
--- a/internal/agent/shutdown_test.go
+++ b/internal/agent/shutdown_test.go
@@ -24,7 +24,7 @@
 		want := shutdown.Plan{
 			Listen:  450 * time.Millisecond,
 			Read:    650 * time.Millisecond,
-			Partial: 100 * time.Millisecond,
+			Partial: 20 * time.Millisecond,
 			Answer:  answer,
 			Abort:   answer + 150*time.Millisecond,
 		}
