--- a/internal/lab/pressure/load.go
+++ b/internal/lab/pressure/load.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -23,9 +22,6 @@
 // machine delays its clients, too.
 const maxSendLag = 50 * time.Millisecond
 
-// pausePollInterval is how often a client that pauses within a request looks for an answer.
-const pausePollInterval = 5 * time.Millisecond
-
 // Load is requests that are sent at a rate, whether or not earlier ones have been answered. Each uses a kept connection
 // that is idle, or opens another one.
 type Load struct {
@@ -277,83 +273,3 @@
 	defer l.mu.Unlock()
 	l.idle = append(l.idle, c)
 }
-
-// exchange sends a request and reads its answer. end says that the connection ends behind it.
-func (l *loader) exchange(c *loadConn, path string) (status answerStatus, end bool, err error) {
-	_ = c.SetDeadline(time.Now().Add(l.load.Timeout + unansweredAfter))
-	if err := l.send(c, path); err != nil {
-		return 0, true, err
-	}
-	return l.receive(c)
-}
-
-// send sends a request.
-func (l *loader) send(c *loadConn, path string) error {
-	var err error
-	if l.load.Thrift {
-		err = l.write(c, string(thriftMessage(thriftCall, thriftMethod(path))))
-	} else {
-		err = l.write(c, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nRequest-Id: %x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-			path, nextRequestID(), l.load.Timeout.Milliseconds(), len(orderBody), orderBody))
-	}
-	c.sent = time.Now()
-	if err != nil && !errors.Is(err, errConnEnded) && !errors.Is(err, errConnCrossed) {
-		return fmt.Errorf("%w: %w", errConnAborted, err)
-	}
-	return err
-}
-
-// receive reads the next answer.
-func (l *loader) receive(c *loadConn) (status answerStatus, end bool, err error) {
-	if l.load.Thrift {
-		return c.readThrift()
-	}
-	return c.readHTTP()
-}
-
-// write writes a request, or a part of it and the rest later. It ends early if the agent has answered meanwhile.
-func (l *loader) write(c *loadConn, text string) error {
-	pause, withinHead := l.drawPause()
-	if pause == 0 {
-		_, err := io.WriteString(c, text)
-		return err
-	}
-	first := l.firstPart(text, withinHead)
-	if _, err := io.WriteString(c, text[:first]); err != nil {
-		return err
-	}
-	for begun := time.Now(); time.Since(begun) < pause; time.Sleep(pausePollInterval) {
-		switch state := socket.ReadState(c.Conn); {
-		case state == socket.Unread:
-			return nil
-		case state == socket.Ended && time.Since(begun) < crossingTime && c.kept:
-			return errConnCrossed
-		case state == socket.Ended:
-			return errConnEnded
-		}
-	}
-	_, err := io.WriteString(c, text[first:])
-	return err
-}
-
-// firstPart returns how many bytes of a request are written before its pause: its head, or a part of it over HTTP. A part of
-// the head of a Thrift call can't be answered.
-func (l *loader) firstPart(text string, withinHead bool) int {
-	switch {
-	case l.load.Thrift:
-		return len(text) - thriftBodyBytes
-	case withinHead:
-		return (len(text) - len(orderBody)) / 2
-	}
-	return len(text) - len(orderBody)
-}
-
-// drawPause returns how long a request waits for its last bytes, and whether these are more than its body.
-func (l *loader) drawPause() (pause time.Duration, withinHead bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.load.SlowSendTime == 0 || l.rng.IntN(100) >= l.load.SlowSendPercent {
-		return 0, false
-	}
-	return 1 + time.Duration(l.rng.Int64N(int64(l.load.SlowSendTime))), l.rng.IntN(2) == 0
-}
