--- a/internal/agent/shutdown.go
+++ b/internal/agent/shutdown.go
@@ -19,8 +19,7 @@
 	// sets it. Nothing is taken on in the last acceptMargin of it, as clients and this process measure it differently.
 	excusedTime  = 700 * time.Millisecond
 	acceptMargin = 50 * time.Millisecond
-	// partialTime is how long a request may be incomplete during a shutdown: its client may end it after
-	// excusedTime.
+	// partialTime is how long a request may be incomplete during a shutdown: its client may end it after excusedTime.
 	partialTime = 20 * time.Millisecond
 	// listenTime is how long new connections are accepted after SIGTERM: clients open some for up to 0.4 s, and they may
 	// wait in the accept queue for a while.
--- a/internal/downstream/thrift/read.go
+++ b/internal/downstream/thrift/read.go
@@ -123,8 +123,8 @@
 	c.SetReadDeadline(expiredDeadline)
 }
 
-// Read implements net.Conn, for the reader. Of a call that has begun it reads what has arrived though the read deadline has
-// passed: the process may not have run when it came.
+// Read implements net.Conn. Of a call that has begun it reads what has arrived though the read deadline has passed: the
+// process may not have run when it came. Only the reader calls it, which alone changes readingCall.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if !c.readingCall || !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/downstream/thrift/shutdown.go
+++ b/internal/downstream/thrift/shutdown.go
@@ -110,8 +110,8 @@
 
 // closeUnused makes connections end that have no call, and reports whether any connection remains. It spares new ones, whose
 // first call may be on its way, and until the schedule's PartialUntil those on which a call is arriving: closing them would
-// lose the call. From the schedule's ReadUntil on it ends the time of open calls behind which more have arrived, as their client
-// goes on sending until the connection ends.
+// lose the call. From the schedule's ReadUntil on it ends the time of open calls behind which more have arrived, as their
+// client goes on sending until the connection ends.
 func (s *Server) closeUnused() (remain bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/upstream/thrift/read.go
+++ b/internal/upstream/thrift/read.go
@@ -69,8 +69,8 @@
 	return msg, nil
 }
 
-// readFrame reads the content of a frame, or the part before an error. Memory for a large frame is reserved only as its bytes arrive, so that a peer
-// can't occupy memory just by announcing one.
+// readFrame reads the content of a frame, or the part before an error. Memory for a large frame is reserved only as its
+// bytes arrive, so that a peer can't occupy memory just by announcing one.
 func readFrame(br *bufio.Reader, limits thriftwire.Limits, reserve func(n int64) error) ([]byte, error) {
 	length, err := br.Peek(frameLengthBytes)
 	if err == io.EOF && br.Buffered() > 0 {
